--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Commands of the project. SANITIZE=address,undefined selects a sanitizer build
+# in a build directory of its own.
+comma := ,
+BUILD ?= build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+TEST_KINDS := correctness error property failure
+# A fixed seed gives the same verdict on each run; `make soak` uses fresh ones.
+export RC_PARAMS ?= seed=20261204 max_success=200
+SOURCES = $(shell git ls-files '*.cpp' '*.h')
+
+.PHONY: all configure test lint format format-check tidy bench demo clean install
+
+all: configure
+	cmake --build $(BUILD)
+
+configure:
+	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) > $(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
+
+test: all
+	@for kind in $(TEST_KINDS); do \
+	  if [ -x $(BUILD)/bin/test-$$kind ]; then \
+	    echo "== $$kind"; \
+	    $(BUILD)/bin/test-$$kind -j4 --timeout 120 || exit 1; \
+	  fi; \
+	done
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+tidy: configure
+	@git ls-files '*.cpp' | xargs -P $(shell nproc) -n 1 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+
+lint: format-check tidy
+
+bench: all
+	$(BUILD)/bin/sycamoreward-load bench
+
+demo: all
+	$(BUILD)/bin/demo
+
+install: all
+	cmake --install $(BUILD)
+
+clean:
+	rm -rf build build-* build.log build-*.log
--- /dev/null
+++ b/include/sycamoreward/Version.h
@@ -0,0 +1,9 @@
+#pragma once
+
+// Version of the library and of its programs.
+
+namespace sycamoreward {
+
+constexpr const char* kVersion = "0.1.0";
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/base/Units.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// Units of amounts that cross package borders. Durations use std::chrono.
+
+#include "base/StrongType.h"
+
+#include <cstdint>
+
+namespace sycamoreward {
+
+// Amount of data.
+using Bytes = StrongType<struct BytesTag, std::uint64_t>;
+
+// Amount of model input or output.
+using Tokens = StrongType<struct TokensTag, std::uint64_t>;
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/membership/Membership.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// Read access to the members as this instance sees them.
+
+#include "membership/Member.h"
+
+#include <functional>
+
+namespace sycamoreward {
+
+class Membership
+{
+public:
+  virtual ~Membership() = default;
+
+  virtual const MemberList& Members() const = 0;
+
+  // Calls aObserver after each change, on the loop of the owner.
+  virtual void OnChange(std::function<void()> aObserver) = 0;
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/peer/Messages.h
@@ -0,0 +1,189 @@
+#pragma once
+
+// Messages of the inner protocol. On the wire each is a CBOR map; receivers
+// ignore fields that they don't know, so that versions can be mixed.
+
+#include "base/Ids.h"
+#include "ledger/Ledger.h"
+#include "ledger/Outcome.h"
+#include "membership/Member.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sycamoreward {
+
+// First frame in each direction.
+struct Hello
+{
+  std::uint32_t protocol_ = 1;
+  PeerIdentity identity_;
+};
+
+// A change in what is known of a member, spread with beats.
+struct MemberEvent
+{
+  PeerIdentity identity_;
+  MemberState state_ = MemberState::Live;
+};
+
+// A change in what is known of a backend server, found by an instance before
+// the platform's list said so.
+struct ServerLeavingEvent
+{
+  ServerId server_;
+};
+
+// Heartbeat to a neighbour.
+struct Beat
+{
+  Incarnation incarnation_;
+  Revision configuration_;
+  std::uint64_t serverListVersion_ = 0;
+  // Lowest configuration revision in force by failure domain, as far as known.
+  std::map<std::string, std::uint64_t> inForce_;
+  std::vector<MemberEvent> members_;
+  std::vector<ServerLeavingEvent> leavingServers_;
+};
+
+// Asks for a sign of life on a new connection.
+struct Probe
+{};
+struct ProbeReply
+{};
+
+enum class FeedName
+{
+  Configuration,
+  ServerList
+};
+
+// Asks for what follows a version of a feed; 0 asks for a snapshot.
+struct FeedPull
+{
+  FeedName feed_ = FeedName::Configuration;
+  std::uint64_t after_ = 0;
+};
+
+// Changes from after_ to version_, or a snapshot at version_. Items are JSON
+// texts in the form that the feed's owner defines.
+struct FeedDelta
+{
+  FeedName feed_ = FeedName::Configuration;
+  bool isSnapshot_ = false;
+  std::uint64_t after_ = 0;
+  std::uint64_t version_ = 0;
+  std::vector<std::string> items_;
+};
+
+struct Register
+{
+  RegisterRequest request_;
+};
+struct Registered
+{
+  RegisterReply reply_;
+};
+
+// Outcomes for the registrar to make durable.
+struct Record
+{
+  std::vector<Outcome> outcomes_;
+};
+// Answer to Record, sent once the outcomes are in the table.
+struct Recorded
+{
+  std::vector<RequestId> requests_;
+};
+
+struct Lookup
+{
+  RequestId request_;
+};
+struct LookupAnswer
+{
+  std::optional<Outcome> outcome_;
+  std::string error_;
+};
+
+// Asks the owner of a request for its answer, from a part on.
+struct Follow
+{
+  RequestId request_;
+  PartIndex from_;
+};
+
+enum class AnswerPartKind
+{
+  // Status and headers of the answer.
+  Head,
+  Data,
+  // The answer is whole.
+  End,
+  // The owner can't give the rest; data_ says why.
+  Broken
+};
+
+// A part of an answer, sent to a follower.
+struct AnswerPart
+{
+  RequestId request_;
+  AttemptNumber attempt_;
+  PartIndex index_;
+  AnswerPartKind kind_ = AnswerPartKind::Data;
+  int status_ = 0;
+  std::string contentType_;
+  std::string data_;
+};
+
+// A running request, moved to a successor by an instance that leaves.
+struct HandOver
+{
+  RequestId request_;
+  WorkspaceId workspace_;
+  ServiceName service_;
+  std::string keyDigest_;
+  std::string bodyDigest_;
+  std::string method_;
+  std::string target_;
+  std::string contentType_;
+  std::string body_;
+  WallTime accepted_;
+  // Time left until the request's deadline.
+  Duration remaining_{ 0 };
+  std::vector<AttemptRecord> attempts_;
+  // An unrepeatable request whose call was sent; the successor may only ask.
+  bool isSent_ = false;
+  // Parts of the answer so far.
+  int status_ = 0;
+  std::string answerContentType_;
+  std::vector<std::string> tokens_;
+};
+struct HandOverReply
+{
+  bool isAccepted_ = false;
+  std::string reason_;
+};
+
+using Message = std::variant<Hello,
+                             Beat,
+                             Probe,
+                             ProbeReply,
+                             FeedPull,
+                             FeedDelta,
+                             Register,
+                             Registered,
+                             Record,
+                             Recorded,
+                             Lookup,
+                             LookupAnswer,
+                             Follow,
+                             AnswerPart,
+                             HandOver,
+                             HandOverReply>;
+
+} // namespace sycamoreward
