--- /dev/null
+++ b/src/telemetry/Metrics.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Metrics of one instance, in a prometheus-cpp registry of its own. Label sets
+// are bounded: service, workspace, class and outcome come from the
+// configuration and from fixed lists, never from request data.
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "ledger/Outcome.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace sycamoreward {
+
+class Metrics
+{
+public:
+  Metrics();
+
+  // A request ended.
+  void CountOutcome(const ServiceName& aService,
+                    const WorkspaceId& aWorkspace,
+                    OutcomeKind aKind);
+
+  // A request was refused before it was sent. aReason is one of a fixed list,
+  // such as "overloaded".
+  void CountRefused(const ServiceName& aService, const std::string& aReason);
+
+  // A further attempt of a request. aReason is a FailureClass name or "hedge".
+  void CountRetry(const ServiceName& aService, const std::string& aReason);
+
+  // Seconds from acceptance to the first byte for the caller and to the end.
+  void ObserveFirstByte(const ServiceName& aService, Duration aElapsed);
+  void ObserveTotal(const ServiceName& aService, Duration aElapsed);
+
+  // Tokens passed on to callers.
+  void CountTokens(const ServiceName& aService, std::uint64_t aTokens);
+
+  // Traffic of the inner protocol; aDirection is "sent" or "received".
+  void SetPeerTraffic(const std::string& aDirection,
+                      std::uint64_t aBytes,
+                      std::uint64_t aMessages);
+
+  void SetConfigurationRevision(Revision aRevision);
+  void SetLiveMembers(std::size_t aCount);
+  void SetRunningRequests(std::size_t aCount);
+  // Processor time used by the process since its start, in seconds.
+  void SetProcessorSeconds(double aSeconds);
+  // Resident memory of the process, in bytes.
+  void SetResidentBytes(std::uint64_t aBytes);
+
+  // The exposition text format of Prometheus.
+  std::string Text() const;
+
+private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& outcomes_;
+  prometheus::Family<prometheus::Counter>& refused_;
+  prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& tokens_;
+  prometheus::Family<prometheus::Histogram>& firstByte_;
+  prometheus::Family<prometheus::Histogram>& total_;
+  prometheus::Family<prometheus::Gauge>& peerBytes_;
+  prometheus::Family<prometheus::Gauge>& peerMessages_;
+  prometheus::Gauge& revision_;
+  prometheus::Gauge& liveMembers_;
+  prometheus::Gauge& runningRequests_;
+  prometheus::Gauge& processorSeconds_;
+  prometheus::Gauge& residentBytes_;
+};
+
+} // namespace sycamoreward
