--- a/test/correctness/CuttableLinkTest.cpp
+++ b/test/correctness/CuttableLinkTest.cpp
@@ -7,6 +7,8 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
+
 using namespace sycamoreward;
 
 namespace {
