Test orders of a holder that is paused before it sends

Change: the property now delays the old holder's order by a pause of one lease and one order timeout, which is what both rules together allow.

Ruled out: a longer pause; the wait of the new holder does not cover it, and only servers that check fencing tokens refuse such an order.

Measured: fails after 2 or fewer shrinks with the wait off and with the limit off; passes 200 cases with both.

--- a/test/property/FleetTest.cpp
+++ b/test/property/FleetTest.cpp
@@ -137,7 +137,9 @@
           OrderPermission::Allowed) {
       return;
     }
-    RC_ASSERT(oldOrder + terms.orderTimeout_ <= newOrder);
+    // The holder is paused between its check and the send.
+    const Duration pause = terms.lease_.duration_ + terms.orderTimeout_;
+    RC_ASSERT(oldOrder + pause + terms.orderTimeout_ <= newOrder);
   });
   cr_assert(isOrdered);
 }
