--- /dev/null
+++ b/src/configuration/ResourceJson.cpp
@@ -0,0 +1,434 @@
+#include "configuration/ResourceJson.h"
+
+#include "configuration/Schema.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array kKinds{ ResourceKind::Service,
+                             ResourceKind::Workspace,
+                             ResourceKind::ModelVersion,
+                             ResourceKind::RoutingPolicy };
+
+constexpr std::array kMethods{ HttpMethod::Get,    HttpMethod::Post,
+                               HttpMethod::Put,    HttpMethod::Delete,
+                               HttpMethod::Head,   HttpMethod::Patch,
+                               HttpMethod::Options };
+
+std::string
+MethodWord(HttpMethod aMethod)
+{
+  std::string word = ToString(aMethod);
+  for (char& letter : word) {
+    letter =
+      static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  return word;
+}
+
+HttpMethod
+ReadMethod(const std::string& aWord)
+{
+  const auto* const found =
+    std::find_if(kMethods.begin(), kMethods.end(), [&](HttpMethod aMethod) {
+      return MethodWord(aMethod) == aWord;
+    });
+  return found == kMethods.end() ? HttpMethod::Post : *found;
+}
+
+Duration
+ReadMs(const Json& aValue)
+{
+  return std::chrono::milliseconds(aValue.get<std::int64_t>());
+}
+
+std::int64_t
+WriteMs(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+ResourceMetadata
+ReadMetadata(const Json& aDocument)
+{
+  const Json& metadata = aDocument.at("metadata");
+  const auto version = metadata.at("resourceVersion").get<std::string>();
+  return { metadata.at("name").get<std::string>(),
+           Revision(version.empty() ? 0 : std::stoull(version)) };
+}
+
+Service
+ReadService(const Json& aDocument)
+{
+  const Json& spec = aDocument.at("spec");
+  Service service;
+  service.metadata_ = ReadMetadata(aDocument);
+  service.type_ =
+    spec.at("type") == "plain" ? ServiceType::Plain : ServiceType::Model;
+  service.pool_ = PoolName(spec.at("pool").get<std::string>());
+  service.region_ = RegionId(spec.at("region").get<std::string>());
+  service.model_ = spec.at("model").get<std::string>();
+  service.isRepeatable_ = spec.at("isRepeatable").get<bool>();
+  for (const Json& route : spec.at("routes")) {
+    service.routes_.push_back(
+      { ReadMethod(route.at("method").get<std::string>()),
+        route.at("pathPrefix").get<std::string>(),
+        route.at("isRepeatable").get<bool>() });
+  }
+  const Json& group = spec.at("class");
+  service.class_.priority_ = group.at("priority").get<unsigned>();
+  service.class_.isLong_ = group.at("isLong").get<bool>();
+  service.class_.firstByteTarget_ = ReadMs(group.at("firstByteTargetMs"));
+  service.class_.deadline_ = ReadMs(group.at("deadlineMs"));
+  service.statusPath_ = spec.at("statusPath").get<std::string>();
+  return service;
+}
+
+Workspace
+ReadWorkspace(const Json& aDocument)
+{
+  const Json& spec = aDocument.at("spec");
+  Workspace workspace;
+  workspace.metadata_ = ReadMetadata(aDocument);
+  workspace.share_ = spec.at("share").get<unsigned>();
+  workspace.tokenDigests_ =
+    spec.at("tokenDigests").get<std::vector<std::string>>();
+  for (const Json& service : spec.at("services")) {
+    workspace.services_.emplace_back(service.get<std::string>());
+  }
+  return workspace;
+}
+
+ModelVersion
+ReadModelVersion(const Json& aDocument)
+{
+  const Json& spec = aDocument.at("spec");
+  return { ReadMetadata(aDocument),
+           spec.at("model").get<std::string>(),
+           spec.at("version").get<std::string>(),
+           PoolName(spec.at("pool").get<std::string>()),
+           spec.at("weights").get<std::string>() };
+}
+
+RoutingPolicy
+ReadRoutingPolicy(const Json& aDocument)
+{
+  const Json& spec = aDocument.at("spec");
+  RoutingPolicy policy;
+  policy.metadata_ = ReadMetadata(aDocument);
+  policy.service_ = ServiceName(spec.at("service").get<std::string>());
+  policy.slotsPerServer_ = spec.at("slotsPerServer").get<unsigned>();
+  policy.longShare_ = spec.at("longShare").get<double>();
+  policy.slowFactor_ = spec.at("slowFactor").get<double>();
+  policy.affinityBound_ = spec.at("affinityBound").get<double>();
+  policy.hedgeBudget_ = spec.at("hedgeBudget").get<double>();
+  policy.retryBudget_ = spec.at("retryBudget").get<double>();
+  policy.maxQueue_ = spec.at("maxQueue").get<unsigned>();
+  return policy;
+}
+
+Json
+WriteSpec(const Service& aService)
+{
+  Json routes = Json::array();
+  for (const ServiceRoute& route : aService.routes_) {
+    routes.push_back({ { "method", MethodWord(route.method_) },
+                       { "pathPrefix", route.pathPrefix_ },
+                       { "isRepeatable", route.isRepeatable_ } });
+  }
+  const ServiceClass& group = aService.class_;
+  return { { "type", aService.type_ == ServiceType::Plain ? "plain" : "model" },
+           { "pool", aService.pool_.Value() },
+           { "region", aService.region_.Value() },
+           { "model", aService.model_ },
+           { "isRepeatable", aService.isRepeatable_ },
+           { "routes", std::move(routes) },
+           { "class",
+             { { "priority", group.priority_ },
+               { "isLong", group.isLong_ },
+               { "firstByteTargetMs", WriteMs(group.firstByteTarget_) },
+               { "deadlineMs", WriteMs(group.deadline_) } } },
+           { "statusPath", aService.statusPath_ } };
+}
+
+Json
+WriteSpec(const Workspace& aWorkspace)
+{
+  Json services = Json::array();
+  for (const ServiceName& service : aWorkspace.services_) {
+    services.push_back(service.Value());
+  }
+  return { { "share", aWorkspace.share_ },
+           { "tokenDigests", aWorkspace.tokenDigests_ },
+           { "services", std::move(services) } };
+}
+
+Json
+WriteSpec(const ModelVersion& aVersion)
+{
+  return { { "model", aVersion.model_ },
+           { "version", aVersion.version_ },
+           { "pool", aVersion.pool_.Value() },
+           { "weights", aVersion.weights_ } };
+}
+
+Json
+WriteSpec(const RoutingPolicy& aPolicy)
+{
+  return { { "service", aPolicy.service_.Value() },
+           { "slotsPerServer", aPolicy.slotsPerServer_ },
+           { "longShare", aPolicy.longShare_ },
+           { "slowFactor", aPolicy.slowFactor_ },
+           { "affinityBound", aPolicy.affinityBound_ },
+           { "hedgeBudget", aPolicy.hedgeBudget_ },
+           { "retryBudget", aPolicy.retryBudget_ },
+           { "maxQueue", aPolicy.maxQueue_ } };
+}
+
+// Rules between fields of a service, which the table can't state.
+void
+CheckService(const Service& aService, std::vector<FieldError>& aErrors)
+{
+  const bool isPlain = aService.type_ == ServiceType::Plain;
+  if (!isPlain && aService.model_.empty()) {
+    aErrors.push_back({ "spec.model",
+                        "The field \"spec.model\" is \"\"; write the model "
+                        "name, because \"spec.type\" is \"model\".",
+                        0 });
+  }
+  if (isPlain && !aService.model_.empty()) {
+    aErrors.push_back({ "spec.model",
+                        "The field \"spec.model\" is \"" + aService.model_ +
+                          "\"; remove it, because \"spec.type\" is \"plain\".",
+                        0 });
+  }
+  if (!isPlain && !aService.routes_.empty()) {
+    aErrors.push_back({ "spec.routes",
+                        "The field \"spec.routes\" has " +
+                          std::to_string(aService.routes_.size()) +
+                          " elements; remove them, because \"spec.type\" is "
+                          "\"model\".",
+                        0 });
+  }
+}
+
+Resource
+ReadResource(ResourceKind aKind, const Json& aDocument)
+{
+  switch (aKind) {
+    case ResourceKind::Service:
+      return ReadService(aDocument);
+    case ResourceKind::Workspace:
+      return ReadWorkspace(aDocument);
+    case ResourceKind::ModelVersion:
+      return ReadModelVersion(aDocument);
+    case ResourceKind::RoutingPolicy:
+      break;
+  }
+  return ReadRoutingPolicy(aDocument);
+}
+
+FieldError
+KindError(const Json& aDocument)
+{
+  const std::string right =
+    "write one of Service, Workspace, ModelVersion, RoutingPolicy.";
+  if (!aDocument.is_object()) {
+    return { "",
+             "The document is not an object; write kind, metadata and spec.",
+             0 };
+  }
+  if (!aDocument.contains("kind")) {
+    return { "kind", "The field \"kind\" is missing; " + right, 0 };
+  }
+  const std::string value =
+    aDocument.at("kind").dump(-1, ' ', false, Json::error_handler_t::replace);
+  return { "kind", "The field \"kind\" is " + value + "; " + right, 0 };
+}
+
+// Calls aAction with the map of a kind.
+template<typename C, typename F>
+auto
+WithMap(C& aConfiguration, ResourceKind aKind, F aAction)
+{
+  switch (aKind) {
+    case ResourceKind::Service:
+      return aAction(aConfiguration.services_);
+    case ResourceKind::Workspace:
+      return aAction(aConfiguration.workspaces_);
+    case ResourceKind::ModelVersion:
+      return aAction(aConfiguration.modelVersions_);
+    case ResourceKind::RoutingPolicy:
+      break;
+  }
+  return aAction(aConfiguration.routingPolicies_);
+}
+
+void
+CheckServiceReference(const Configuration& aConfiguration,
+                      const std::string& aOwner,
+                      const std::string& aField,
+                      const ServiceName& aService,
+                      std::vector<FieldError>& aErrors)
+{
+  if (aConfiguration.services_.count(aService.Value()) == 0) {
+    aErrors.push_back({ aField,
+                        aOwner + " refers to the Service \"" +
+                          aService.Value() + "\" in \"" + aField +
+                          "\", which does not exist; declare it or remove the "
+                          "reference.",
+                        0 });
+  }
+}
+
+} // namespace
+
+const char*
+ToString(ResourceKind aKind)
+{
+  switch (aKind) {
+    case ResourceKind::Service:
+      return "Service";
+    case ResourceKind::Workspace:
+      return "Workspace";
+    case ResourceKind::ModelVersion:
+      return "ModelVersion";
+    case ResourceKind::RoutingPolicy:
+      break;
+  }
+  return "RoutingPolicy";
+}
+
+std::optional<ResourceKind>
+ParseResourceKind(const std::string& aName)
+{
+  for (const ResourceKind kind : kKinds) {
+    if (aName == ToString(kind)) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
+ResourceKind
+KindOf(const Resource& aResource)
+{
+  return kKinds.at(aResource.index());
+}
+
+const ResourceMetadata&
+MetadataOf(const Resource& aResource)
+{
+  return std::visit(
+    [](const auto& aItem) -> const ResourceMetadata& {
+      return aItem.metadata_;
+    },
+    aResource);
+}
+
+ParsedResource
+ResourceFromJson(const Json& aDocument)
+{
+  std::optional<ResourceKind> kind;
+  if (aDocument.is_object() && aDocument.contains("kind") &&
+      aDocument.at("kind").is_string()) {
+    kind = ParseResourceKind(aDocument.at("kind").get<std::string>());
+  }
+  if (!kind) {
+    return { std::nullopt, { KindError(aDocument) } };
+  }
+  Json document = aDocument;
+  document.erase("status");
+  ParsedResource parsed;
+  parsed.errors_ = CheckDocument(SchemaOf(*kind), document);
+  if (!parsed.errors_.empty()) {
+    return parsed;
+  }
+  Resource resource =
+    ReadResource(*kind, WithDefaults(SchemaOf(*kind), document));
+  if (const auto* service = std::get_if<Service>(&resource)) {
+    CheckService(*service, parsed.errors_);
+  }
+  if (parsed.errors_.empty()) {
+    parsed.resource_ = std::move(resource);
+  }
+  return parsed;
+}
+
+Json
+ToJson(const Resource& aResource)
+{
+  const ResourceMetadata& metadata = MetadataOf(aResource);
+  return { { "kind", ToString(KindOf(aResource)) },
+           { "metadata",
+             { { "name", metadata.name_ },
+               { "resourceVersion",
+                 std::to_string(metadata.resourceVersion_.Value()) } } },
+           { "spec",
+             std::visit([](const auto& aItem) { return WriteSpec(aItem); },
+                        aResource) } };
+}
+
+std::vector<FieldError>
+CheckReferences(const Configuration& aConfiguration)
+{
+  std::vector<FieldError> errors;
+  for (const auto& [name, workspace] : aConfiguration.workspaces_) {
+    for (std::size_t i = 0; i < workspace.services_.size(); ++i) {
+      CheckServiceReference(aConfiguration,
+                            "The Workspace \"" + name + "\"",
+                            "spec.services[" + std::to_string(i) + "]",
+                            workspace.services_[i],
+                            errors);
+    }
+  }
+  for (const auto& [name, policy] : aConfiguration.routingPolicies_) {
+    CheckServiceReference(aConfiguration,
+                          "The RoutingPolicy \"" + name + "\"",
+                          "spec.service",
+                          policy.service_,
+                          errors);
+  }
+  return errors;
+}
+
+void
+PutResource(Configuration& aConfiguration, const Resource& aResource)
+{
+  WithMap(aConfiguration, KindOf(aResource), [&](auto& aMap) {
+    using Item = typename std::decay_t<decltype(aMap)>::mapped_type;
+    aMap[MetadataOf(aResource).name_] = std::get<Item>(aResource);
+  });
+}
+
+bool
+EraseResource(Configuration& aConfiguration,
+              ResourceKind aKind,
+              const std::string& aName)
+{
+  return WithMap(
+    aConfiguration, aKind, [&](auto& aMap) { return aMap.erase(aName) > 0; });
+}
+
+std::optional<Resource>
+FindResource(const Configuration& aConfiguration,
+             ResourceKind aKind,
+             const std::string& aName)
+{
+  return WithMap(
+    aConfiguration, aKind, [&](const auto& aMap) -> std::optional<Resource> {
+      const auto found = aMap.find(aName);
+      return found == aMap.end() ? std::nullopt
+                                 : std::optional<Resource>(found->second);
+    });
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/test/error/ResourceJsonErrorTest.cpp
@@ -0,0 +1,127 @@
+// Wrong resources are refused with the field, the value and what is right.
+
+#include "configuration/ResourceJson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+using Json = nlohmann::json;
+
+namespace {
+
+Json
+PlainService()
+{
+  return Json::parse(R"({
+    "kind": "Service", "metadata": {"name": "certificate-issue"},
+    "spec": {"type": "plain", "pool": "desk", "region": "scot-central",
+             "isRepeatable": false, "statusPath": "/status/{id}",
+             "routes": [{"method": "get", "pathPrefix": "/lookup",
+                         "isRepeatable": true}]}})");
+}
+
+// Sets one field and expects exactly one error there.
+void
+ExpectFault(const char* aPointer,
+            const Json& aValue,
+            const std::string& aField,
+            const std::string& aPart)
+{
+  Json document = PlainService();
+  document[Json::json_pointer(aPointer)] = aValue;
+  const ParsedResource parsed = ResourceFromJson(document);
+  cr_assert(!parsed.resource_, "%s was accepted", aPointer);
+  cr_assert_eq(parsed.errors_.size(), 1, "%s", aPointer);
+  cr_assert_eq(parsed.errors_[0].field_, aField);
+  const std::string& message = parsed.errors_[0].message_;
+  cr_assert(message.find(aPart) != std::string::npos, "%s", message.c_str());
+  cr_assert_eq(message.back(), '.');
+}
+
+} // namespace
+
+Test(ResourceJson, EachKindOfFaultIsNamed)
+{
+  cr_assert(ResourceFromJson(PlainService()).resource_.has_value());
+  ExpectFault("/kind", "Servce", "kind", "\"Servce\"; write one of Service");
+  ExpectFault(
+    "/metadata/name", "Bad_Name", "metadata.name", "lower-case letters");
+  ExpectFault("/metadata/resourceVersion",
+              7,
+              "metadata.resourceVersion",
+              "is 7; write a decimal integer in quotes");
+  ExpectFault("/spec/colour", "red", "spec.colour", "is unknown");
+  ExpectFault("/spec/type", "Plain", "spec.type", "one of model, plain");
+  ExpectFault("/spec/isRepeatable", "no", "spec.isRepeatable", "true or false");
+  ExpectFault("/spec/class/priority",
+              10,
+              "spec.class.priority",
+              "is 10; write an "
+              "integer from 0 to 9");
+  ExpectFault("/spec/class/priority", 1.5, "spec.class.priority", "integer");
+  ExpectFault("/spec/class/deadlineS",
+              5,
+              "spec.class.deadlineS",
+              "write \"deadlineMs\" in milliseconds");
+  ExpectFault("/spec/class/deadlineMs",
+              "5s",
+              "spec.class.deadlineMs",
+              "is \"5s\"; write an integer of milliseconds");
+  ExpectFault("/spec/routes/0/method", "GET", "spec.routes[0].method", "get");
+  ExpectFault("/spec/routes/0/pathPrefix",
+              "lookup",
+              "spec.routes[0].pathPrefix",
+              "begins with /");
+  ExpectFault("/spec/statusPath", "/status", "spec.statusPath", "{id}");
+  ExpectFault("/spec/model", "m", "spec.model", "remove it");
+  ExpectFault("/spec", 3, "spec", "an object");
+}
+
+// An operator must see every fault in one run.
+Test(ResourceJson, AllFaultsAreReportedAtOnce)
+{
+  const ParsedResource parsed = ResourceFromJson(Json::parse(R"({
+    "kind": "RoutingPolicy", "metadata": {"name": "-"}, "extra": 1,
+    "spec": {"longShare": 2, "slotsPerServer": 0, "maxQueue": -1}})"));
+  cr_assert(!parsed.resource_);
+  // extra, name, longShare, maxQueue, slotsPerServer, missing service.
+  cr_assert_eq(parsed.errors_.size(), 6);
+}
+
+Test(ResourceJson, DocumentsThatAreNotObjectsAreRefused)
+{
+  for (const char* text : { "null", "[]", "3", "\"x\"", "{}" }) {
+    cr_assert_eq(ResourceFromJson(Json::parse(text)).errors_.size(), 1);
+  }
+}
+
+// A digest in upper case would never match the digest of a token.
+Test(ResourceJson, DigestsAreChecked)
+{
+  const auto parsed =
+    ResourceFromJson({ { "kind", "Workspace" },
+                       { "metadata", { { "name", "ridge" } } },
+                       { "spec",
+                         { { "tokenDigests",
+                             Json::array({ std::string(64, 'A'),
+                                           std::string(63, 'a') }) } } } });
+  cr_assert_eq(parsed.errors_.size(), 2);
+  cr_assert_eq(parsed.errors_[1].field_, "spec.tokenDigests[1]");
+}
+
+Test(ResourceJson, ReferencesToMissingServicesAreReported)
+{
+  Configuration configuration;
+  RoutingPolicy policy;
+  policy.metadata_.name_ = "p";
+  policy.service_ = ServiceName("gone");
+  PutResource(configuration, policy);
+  const auto errors = CheckReferences(configuration);
+  cr_assert_eq(errors.size(), 1);
+  cr_assert_eq(errors[0].field_, "spec.service");
+  cr_assert(FindResource(configuration, ResourceKind::RoutingPolicy, "p"));
+  cr_assert(EraseResource(configuration, ResourceKind::RoutingPolicy, "p"));
+  cr_assert(!EraseResource(configuration, ResourceKind::RoutingPolicy, "p"));
+}
