Add settings with one field table, and YAML with line numbers

Cause: an operator must see every fault of a settings file in one run, with file, line, field and what is right. Change: documents are built from yaml-cpp's event stream, which shows duplicate keys and lines; the node tree keeps duplicate keys silently, so it was ruled out. The same table checks a file, fills defaults and writes the reference page.

--- a/src/configuration/Schema.cpp
+++ b/src/configuration/Schema.cpp
@@ -1,15 +1,13 @@
 #include "configuration/Schema.h"
 
+#include "configuration/SchemaFields.h"
+
 namespace sycamoreward {
 
 namespace {
 
 using Json = nlohmann::json;
 
-// Longest text of a field, in bytes; keeps a resource well below the 400 KB of
-// a table row.
-constexpr double kMaxText = 256;
-constexpr double kMaxElements = 1000;
 constexpr double kMaxFirstByteMs = 600'000;
 constexpr double kMaxDeadlineMs = 86'400'000;
 
@@ -65,116 +63,68 @@
                      "What the operator declares." });
 }
 
-FieldSpec
-Required(const char* aPath, FieldType aType, const char* aDoc)
-{
-  const bool isName = aType == FieldType::Name;
-  return {
-    aPath, aType, true, nullptr, 1, isName ? 63 : kMaxText, "", {}, aDoc
-  };
-}
-
-FieldSpec
-Optional(const char* aPath, FieldType aType, Json aDefault, const char* aDoc)
-{
-  return {
-    aPath, aType, false, std::move(aDefault), 0, kMaxText, "", {}, aDoc
-  };
-}
-
-FieldSpec
-Ranged(const char* aPath,
-       FieldType aType,
-       Json aDefault,
-       double aMin,
-       double aMax,
-       const char* aUnit,
-       const char* aDoc)
-{
-  return {
-    aPath, aType, false, std::move(aDefault), aMin, aMax, aUnit, {}, aDoc
-  };
-}
-
-FieldSpec
-List(const char* aPath, const char* aDoc)
-{
-  return { aPath, FieldType::List, false, Json::array(),
-           0,     kMaxElements,    "",    {},
-           aDoc };
-}
-
-FieldSpec
-Choice(const char* aPath,
-       bool aIsRequired,
-       Json aDefault,
-       std::vector<std::string> aChoices,
-       const char* aDoc)
-{
-  return { aPath, FieldType::Choice,   aIsRequired, std::move(aDefault), 0, 0,
-           "",    std::move(aChoices), aDoc };
-}
-
 void
 AddClass(FieldTable& aTable)
 {
-  aTable.push_back(Optional("spec.class",
-                            FieldType::Object,
-                            Json::object(),
-                            "How urgent the requests are."));
-  aTable.push_back(Ranged("spec.class.priority",
-                          FieldType::Integer,
-                          5,
-                          0,
-                          9,
-                          "",
-                          "0 is served first; 9 last, and is shed first."));
+  aTable.push_back(OptionalField("spec.class",
+                                 FieldType::Object,
+                                 Json::object(),
+                                 "How urgent the requests are."));
   aTable.push_back(
-    Optional("spec.class.isLong",
-             FieldType::Boolean,
-             false,
-             "Long work may fill only a part of each server's slots."));
+    RangedField("spec.class.priority",
+                FieldType::Integer,
+                5,
+                0,
+                9,
+                "",
+                "0 is served first; 9 last, and is shed first."));
   aTable.push_back(
-    Ranged("spec.class.firstByteTargetMs",
-           FieldType::Integer,
-           310,
-           1,
-           kMaxFirstByteMs,
-           "ms",
-           "Bound of the time to first byte, for hedging and for "
-           "load shedding."));
+    OptionalField("spec.class.isLong",
+                  FieldType::Boolean,
+                  false,
+                  "Long work may fill only a part of each server's slots."));
   aTable.push_back(
-    Ranged("spec.class.deadlineMs",
-           FieldType::Integer,
-           120'000,
-           1,
-           kMaxDeadlineMs,
-           "ms",
-           "Time after which the caller no longer wants the answer."));
+    RangedField("spec.class.firstByteTargetMs",
+                FieldType::Integer,
+                310,
+                1,
+                kMaxFirstByteMs,
+                "ms",
+                "Bound of the time to first byte, for hedging and for "
+                "load shedding."));
+  aTable.push_back(
+    RangedField("spec.class.deadlineMs",
+                FieldType::Integer,
+                120'000,
+                1,
+                kMaxDeadlineMs,
+                "ms",
+                "Time after which the caller no longer wants the answer."));
 }
 
 void
 AddRoutes(FieldTable& aTable)
 {
-  aTable.push_back(List("spec.routes",
-                        "Routes of a plain service that differ from its "
-                        "default; the first that matches is used."));
+  aTable.push_back(ListField("spec.routes",
+                             "Routes of a plain service that differ from its "
+                             "default; the first that matches is used."));
+  aTable.push_back(
+    RequiredField("spec.routes[]", FieldType::Object, "A method and a path."));
   aTable.push_back(
-    Required("spec.routes[]", FieldType::Object, "A method and a path."));
+    ChoiceField("spec.routes[].method",
+                false,
+                "post",
+                { "get", "post", "put", "delete", "head", "patch", "options" },
+                "Method of the requests."));
   aTable.push_back(
-    Choice("spec.routes[].method",
-           false,
-           "post",
-           { "get", "post", "put", "delete", "head", "patch", "options" },
-           "Method of the requests."));
-  aTable.push_back(Required("spec.routes[].pathPrefix",
-                            FieldType::Path,
-                            "Prefix of the path below /services/{service}."));
+    RequiredField("spec.routes[].pathPrefix",
+                  FieldType::Path,
+                  "Prefix of the path below /services/{service}."));
   aTable.push_back(
-    Optional("spec.routes[].isRepeatable",
-             FieldType::Boolean,
-             false,
-             "Whether a request of this route may run more than once."));
+    OptionalField("spec.routes[].isRepeatable",
+                  FieldType::Boolean,
+                  false,
+                  "Whether a request of this route may run more than once."));
 }
 
 FieldTable
@@ -183,36 +133,37 @@
   FieldTable table;
   AddMetadata(table, "Service");
   table.push_back(
-    Choice("spec.type",
-           true,
-           nullptr,
-           { "model", "plain" },
-           "model: served by engines through the completions API; "
-           "plain: any HTTP service, passed through."));
-  table.push_back(Required(
+    ChoiceField("spec.type",
+                true,
+                nullptr,
+                { "model", "plain" },
+                "model: served by engines through the completions API; "
+                "plain: any HTTP service, passed through."));
+  table.push_back(RequiredField(
     "spec.pool", FieldType::Name, "Backend servers that serve the service."));
   table.push_back(
-    Required("spec.region",
-             FieldType::Name,
-             "Region whose ledger partitions record the requests."));
+    RequiredField("spec.region",
+                  FieldType::Name,
+                  "Region whose ledger partitions record the requests."));
   table.push_back(
-    Optional("spec.model",
-             FieldType::Text,
-             "",
-             "Model name sent to engines; required for type model, "
-             "not allowed for type plain."));
-  table.push_back(Optional("spec.isRepeatable",
-                           FieldType::Boolean,
-                           true,
-                           "Whether a request may run more than once."));
+    OptionalField("spec.model",
+                  FieldType::Text,
+                  "",
+                  "Model name sent to engines; required for type model, "
+                  "not allowed for type plain."));
+  table.push_back(OptionalField("spec.isRepeatable",
+                                FieldType::Boolean,
+                                true,
+                                "Whether a request may run more than once."));
   AddRoutes(table);
   AddClass(table);
-  table.push_back(Optional("spec.statusPath",
-                           FieldType::StatusPath,
-                           "",
-                           "Path at a backend server that tells whether a "
-                           "request ran, with {id} replaced by the request id. "
-                           "Empty when there is none."));
+  table.push_back(
+    OptionalField("spec.statusPath",
+                  FieldType::StatusPath,
+                  "",
+                  "Path at a backend server that tells whether a "
+                  "request ran, with {id} replaced by the request id. "
+                  "Empty when there is none."));
   return table;
 }
 
@@ -221,22 +172,23 @@
 {
   FieldTable table;
   AddMetadata(table, "Workspace");
-  table.push_back(Ranged("spec.share",
-                         FieldType::Integer,
-                         1,
-                         1,
-                         1000,
-                         "",
-                         "Weight in the division of slots among workspaces."));
-  table.push_back(List("spec.tokenDigests", "Tokens of the callers."));
   table.push_back(
-    Required("spec.tokenDigests[]",
-             FieldType::Digest,
-             "SHA-256 of a token; the token itself is stored nowhere."));
+    RangedField("spec.share",
+                FieldType::Integer,
+                1,
+                1,
+                1000,
+                "",
+                "Weight in the division of slots among workspaces."));
+  table.push_back(ListField("spec.tokenDigests", "Tokens of the callers."));
   table.push_back(
-    List("spec.services", "Services that it may call; empty allows all."));
+    RequiredField("spec.tokenDigests[]",
+                  FieldType::Digest,
+                  "SHA-256 of a token; the token itself is stored nowhere."));
   table.push_back(
-    Required("spec.services[]", FieldType::Name, "Name of a Service."));
+    ListField("spec.services", "Services that it may call; empty allows all."));
+  table.push_back(
+    RequiredField("spec.services[]", FieldType::Name, "Name of a Service."));
   return table;
 }
 
@@ -245,14 +197,14 @@
 {
   FieldTable table;
   AddMetadata(table, "ModelVersion");
-  table.push_back(Required(
+  table.push_back(RequiredField(
     "spec.model", FieldType::Text, "Model name, as in Service spec.model."));
   table.push_back(
-    Required("spec.version", FieldType::Text, "Version of the model."));
-  table.push_back(Required(
+    RequiredField("spec.version", FieldType::Text, "Version of the model."));
+  table.push_back(RequiredField(
     "spec.pool", FieldType::Name, "Backend servers that load the version."));
-  table.push_back(
-    Required("spec.weights", FieldType::Text, "Object in the weight store."));
+  table.push_back(RequiredField(
+    "spec.weights", FieldType::Text, "Object in the weight store."));
   return table;
 }
 
@@ -263,60 +215,64 @@
   const auto number = FieldType::Number;
   const auto integer = FieldType::Integer;
   AddMetadata(table, "RoutingPolicy");
-  table.push_back(Required(
+  table.push_back(RequiredField(
     "spec.service", FieldType::Name, "Service that the policy is for."));
-  table.push_back(Ranged("spec.slotsPerServer",
-                         integer,
-                         16,
-                         1,
-                         4096,
-                         "",
-                         "Slots of a backend server that requests may fill."));
-  table.push_back(Ranged("spec.longShare",
-                         number,
-                         0.75,
-                         0,
-                         1,
-                         "",
-                         "Part of the slots that long work may fill."));
-  table.push_back(Ranged("spec.slowFactor",
-                         number,
-                         3.0,
-                         1,
-                         100,
-                         "",
-                         "A server is slow when its time per token exceeds the "
-                         "pool's median by this factor."));
-  table.push_back(Ranged("spec.affinityBound",
-                         number,
-                         1.25,
-                         1,
-                         10,
-                         "",
-                         "Prefix affinity holds while the load is at most this "
-                         "multiple of the mean."));
-  table.push_back(Ranged("spec.hedgeBudget",
-                         number,
-                         0.05,
-                         0,
-                         1,
-                         "",
-                         "Hedged attempts as a part of all requests."));
-  table.push_back(Ranged("spec.retryBudget",
-                         number,
-                         0.10,
-                         0,
-                         1,
-                         "",
-                         "Retries as a part of all requests."));
-  table.push_back(Ranged("spec.maxQueue",
-                         integer,
-                         256,
-                         0,
-                         100'000,
-                         "",
-                         "Requests waiting at one entry instance before new "
-                         "ones are refused."));
+  table.push_back(
+    RangedField("spec.slotsPerServer",
+                integer,
+                16,
+                1,
+                4096,
+                "",
+                "Slots of a backend server that requests may fill."));
+  table.push_back(RangedField("spec.longShare",
+                              number,
+                              0.75,
+                              0,
+                              1,
+                              "",
+                              "Part of the slots that long work may fill."));
+  table.push_back(
+    RangedField("spec.slowFactor",
+                number,
+                3.0,
+                1,
+                100,
+                "",
+                "A server is slow when its time per token exceeds the "
+                "pool's median by this factor."));
+  table.push_back(
+    RangedField("spec.affinityBound",
+                number,
+                1.25,
+                1,
+                10,
+                "",
+                "Prefix affinity holds while the load is at most this "
+                "multiple of the mean."));
+  table.push_back(RangedField("spec.hedgeBudget",
+                              number,
+                              0.05,
+                              0,
+                              1,
+                              "",
+                              "Hedged attempts as a part of all requests."));
+  table.push_back(RangedField("spec.retryBudget",
+                              number,
+                              0.10,
+                              0,
+                              1,
+                              "",
+                              "Retries as a part of all requests."));
+  table.push_back(
+    RangedField("spec.maxQueue",
+                integer,
+                256,
+                0,
+                100'000,
+                "",
+                "Requests waiting at one entry instance before new "
+                "ones are refused."));
   return table;
 }
 
--- /dev/null
+++ b/src/settings/Settings.cpp
@@ -0,0 +1,189 @@
+#include "settings/Settings.h"
+
+#include "settings/SettingsTable.h"
+
+#include <array>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string
+JoinFaults(const std::vector<FileFault>& aFaults)
+{
+  std::string text;
+  for (const FileFault& fault : aFaults) {
+    text += (text.empty() ? "" : "\n") + ToString(fault);
+  }
+  return text;
+}
+
+std::string
+FirstFile(const std::vector<FileFault>& aFaults)
+{
+  return aFaults.empty() ? "" : aFaults.front().file_;
+}
+
+std::string
+Text(const Json& aObject, const char* aName)
+{
+  return aObject.at(aName).get<std::string>();
+}
+
+Address
+ReadAddress(const Json& aObject, const char* aName)
+{
+  return ParseAddress(Text(aObject, aName));
+}
+
+std::optional<Address>
+ReadOptionalAddress(const Json& aObject, const char* aName)
+{
+  if (!aObject.contains(aName)) {
+    return std::nullopt;
+  }
+  return ReadAddress(aObject, aName);
+}
+
+Duration
+ReadMs(const Json& aObject, const char* aName)
+{
+  return std::chrono::milliseconds(aObject.at(aName).get<std::int64_t>());
+}
+
+PlatformSettings
+ReadPlatform(const Json& aPlatform)
+{
+  return { ReadAddress(aPlatform, "table"),
+           Text(aPlatform, "tableName"),
+           ReadAddress(aPlatform, "objectStore"),
+           Text(aPlatform, "bucket"),
+           ReadAddress(aPlatform, "instanceList"),
+           ReadOptionalAddress(aPlatform, "notices"),
+           Text(aPlatform, "noticePath") };
+}
+
+// aDocument is free of faults and has its defaults.
+Settings
+ReadSettings(const Json& aDocument)
+{
+  Settings settings;
+  const Json& instance = aDocument.at("instance");
+  settings.instance_ = { InstanceId(Text(instance, "id")),
+                         FailureDomainId(Text(instance, "failureDomain")),
+                         RegionId(Text(instance, "region")) };
+  const Json& listen = aDocument.at("listen");
+  settings.listen_ = { ReadAddress(listen, "callers"),
+                       ReadAddress(listen, "operators"),
+                       ReadAddress(listen, "peers") };
+  settings.platform_ = ReadPlatform(aDocument.at("platform"));
+  for (const Json& seed : aDocument.at("seeds")) {
+    settings.seeds_.push_back(ParseAddress(seed.get<std::string>()));
+  }
+  const Json& log = aDocument.at("log");
+  settings.log_ = { Text(log, "format") == "json" ? LogFormat::Json
+                                                  : LogFormat::Text,
+                    Text(log, "level") };
+  for (const Json& entry : aDocument.at("operators")) {
+    settings.operators_.push_back({ Text(entry, "tokenDigest"),
+                                    Text(entry, "role") == "writer"
+                                      ? OperatorRole::Writer
+                                      : OperatorRole::Reader });
+  }
+  const Json& limits = aDocument.at("limits");
+  settings.limits_ = { limits.at("maxConnections").get<unsigned>(),
+                       limits.at("maxRequests").get<unsigned>(),
+                       Bytes(limits.at("maxBodyBytes").get<std::uint64_t>()) };
+  const Json& drain = aDocument.at("drain");
+  settings.drain_ = { ReadMs(drain, "idleConnectionMs"),
+                      ReadMs(drain, "handOverReserveMs") };
+  settings.trace_ = { ReadOptionalAddress(aDocument.at("trace"), "export") };
+  return settings;
+}
+
+// Rules that the table can't state.
+std::vector<FieldError>
+CheckListen(const Settings& aSettings)
+{
+  const ListenSettings& listen = aSettings.listen_;
+  const std::array<std::pair<const char*, const Address*>, 3> all{
+    { { "listen.callers", &listen.callers_ },
+      { "listen.operators", &listen.operators_ },
+      { "listen.peers", &listen.peers_ } }
+  };
+  std::vector<FieldError> errors;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const auto& [field, address] = all.at(i);
+    // The address is sent to callers and peers, who can't connect to this one.
+    if (address->ip_ == "0.0.0.0" || address->ip_ == "::") {
+      errors.push_back({ field,
+                         "The field \"" + std::string(field) + "\" is \"" +
+                           ToString(*address) +
+                           "\"; write the IP number that others connect to.",
+                         0 });
+    }
+    for (std::size_t j = 0; j < i; ++j) {
+      if (address->port_ != 0 && *address == *all.at(j).second) {
+        errors.push_back({ field,
+                           "The field \"" + std::string(field) + "\" is \"" +
+                             ToString(*address) + "\", as is \"" +
+                             all.at(j).first + "\"; give each its own port.",
+                           0 });
+      }
+    }
+  }
+  return errors;
+}
+
+Settings
+ReadFile(const std::string& aName, YamlFile aFile)
+{
+  std::vector<FileFault> faults = std::move(aFile.faults_);
+  if (faults.empty() && aFile.documents_.size() != 1) {
+    faults.push_back(
+      { aName,
+        { "",
+          "The file has " + std::to_string(aFile.documents_.size()) +
+            " documents; write one.",
+          0 } });
+  }
+  if (aFile.documents_.empty()) {
+    throw SettingsError(std::move(faults));
+  }
+  const YamlDocument& document = aFile.documents_.front();
+  const FieldTable& table = SettingsTable();
+  AddFaults(document, CheckDocument(table, document.value_), faults);
+  if (!faults.empty()) {
+    throw SettingsError(std::move(faults));
+  }
+  Settings settings = ReadSettings(WithDefaults(table, document.value_));
+  AddFaults(document, CheckListen(settings), faults);
+  if (!faults.empty()) {
+    throw SettingsError(std::move(faults));
+  }
+  return settings;
+}
+
+} // namespace
+
+SettingsError::SettingsError(std::vector<FileFault> aFaults)
+  : UserError("read settings", FirstFile(aFaults), JoinFaults(aFaults))
+  , faults_(std::move(aFaults))
+{
+}
+
+Settings
+LoadSettings(const std::string& aFile)
+{
+  return ReadFile(aFile, LoadYaml(aFile));
+}
+
+Settings
+ParseSettings(const std::string& aFile, const std::string& aText)
+{
+  return ReadFile(aFile, ParseYaml(aFile, aText));
+}
+
+} // namespace sycamoreward
