--- /dev/null
+++ b/standins/service/ServiceStandIn.cpp
@@ -0,0 +1,257 @@
+#include "service/ServiceStandIn.h"
+
+#include "base/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamoreward::standin {
+
+using nlohmann::json;
+
+namespace {
+
+bool
+HasPrefix(const std::string& aText, const std::string& aPrefix)
+{
+  return aText.compare(0, aPrefix.size(), aPrefix) == 0;
+}
+
+const std::string kLookup = "/lookup/";
+const std::string kStatus = "/status/";
+
+} // namespace
+
+ServiceStandIn::ServiceStandIn(EventLoop& aLoop,
+                               ServiceOptions aOptions,
+                               Address aListen,
+                               std::shared_ptr<Register> aRegister)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , register_(aRegister ? std::move(aRegister) : std::make_shared<Register>())
+{
+  HttpServerOptions serverOptions;
+  serverOptions.listen_ = std::move(aListen);
+  server_ = std::make_unique<HttpServer>(
+    loop_, serverOptions, [this](ExchangePtr aExchange) { Handle(aExchange); });
+  address_ = server_->BoundAddress();
+}
+
+ServiceStandIn::~ServiceStandIn()
+{
+  *alive_ = false;
+}
+
+void
+ServiceStandIn::SetFaults(const json& aFaults)
+{
+  const bool wasFrozen = faults_.isFrozen_;
+  faults_.delay_ = std::chrono::milliseconds(
+    aFaults.value("delayMs", std::int64_t(faults_.delay_.count()) / 1000));
+  faults_.cutsBeforeReply_ =
+    aFaults.value("cutBeforeReply", faults_.cutsBeforeReply_);
+  faults_.isRefusing_ = aFaults.value("refuse", faults_.isRefusing_);
+  faults_.isFrozen_ = aFaults.value("freeze", faults_.isFrozen_);
+  faults_.isLeaving_ = aFaults.value("leaving", faults_.isLeaving_);
+  faults_.hasNoStatus_ = aFaults.value("noStatus", faults_.hasNoStatus_);
+  if (aFaults.value("die", false)) {
+    // The server can't be freed inside its own handler.
+    loop_.Post([this, alive = alive_] {
+      if (*alive) {
+        Die();
+      }
+    });
+  }
+  if (wasFrozen && !faults_.isFrozen_) {
+    const auto held = std::move(frozen_);
+    frozen_.clear();
+    for (const auto& exchange : held) {
+      Dispatch(exchange);
+    }
+  }
+}
+
+void
+ServiceStandIn::Die()
+{
+  frozen_.clear();
+  server_.reset();
+}
+
+void
+ServiceStandIn::Handle(const ExchangePtr& aExchange)
+{
+  const HttpServerRequest& request = aExchange->Request();
+  if (request.path_ == "/faults") {
+    const json body = json::parse(request.body_, nullptr, false);
+    if (!body.is_object()) {
+      throw UserError("faults", "", "The body is not a JSON object.");
+    }
+    SetFaults(body);
+    ReplyText(aExchange, 200, "{}");
+  } else if (request.path_ == "/counters") {
+    HandleCounters(aExchange);
+  } else if (faults_.isFrozen_) {
+    frozen_.push_back(aExchange);
+  } else {
+    Dispatch(aExchange);
+  }
+}
+
+void
+ServiceStandIn::Dispatch(const ExchangePtr& aExchange)
+{
+  const HttpServerRequest& request = aExchange->Request();
+  const bool isRecord =
+    request.path_ == "/records" && request.method_ == HttpMethod::Post;
+  if (isRecord || HasPrefix(request.path_, kLookup)) {
+    AcceptWork(aExchange);
+  } else if (HasPrefix(request.path_, kStatus)) {
+    HandleStatus(aExchange);
+  } else if (request.path_ == "/load") {
+    HandleLoad(aExchange);
+  } else {
+    ReplyText(aExchange, 404, R"({"error":{"code":"not_found"}})");
+  }
+}
+
+bool
+ServiceStandIn::IsAccepting() const
+{
+  return !faults_.isLeaving_ && !faults_.isRefusing_;
+}
+
+void
+ServiceStandIn::AcceptWork(const ExchangePtr& aExchange)
+{
+  if (!IsAccepting()) {
+    Refuse(aExchange, faults_.isLeaving_ ? "leaving" : "refused");
+    return;
+  }
+  if (running_ >= options_.slots_) {
+    Refuse(aExchange, "full");
+    return;
+  }
+  counters_.lastAccepted_ = loop_.GetClock().Wall();
+  ++running_;
+  loop_.CallAfter(options_.workTime_ + faults_.delay_,
+                  [this, aExchange, alive = alive_] {
+                    if (*alive) {
+                      --running_;
+                      RunWork(aExchange);
+                    }
+                  });
+}
+
+void
+ServiceStandIn::RunWork(const ExchangePtr& aExchange)
+{
+  const HttpServerRequest& request = aExchange->Request();
+  std::string reply;
+  if (request.path_ == "/records") {
+    reply =
+      IssueRecord(FindHeader(request.headers_, "X-Request-Id"), request.body_);
+  } else {
+    ++counters_.lookups_;
+    const std::string name = request.path_.substr(kLookup.size());
+    reply = json{ { "name", name }, { "value", "value of " + name } }.dump();
+  }
+  if (faults_.cutsBeforeReply_) {
+    aExchange->Abort();
+    return;
+  }
+  ReplyText(aExchange, 200, reply);
+}
+
+std::string
+ServiceStandIn::IssueRecord(const std::string& aRequestId,
+                            const std::string& aBody)
+{
+  ++counters_.records_;
+  const std::string reply = json{
+    { "number", register_->nextNumber_++ },
+    { "request", aRequestId },
+    { "body", aBody }
+  }.dump(-1, ' ', false, json::error_handler_t::replace);
+  Register::Entry& entry = register_->entries_[aRequestId];
+  if (entry.runs_++ == 0) {
+    entry.reply_ = reply;
+  }
+  return reply;
+}
+
+void
+ServiceStandIn::HandleStatus(const ExchangePtr& aExchange)
+{
+  if (faults_.hasNoStatus_) {
+    ReplyText(aExchange, 404, R"({"error":{"code":"not_found"}})");
+    return;
+  }
+  const std::string id = aExchange->Request().path_.substr(kStatus.size());
+  const auto found = register_->entries_.find(id);
+  json body{ { "ran", found != register_->entries_.end() } };
+  if (found != register_->entries_.end()) {
+    body["reply"] = found->second.reply_;
+  }
+  ReplyText(aExchange, 200, body.dump());
+}
+
+void
+ServiceStandIn::HandleLoad(const ExchangePtr& aExchange)
+{
+  ReplyText(aExchange,
+            200,
+            json{ { "running", running_ },
+                  { "waiting", 0 },
+                  { "kvUsed", 0 },
+                  { "kvCapacity", 0 },
+                  { "accepting", IsAccepting() },
+                  { "leaving", faults_.isLeaving_ },
+                  { "ageMs", 0 } }
+              .dump());
+}
+
+void
+ServiceStandIn::HandleCounters(const ExchangePtr& aExchange)
+{
+  json runs = json::object();
+  for (const auto& [id, entry] : register_->entries_) {
+    runs[id] = entry.runs_;
+  }
+  ReplyText(aExchange,
+            200,
+            json{ { "runs", runs },
+                  { "records", counters_.records_ },
+                  { "lookups", counters_.lookups_ },
+                  { "refused", counters_.refused_ },
+                  { "lastAcceptedUs",
+                    counters_.lastAccepted_.time_since_epoch().count() } }
+              .dump());
+}
+
+void
+ServiceStandIn::Refuse(const ExchangePtr& aExchange, const char* aCode)
+{
+  ++counters_.refused_;
+  const json body{ { "error", { { "code", aCode }, { "ran", "not_run" } } } };
+  aExchange->Reply(
+    503,
+    { { "Content-Type", "application/json" },
+      { "Sycamoreward-Accepting", IsAccepting() ? "true" : "false" },
+      { "Sycamoreward-Ran", "not_run" },
+      { "Retry-After", "1" } },
+    body.dump());
+}
+
+void
+ServiceStandIn::ReplyText(const ExchangePtr& aExchange,
+                          int aStatus,
+                          const std::string& aBody)
+{
+  aExchange->Reply(
+    aStatus,
+    { { "Content-Type", "application/json" },
+      { "Sycamoreward-Accepting", IsAccepting() ? "true" : "false" } },
+    aBody);
+}
+
+} // namespace sycamoreward::standin
--- /dev/null
+++ b/test/correctness/ServiceStandInTest.cpp
@@ -0,0 +1,76 @@
+// The plain-service stand-in keeps what the tests of the system rely on.
+
+#include "service/ServiceStandIn.h"
+#include "runtime/HttpClient.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+using namespace sycamoreward;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::seconds kLimit{ 10 };
+
+struct Fixture
+{
+  SystemClock clock_;
+  EventLoop loop_{ clock_ };
+  standin::ServiceStandIn service_{ loop_, {}, Address{ "127.0.0.1", 0 } };
+  HttpClient client_{ loop_ };
+
+  HttpClientReply Fetch(HttpMethod aMethod, const std::string& aPath)
+  {
+    HttpClientRequest request;
+    request.address_ = service_.BoundAddress();
+    request.method_ = aMethod;
+    request.target_ = aPath;
+    request.headers_ = { { "X-Request-Id", "id-1" } };
+    std::optional<HttpClientReply> reply;
+    client_.Fetch(request,
+                  [&](HttpClientReply aReply) { reply = std::move(aReply); });
+    loop_.RunUntil([&] { return reply.has_value(); }, kLimit);
+    cr_assert(reply.has_value(), "no end was reported for the call");
+    return *reply;
+  }
+};
+
+} // namespace
+
+// A cut connection must leave the record in place, or the tests of unknown
+// outcomes would prove nothing.
+Test(ServiceStandIn, CutRequestRanAndItsStatusSaysSo)
+{
+  Fixture fixture;
+  const auto before =
+    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-1").body_);
+  cr_assert_not(before["ran"].get<bool>());
+  fixture.service_.SetFaults({ { "cutBeforeReply", true } });
+  cr_assert_eq(fixture.Fetch(HttpMethod::Post, "/records").end_,
+               HttpEnd::Broken);
+  const auto after =
+    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-1").body_);
+  cr_assert(after["ran"].get<bool>());
+  cr_assert_eq(fixture.service_.Records().entries_.at("id-1").runs_, 1);
+}
+
+Test(ServiceStandIn, RepeatedRecordIsCounted)
+{
+  Fixture fixture;
+  fixture.Fetch(HttpMethod::Post, "/records");
+  fixture.Fetch(HttpMethod::Post, "/records");
+  cr_assert_eq(fixture.service_.Records().entries_.at("id-1").runs_, 2);
+}
+
+Test(ServiceStandIn, LeavingServerRefusesAsNotRun)
+{
+  Fixture fixture;
+  fixture.service_.SetFaults({ { "leaving", true } });
+  const HttpClientReply reply = fixture.Fetch(HttpMethod::Post, "/records");
+  cr_assert_eq(reply.status_, 503);
+  cr_assert_eq(FindHeader(reply.headers_, "Sycamoreward-Ran"), "not_run");
+  cr_assert(fixture.service_.Records().entries_.empty());
+}
