--- /dev/null
+++ b/src/retries/RetryBudget.cpp
@@ -0,0 +1,43 @@
+#include "retries/RetryBudget.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+RetryBudget
+MakeRetryBudget(double aPart)
+{
+  RetryBudget budget;
+  budget.part_ = aPart;
+  // A part of 0 switches extra attempts off altogether.
+  if (aPart <= 0) {
+    budget.reserve_ = 0;
+    budget.available_ = 0;
+  }
+  return budget;
+}
+
+void
+CountRequest(RetryBudget& aBudget)
+{
+  aBudget.available_ =
+    std::min(aBudget.reserve_, aBudget.available_ + aBudget.part_);
+}
+
+bool
+HasRetry(const RetryBudget& aBudget)
+{
+  return aBudget.available_ >= 1;
+}
+
+bool
+TakeRetry(RetryBudget& aBudget)
+{
+  if (!HasRetry(aBudget)) {
+    return false;
+  }
+  aBudget.available_ -= 1;
+  return true;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/routing/ChooseServer.cpp
@@ -0,0 +1,159 @@
+#include "routing/ChooseServer.h"
+
+#include "routing/DetectSlow.h"
+#include "routing/PrefixAffinity.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamoreward {
+
+namespace {
+
+// Part of the requests that may be spent on probes of slow servers. It stays
+// well under 1%, so that probes don't set the 99th percentile.
+constexpr double kProbePart = 0.003;
+
+double
+UnitDraw(RandomSource& aRandom)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aRandom);
+}
+
+// Draws an index of aCandidates with probability in proportion to speed.
+std::size_t
+DrawWeighted(const std::vector<ServerView>& aViews,
+             const std::vector<std::size_t>& aCandidates,
+             RandomSource& aRandom)
+{
+  double total = 0;
+  for (const std::size_t candidate : aCandidates) {
+    total += aViews[candidate].weight_;
+  }
+  double left = UnitDraw(aRandom) * total;
+  for (std::size_t at = 0; at + 1 < aCandidates.size(); ++at) {
+    left -= aViews[aCandidates[at]].weight_;
+    if (left < 0) {
+      return at;
+    }
+  }
+  return aCandidates.size() - 1;
+}
+
+// Expected time at the server, in units of a request on a server of median
+// speed.
+double
+Score(const ServerView& aView, MonotonicTime aNow)
+{
+  return (EstimateLoad(aView, aNow) + 1) / aView.weight_;
+}
+
+std::size_t
+ChooseOfTwo(const std::vector<ServerView>& aViews,
+            std::vector<std::size_t> aCandidates,
+            MonotonicTime aNow,
+            RandomSource& aRandom)
+{
+  const std::size_t firstAt = DrawWeighted(aViews, aCandidates, aRandom);
+  const std::size_t first = aCandidates[firstAt];
+  aCandidates.erase(aCandidates.begin() + std::ptrdiff_t(firstAt));
+  if (aCandidates.empty()) {
+    return first;
+  }
+  const std::size_t second =
+    aCandidates[DrawWeighted(aViews, aCandidates, aRandom)];
+  return Score(aViews[second], aNow) < Score(aViews[first], aNow) ? second
+                                                                  : first;
+}
+
+std::vector<std::size_t>
+FindCandidates(const std::vector<ServerView>& aViews,
+               const RoutingPolicy& aPolicy,
+               const ChooseQuestion& aQuestion,
+               MonotonicTime aNow)
+{
+  std::vector<std::size_t> candidates;
+  for (std::size_t index = 0; index < aViews.size(); ++index) {
+    const ServerView& view = aViews[index];
+    const bool isExcluded =
+      std::find(aQuestion.excluded_.begin(),
+                aQuestion.excluded_.end(),
+                view.server_.id_) != aQuestion.excluded_.end();
+    if (!isExcluded && MayGetWork(view, aNow) &&
+        HasRoom(view, aPolicy, aQuestion.isLong_, aNow)) {
+      candidates.push_back(index);
+    }
+  }
+  return candidates;
+}
+
+std::optional<std::size_t>
+FindProbe(const std::vector<ServerView>& aViews,
+          const std::vector<std::size_t>& aCandidates,
+          MonotonicTime aNow,
+          RandomSource& aRandom)
+{
+  for (const std::size_t candidate : aCandidates) {
+    if (IsProbeDue(aViews[candidate], aNow)) {
+      return UnitDraw(aRandom) < kProbePart ? std::optional(candidate)
+                                            : std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool
+HasRoom(const ServerView& aView,
+        const RoutingPolicy& aPolicy,
+        bool aIsLong,
+        MonotonicTime aNow)
+{
+  if (aView.inFlight_ >= aPolicy.slotsPerServer_) {
+    return false;
+  }
+  if (!aIsLong) {
+    return true;
+  }
+  // One long request is always possible, or a pool with few slots would serve
+  // none.
+  const double longSlots =
+    std::max(1.0, std::floor(aPolicy.longShare_ * aPolicy.slotsPerServer_));
+  return aView.longInFlight_ + 1 <= longSlots &&
+         (aView.longInFlight_ == 0 ||
+          aView.longInFlight_ + 1 + EstimateOthers(aView, aNow) <= longSlots);
+}
+
+std::optional<std::size_t>
+ChooseServer(const std::vector<ServerView>& aViews,
+             const RoutingPolicy& aPolicy,
+             const ChooseQuestion& aQuestion,
+             MonotonicTime aNow,
+             RandomSource& aRandom)
+{
+  std::vector<std::size_t> candidates =
+    FindCandidates(aViews, aPolicy, aQuestion, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  if (aQuestion.mayProbe_) {
+    if (const auto probe = FindProbe(aViews, candidates, aNow, aRandom)) {
+      return probe;
+    }
+  }
+  if (const auto key = AffinityKey(aQuestion.prefixHashes_)) {
+    std::vector<std::size_t> fast;
+    std::copy_if(candidates.begin(),
+                 candidates.end(),
+                 std::back_inserter(fast),
+                 [&](std::size_t aIndex) { return !aViews[aIndex].isSlow_; });
+    if (const auto chosen =
+          ChooseByPrefix(aViews, fast, *key, aPolicy.affinityBound_, aNow)) {
+      return chosen;
+    }
+  }
+  return ChooseOfTwo(aViews, std::move(candidates), aNow, aRandom);
+}
+
+} // namespace sycamoreward
