Add a deployment of real processes for failure tests

Cause: promises have to be tested with processes that are killed, frozen and reclaimed.

Change: Deployment starts platform, engines, plain service and entry instances on ports that the system picks; standin-engine can serve several engines.

Ruled out: fixed ports, which collide when tests run in parallel.

Conclusion: failure tests need only name the process and the fault.

--- a/standins/engine/Main.cpp
+++ b/standins/engine/Main.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <memory>
+#include <vector>
 
 using namespace sycamoreward;
 
@@ -51,6 +53,9 @@
      "Rate of KV transfers",
      value<std::uint64_t>()->default_value("1000000000"))         //
     ("ignore-fencing", "Apply orders with an old fencing number") //
+    ("count",
+     "Engines in this process, each on a port of its own",
+     value<unsigned>()->default_value("1")) //
     ("help", "Print this text");
   try {
     const auto result = options.parse(aCount, aArguments);
@@ -73,10 +78,16 @@
     engine.checksFencing_ = result.count("ignore-fencing") == 0;
     SystemClock clock;
     EventLoop loop(clock);
-    standin::EngineStandIn standIn(
-      loop, engine, ParseAddress(result["listen"].as<std::string>()));
-    std::cout << nlohmann::json{ { "address",
-                                   ToString(standIn.BoundAddress()) } }
+    const Address listen = ParseAddress(result["listen"].as<std::string>());
+    std::vector<std::unique_ptr<standin::EngineStandIn>> standIns;
+    nlohmann::json addresses = nlohmann::json::array();
+    for (unsigned index = 0; index < result["count"].as<unsigned>(); ++index) {
+      standIns.push_back(
+        std::make_unique<standin::EngineStandIn>(loop, engine, listen));
+      addresses.push_back(ToString(standIns.back()->BoundAddress()));
+    }
+    std::cout << nlohmann::json{ { "address", addresses.at(0) },
+                                 { "addresses", addresses } }
               << std::endl;
     loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
     loop.Run();
--- /dev/null
+++ b/test/support/Deployment.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// A whole deployment as separate processes on loopback: platform, engines,
+// plain service and entry instances in three failure domains.
+
+#include "base/Address.h"
+#include "base/Clock.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
+#include "support/ChildProcess.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+struct DeploymentOptions
+{
+  unsigned engines_ = 3;
+  unsigned services_ = 1;
+  unsigned entries_ = 3;
+  std::vector<std::string> engineArguments_;
+  // Where entry instances reach the platform, when a link stands between.
+  Address platformLink_;
+};
+
+// Tokens that the settings and resources of a deployment accept.
+constexpr const char* kOperatorToken = "operator-token";
+constexpr const char* kCallerToken = "caller-token";
+
+// Services that a deployment declares.
+constexpr const char* kReviewService = "sheet-review";
+constexpr const char* kQueryService = "resistance-query";
+constexpr const char* kCertificateService = "certificate-issue";
+
+class Deployment
+{
+public:
+  explicit Deployment(const DeploymentOptions& aOptions);
+  ~Deployment();
+
+  EventLoop& Loop() { return loop_; }
+  HttpClient& Client() { return client_; }
+
+  ChildProcess& Platform() { return *platform_; }
+  ChildProcess& Engine(unsigned aIndex) { return *engines_.at(aIndex); }
+  ChildProcess& Service(unsigned aIndex) { return *services_.at(aIndex); }
+  ChildProcess& Entry(unsigned aIndex) { return *entries_.at(aIndex); }
+
+  Address PlatformAddress() const { return platformAddress_; }
+  Address EngineAddress(unsigned aIndex) const;
+  Address ServiceAddress(unsigned aIndex) const;
+  Address CallerAddress(unsigned aIndex) const;
+  Address OperatorAddress(unsigned aIndex) const;
+  unsigned Entries() const { return static_cast<unsigned>(entries_.size()); }
+
+  // Starts another entry instance, or aIndex again after its end, and puts it
+  // into the platform's list.
+  void StartEntry(unsigned aIndex);
+
+  // Waits until all entry instances that run are ready.
+  void WaitUntilReady();
+
+  // Blocking helpers; fail the test when there is no whole reply.
+  nlohmann::json Get(const Address& aAddress, const std::string& aTarget);
+  void Post(const Address& aAddress,
+            const std::string& aTarget,
+            const nlohmann::json& aBody);
+  HttpClientReply Fetch(const HttpClientRequest& aRequest);
+
+  // Puts a resource through the operators' API of an entry instance; returns
+  // the status.
+  int PutResource(unsigned aEntry, const nlohmann::json& aResource);
+
+  // Handles events until aDone, with a limit of real time. Returns aDone().
+  bool WaitFor(const std::function<bool()>& aDone, int aSeconds);
+
+  // Marks a backend server or an entry instance in the platform's list.
+  void SetState(const std::string& aId, const std::string& aState);
+
+  // Gives an instance a reclaim notice.
+  void Notice(const std::string& aId, int aSeconds);
+
+  static std::string EntryId(unsigned aIndex);
+  static std::string EngineId(unsigned aIndex);
+  static std::string ServiceId(unsigned aIndex);
+  static std::string FailureDomain(unsigned aIndex);
+
+private:
+  void StartServers();
+  void List(const nlohmann::json& aInstance);
+  std::string WriteSettings(unsigned aIndex);
+  void DeclareResources();
+
+  DeploymentOptions options_;
+  SystemClock clock_;
+  EventLoop loop_{ clock_ };
+  HttpClient client_{ loop_ };
+  std::string directory_;
+  Address platformAddress_;
+  std::unique_ptr<ChildProcess> platform_;
+  std::vector<std::unique_ptr<ChildProcess>> engines_;
+  std::vector<std::unique_ptr<ChildProcess>> services_;
+  std::vector<std::unique_ptr<ChildProcess>> entries_;
+  // Last entry put into the platform's list, by id.
+  std::map<std::string, nlohmann::json> listed_;
+};
+
+} // namespace sycamoreward
