Add sycamorewardctl

Cause: operators manage the system only through declared resources. Change: a command line over the operators' API that checks files with file, line and field, compares specs, writes on condition of the version it read and never overwrites the change of another operator. Ruled out: sending a PUT again on another server after a broken reply, because the first may have taken effect.

--- /dev/null
+++ b/tools/sycamorewardctl/Apply.cpp
@@ -0,0 +1,258 @@
+#include "Apply.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kPollPeriod{ 250 };
+
+std::uint64_t
+ReadVersion(const Json& aDocument)
+{
+  const Json::json_pointer pointer("/metadata/resourceVersion");
+  if (!aDocument.is_object() || !aDocument.contains(pointer)) {
+    return 0;
+  }
+  const Json& value = aDocument[pointer];
+  if (value.is_number_unsigned()) {
+    return value.get<std::uint64_t>();
+  }
+  return value.is_string()
+           ? std::strtoull(
+               value.get_ref<const std::string&>().c_str(), nullptr, 10)
+           : 0;
+}
+
+class Applier
+{
+public:
+  Applier(ApiClient& aClient,
+          const CtlOptions& aOptions,
+          std::ostream& aOut,
+          std::ostream& aErr)
+    : client_(aClient)
+    , options_(aOptions)
+    , out_(aOut)
+    , err_(aErr)
+  {
+  }
+
+  int Run(const std::vector<Change>& aPlan)
+  {
+    for (const Change& change : aPlan) {
+      if (change.action_ == ChangeAction::None) {
+        Report(change, "is unchanged");
+        Reach(change, std::strtoull(change.version_.c_str(), nullptr, 10));
+        continue;
+      }
+      try {
+        Send(change);
+      } catch (const ApiError& error) {
+        hasFailed_ = true;
+        ReportError(change, error);
+      }
+    }
+    if (options_.isWait_ && !options_.isDryRun_ && !Wait()) {
+      hasFailed_ = true;
+    }
+    return hasFailed_ ? 2 : 0;
+  }
+
+private:
+  void Report(const Change& aChange, const std::string& aText)
+  {
+    out_ << ToString(aChange.kind_) << "/" << aChange.name_ << " " << aText
+         << (options_.isDryRun_ ? " (dry run)" : "") << "\n";
+  }
+
+  void ReportError(const Change& aChange, const ApiError& aError)
+  {
+    err_ << ToString(aChange.kind_) << "/" << aChange.name_ << ": "
+         << aError.what() << "\n";
+    for (FieldError detail : aError.Details()) {
+      if (!aChange.declared_) {
+        err_ << "  " << detail.field_ << ": " << detail.message_ << "\n";
+        continue;
+      }
+      const YamlDocument& document = aChange.declared_->document_;
+      detail.line_ = LineOf(document, detail.field_);
+      err_ << ToString(FileFault{ document.file_, detail }) << "\n";
+    }
+  }
+
+  // Notes a resource whose status shows the revisions in force.
+  void Reach(const Change& aChange, std::uint64_t aRevision)
+  {
+    revision_ = std::max(revision_, aRevision);
+    if (aChange.action_ != ChangeAction::Delete) {
+      target_ = ResourceTarget(aChange.kind_, aChange.name_);
+    }
+  }
+
+  void Send(const Change& aChange)
+  {
+    const bool isDelete = aChange.action_ == ChangeAction::Delete;
+    const std::string target = ResourceTarget(aChange.kind_, aChange.name_) +
+                               (options_.isDryRun_ ? "?dryRun=true" : "");
+    std::string body;
+    if (!isDelete) {
+      Json document = ToJson(aChange.declared_->resource_);
+      Json& version = document["metadata"]["resourceVersion"];
+      // A file that states a version was edited from that version.
+      if (version == "0") {
+        version = aChange.version_;
+      }
+      body = document.dump();
+    }
+    const HttpMethod method = isDelete ? HttpMethod::Delete : HttpMethod::Put;
+    const ApiReply reply = client_.Call(method, target, body);
+    if (reply.status_ == 409) {
+      ReadAgain(aChange);
+      return;
+    }
+    if (isDelete && reply.status_ == 404) {
+      Report(aChange, "is gone already");
+      return;
+    }
+    if (reply.status_ < 200 || reply.status_ > 299) {
+      throw ApiError(ToString(method), reply);
+    }
+    const std::uint64_t revision = ReadVersion(reply.body_);
+    const std::string text = isDelete ? "deleted"
+                             : aChange.action_ == ChangeAction::Create
+                               ? "created"
+                               : "updated";
+    Report(aChange,
+           revision == 0 || options_.isDryRun_
+             ? text
+             : text + " at revision " + std::to_string(revision));
+    Reach(aChange, revision);
+  }
+
+  // Another operator was faster. Their change is never overwritten.
+  void ReadAgain(const Change& aChange)
+  {
+    const ApiReply reply = client_.Call(
+      HttpMethod::Get, ResourceTarget(aChange.kind_, aChange.name_));
+    if (reply.status_ != 404 && (reply.status_ < 200 || reply.status_ > 299)) {
+      throw ApiError("read again", reply);
+    }
+    const std::string name =
+      std::string(ToString(aChange.kind_)) + "/" + aChange.name_;
+    if (reply.status_ == 404) {
+      hasFailed_ = aChange.action_ != ChangeAction::Delete || hasFailed_;
+      err_ << name
+           << ": The resource was deleted by another operator while this "
+              "command ran; run diff, then apply again.\n";
+      return;
+    }
+    const std::uint64_t version = ReadVersion(reply.body_);
+    if (aChange.declared_ && NormalSpec(reply.body_) ==
+                               ToJson(aChange.declared_->resource_)["spec"]) {
+      Report(aChange,
+             "was changed to the same spec by another operator at revision " +
+               std::to_string(version));
+      Reach(aChange, version);
+      return;
+    }
+    hasFailed_ = true;
+    err_ << name << ": The resource was changed by another operator (read at "
+         << "version " << aChange.version_ << ", now " << version
+         << ") and was not overwritten; run diff, then apply again.\n";
+  }
+
+  bool Wait()
+  {
+    if (target_.empty()) {
+      err_ << "There is no resource left whose status could be read, so "
+              "--wait does nothing.\n";
+      return true;
+    }
+    std::map<std::string, std::uint64_t> shown;
+    const auto polls =
+      std::max<std::int64_t>(1, options_.waitLimit_ / Duration(kPollPeriod));
+    for (std::int64_t i = 0; i < polls; ++i) {
+      const InForce now =
+        ReadInForce(client_.Expect(HttpMethod::Get, target_), revision_);
+      if (now.revisions_ != shown || now.isEverywhere_) {
+        PrintProgress(now);
+        shown = now.revisions_;
+      }
+      if (now.isEverywhere_) {
+        return true;
+      }
+      client_.Pause(kPollPeriod);
+    }
+    err_ << "Revision " << revision_ << " was not in force in every failure "
+         << "domain within " << options_.waitLimit_ / std::chrono::seconds(1)
+         << " s; the change is accepted and stays so.\n";
+    return false;
+  }
+
+  void PrintProgress(const InForce& aNow)
+  {
+    const auto have = std::count_if(
+      aNow.revisions_.begin(), aNow.revisions_.end(), [&](const auto& aEntry) {
+        return aEntry.second >= revision_;
+      });
+    out_ << "revision " << revision_ << " in force in " << have << " of "
+         << aNow.revisions_.size() << " failure domains:";
+    for (const auto& [domain, revision] : aNow.revisions_) {
+      out_ << " " << domain << "=" << revision;
+    }
+    out_ << std::endl; // NOLINT: progress is shown at once
+  }
+
+  ApiClient& client_;
+  const CtlOptions& options_;
+  std::ostream& out_;
+  std::ostream& err_;
+  bool hasFailed_ = false;
+  std::uint64_t revision_ = 0;
+  std::string target_;
+};
+
+} // namespace
+
+int
+ApplyPlan(ApiClient& aClient,
+          const std::vector<Change>& aPlan,
+          const CtlOptions& aOptions,
+          std::ostream& aOut,
+          std::ostream& aErr)
+{
+  return Applier(aClient, aOptions, aOut, aErr).Run(aPlan);
+}
+
+InForce
+ReadInForce(const Json& aDocument, std::uint64_t aRevision)
+{
+  InForce result;
+  const Json::json_pointer pointer("/status/inForce");
+  if (!aDocument.is_object() || !aDocument.contains(pointer) ||
+      !aDocument[pointer].is_object()) {
+    return result;
+  }
+  for (const auto& [domain, value] : aDocument[pointer].items()) {
+    std::uint64_t revision = 0;
+    if (value.is_number_unsigned()) {
+      revision = value.get<std::uint64_t>();
+    } else if (value.is_string()) {
+      revision =
+        std::strtoull(value.get_ref<const std::string&>().c_str(), nullptr, 10);
+    }
+    result.revisions_[domain] = revision;
+  }
+  result.isEverywhere_ =
+    !result.revisions_.empty() &&
+    std::all_of(result.revisions_.begin(),
+                result.revisions_.end(),
+                [&](const auto& aEntry) { return aEntry.second >= aRevision; });
+  return result;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/tools/sycamorewardctl/ResourceFiles.cpp
@@ -0,0 +1,136 @@
+#include "ResourceFiles.h"
+
+#include "base/Error.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+
+namespace sycamoreward {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+// Most files that one command reads.
+constexpr std::size_t kMaxFiles = 10'000;
+
+bool
+IsResourceFile(const fs::directory_entry& aEntry)
+{
+  const std::string extension = aEntry.path().extension().string();
+  return aEntry.is_regular_file() &&
+         (extension == ".yaml" || extension == ".yml" || extension == ".json");
+}
+
+void
+AddFolder(const std::string& aPath, std::vector<std::string>& aFiles)
+{
+  std::vector<std::string> found;
+  for (const auto& entry : fs::recursive_directory_iterator(aPath)) {
+    if (IsResourceFile(entry)) {
+      found.push_back(entry.path().string());
+    }
+    if (found.size() > kMaxFiles) {
+      throw UserError("find files",
+                      aPath,
+                      "The folder \"" + aPath + "\" has more than " +
+                        std::to_string(kMaxFiles) + " files; name a part.");
+    }
+  }
+  if (found.empty()) {
+    throw UserError("find files",
+                    aPath,
+                    "The folder \"" + aPath +
+                      "\" has no file *.yaml, *.yml or *.json.");
+  }
+  std::sort(found.begin(), found.end());
+  aFiles.insert(aFiles.end(), found.begin(), found.end());
+}
+
+void
+AddDocument(YamlDocument aDocument,
+            std::map<std::string, std::string>& aSeen,
+            DeclaredResources& aResult)
+{
+  ParsedResource parsed = ResourceFromJson(aDocument.value_);
+  AddFaults(aDocument, parsed.errors_, aResult.faults_);
+  if (!parsed.resource_) {
+    return;
+  }
+  const std::string name = FullName(*parsed.resource_);
+  const std::string place =
+    aDocument.file_ + ":" + std::to_string(aDocument.line_);
+  const auto [entry, isNew] = aSeen.emplace(name, place);
+  if (!isNew) {
+    AddFaults(aDocument,
+              { { "metadata.name",
+                  name + " is declared twice, first in " + entry->second +
+                    "; keep one of them.",
+                  0 } },
+              aResult.faults_);
+  }
+  aResult.resources_.push_back(
+    { std::move(*parsed.resource_), std::move(aDocument) });
+}
+
+} // namespace
+
+std::string
+FullName(const Resource& aResource)
+{
+  return std::string(ToString(KindOf(aResource))) + "/" +
+         MetadataOf(aResource).name_;
+}
+
+std::vector<std::string>
+FindFiles(const std::vector<std::string>& aPaths)
+{
+  std::vector<std::string> files;
+  for (const std::string& path : aPaths) {
+    std::error_code error;
+    if (fs::is_directory(path, error)) {
+      AddFolder(path, files);
+    } else if (fs::exists(path, error)) {
+      files.push_back(path);
+    } else {
+      throw UserError("find files",
+                      path,
+                      "The path \"" + path +
+                        "\" does not exist; name a file or folder.");
+    }
+  }
+  return files;
+}
+
+DeclaredResources
+LoadResources(const std::vector<std::string>& aPaths)
+{
+  DeclaredResources result;
+  std::map<std::string, std::string> seen;
+  for (const std::string& path : FindFiles(aPaths)) {
+    YamlFile file = LoadYaml(path);
+    result.faults_.insert(
+      result.faults_.end(), file.faults_.begin(), file.faults_.end());
+    for (YamlDocument& document : file.documents_) {
+      AddDocument(std::move(document), seen, result);
+    }
+  }
+  return result;
+}
+
+std::vector<std::string>
+OpenReferences(const DeclaredResources& aResources)
+{
+  Configuration configuration;
+  for (const DeclaredResource& declared : aResources.resources_) {
+    PutResource(configuration, declared.resource_);
+  }
+  std::vector<std::string> messages;
+  for (const FieldError& error : CheckReferences(configuration)) {
+    messages.push_back(error.message_);
+  }
+  return messages;
+}
+
+} // namespace sycamoreward
