--- /dev/null
+++ b/test/error/CtlTest.cpp
@@ -0,0 +1,442 @@
+// sycamorewardctl as a process of its own, against an operators' API that this
+// test plays: races, errors, exit codes.
+
+#include "base/Clock.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpServer.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+extern char** environ;
+
+using namespace sycamoreward;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::seconds kLimit{ 30 };
+const std::string kExamples = std::string(SOURCE_DIRECTORY) + "/examples/";
+
+std::string
+ReadAll(const std::string& aFile)
+{
+  std::ifstream input(aFile);
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+struct Run
+{
+  int exit_ = -1;
+  std::string out_;
+  std::string err_;
+};
+
+class Fixture
+{
+public:
+  Fixture()
+  {
+    char name[] = "/tmp/ctl-test-XXXXXX";
+    folder_ = mkdtemp(name);
+  }
+  ~Fixture() { std::filesystem::remove_all(folder_); }
+
+  std::string Write(const std::string& aName, const std::string& aText)
+  {
+    std::ofstream(folder_ + "/" + aName) << aText;
+    return folder_ + "/" + aName;
+  }
+
+  Run Ctl(std::vector<std::string> aArguments)
+  {
+    const std::string program =
+      std::string(PROGRAM_DIRECTORY) + "/sycamorewardctl";
+    aArguments.insert(aArguments.begin(), program);
+    aArguments.push_back("--server=" + ToString(server_.BoundAddress()));
+    aArguments.push_back("--callers=" + ToString(server_.BoundAddress()));
+    std::vector<char*> words;
+    for (std::string& word : aArguments) {
+      words.push_back(word.data());
+    }
+    words.push_back(nullptr);
+    const std::string out = folder_ + "/out.txt";
+    const std::string err = folder_ + "/err.txt";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const int flags = O_WRONLY | O_CREAT | O_TRUNC;
+    posix_spawn_file_actions_addopen(&actions, 1, out.c_str(), flags, 0600);
+    posix_spawn_file_actions_addopen(&actions, 2, err.c_str(), flags, 0600);
+    pid_t pid = 0;
+    cr_assert_eq(
+      posix_spawn(
+        &pid, program.c_str(), &actions, nullptr, words.data(), environ),
+      0);
+    posix_spawn_file_actions_destroy(&actions);
+    int status = 0;
+    bool isDone = false;
+    std::function<void()> poll = [&] {
+      isDone = isDone || waitpid(pid, &status, WNOHANG) == pid;
+      if (!isDone) {
+        loop_.CallAfter(std::chrono::milliseconds(5), poll);
+      }
+    };
+    poll();
+    if (!loop_.RunUntil([&] { return isDone; }, kLimit)) {
+      kill(pid, SIGKILL);
+      cr_assert(false, "the command did not end: %s", ReadAll(err).c_str());
+    }
+    return { WIFEXITED(status) ? WEXITSTATUS(status) : -1,
+             ReadAll(out),
+             ReadAll(err) };
+  }
+
+  SystemClock clock_;
+  EventLoop loop_{ clock_ };
+  // By "Kind/name".
+  std::map<std::string, Json> resources_;
+  std::uint64_t revision_ = 0;
+  int puts_ = 0;
+  // Called before each write, to play another operator.
+  std::function<void()> onWrite_;
+  // Answers the path instead of the API.
+  std::map<std::string, std::pair<int, std::string>> canned_;
+  // Revision in force in the second domain; follows by one at each GET.
+  std::uint64_t slowDomain_ = 0;
+  std::vector<std::string> seen_;
+
+  void Store(const std::string& aKey, Json aDocument)
+  {
+    aDocument["metadata"]["resourceVersion"] = std::to_string(++revision_);
+    resources_[aKey] = std::move(aDocument);
+  }
+
+private:
+  static void Reply(HttpExchange& aExchange, int aStatus, const Json& aBody)
+  {
+    aExchange.Reply(
+      aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
+  }
+
+  void Handle(HttpExchange& aExchange)
+  {
+    const HttpServerRequest& request = aExchange.Request();
+    seen_.push_back(std::string(ToString(request.method_)) + " " +
+                    request.target_);
+    const auto canned = canned_.find(request.path_);
+    if (canned != canned_.end()) {
+      aExchange.Reply(canned->second.first, {}, canned->second.second);
+      return;
+    }
+    const std::string key = request.path_.substr(
+      std::min(request.path_.size(), std::string("/apis/v1/").size()));
+    if (request.query_.count("watch") > 0) {
+      Watch(aExchange, key, std::stoull(request.query_.at("resourceVersion")));
+    } else if (key.find('/') == std::string::npos) {
+      Json items = Json::array();
+      for (const auto& [name, document] : resources_) {
+        if (name.rfind(key + "/", 0) == 0) {
+          items.push_back(document);
+        }
+      }
+      Reply(
+        aExchange,
+        200,
+        { { "kind", key + "List" },
+          { "metadata", { { "resourceVersion", std::to_string(revision_) } } },
+          { "items", items } });
+    } else if (request.method_ == HttpMethod::Get) {
+      Get(aExchange, key);
+    } else {
+      Change(aExchange, key);
+    }
+  }
+
+  void Get(HttpExchange& aExchange, const std::string& aKey)
+  {
+    if (resources_.count(aKey) == 0) {
+      Reply(aExchange,
+            404,
+            { { "error",
+                { { "code", "not_found" }, { "message", "No such one." } } } });
+      return;
+    }
+    Json document = resources_[aKey];
+    document["status"]["inForce"] = { { "a", revision_ },
+                                      { "b", slowDomain_ } };
+    slowDomain_ = std::min(revision_, slowDomain_ + 6);
+    Reply(aExchange, 200, document);
+  }
+
+  void Change(HttpExchange& aExchange, const std::string& aKey)
+  {
+    if (onWrite_) {
+      onWrite_();
+    }
+    const HttpServerRequest& request = aExchange.Request();
+    const bool isDry = request.query_.count("dryRun") > 0;
+    if (request.method_ == HttpMethod::Delete) {
+      const bool isThere = resources_.count(aKey) > 0;
+      if (!isDry && isThere) {
+        resources_.erase(aKey);
+        ++revision_;
+      }
+      Reply(aExchange, isThere ? 200 : 404, Json::object());
+      return;
+    }
+    ++puts_;
+    const Json document = Json::parse(request.body_);
+    const std::string has =
+      resources_.count(aKey) > 0
+        ? resources_[aKey]["metadata"].value("resourceVersion", "0")
+        : "0";
+    if (document["metadata"]["resourceVersion"] != has) {
+      Reply(aExchange, 409, { { "error", { { "code", "conflict" } } } });
+      return;
+    }
+    if (!isDry) {
+      Store(aKey, document);
+    }
+    Reply(aExchange, 200, isDry ? document : resources_[aKey]);
+  }
+
+  void Watch(HttpExchange& aExchange,
+             const std::string& aKind,
+             std::uint64_t aSince)
+  {
+    if (aSince < 5) {
+      Reply(aExchange, 410, { { "error", { { "code", "too_old" } } } });
+      return;
+    }
+    // One event a connection, and then a cut.
+    const std::string version = std::to_string(aSince + 1);
+    const Json object = { { "kind", aKind },
+                          { "metadata",
+                            { { "name", "n" + version },
+                              { "resourceVersion", version } } } };
+    aExchange.StartReply(200, {});
+    aExchange.SendChunk(
+      Json({ { "type", "MODIFIED" }, { "object", object } }).dump() + "\n");
+    aExchange.EndReply();
+  }
+
+  std::string folder_;
+  HttpServer server_{ loop_,
+                      {},
+                      [this](std::shared_ptr<HttpExchange> aExchange) {
+                        Handle(*aExchange);
+                      } };
+};
+
+void
+ExpectPart(const std::string& aText, const std::string& aPart)
+{
+  cr_assert(aText.find(aPart) != std::string::npos,
+            "\"%s\" is not in: %s",
+            aPart.c_str(),
+            aText.c_str());
+}
+
+const std::string kWorkspace = "kind: Workspace\n"
+                               "metadata: {name: ridge}\n"
+                               "spec:\n"
+                               "  share: 7\n";
+
+} // namespace
+
+// Guards against writes on an apply that changes nothing; each would be a new
+// revision for all instances.
+Test(Ctl, ApplyOfTheSameFolderTwiceChangesNothing)
+{
+  Fixture fixture;
+  const std::string folder = kExamples + "lochgair";
+  cr_assert_eq(fixture.Ctl({ "diff", "-f", folder }).exit_, 1);
+  const Run first = fixture.Ctl({ "apply", "--wait", "-f", folder });
+  cr_assert_eq(first.exit_, 0, "%s", first.err_.c_str());
+  cr_assert_eq(fixture.revision_, 12);
+  cr_assert_eq(fixture.puts_, 12);
+  ExpectPart(first.out_, "Service/sheet-review created at revision");
+  ExpectPart(first.out_, "in force in 1 of 2 failure domains: a=12 b=0");
+  ExpectPart(first.out_, "in force in 2 of 2 failure domains: a=12 b=12");
+  const Run second = fixture.Ctl({ "apply", "-f", folder });
+  cr_assert_eq(second.exit_, 0);
+  cr_assert_eq(fixture.puts_, 12, "the second apply wrote");
+  const Run diff = fixture.Ctl({ "diff", "-f", folder });
+  cr_assert_eq(diff.exit_, 0, "%s", diff.out_.c_str());
+}
+
+Test(Ctl, DryRunChangesNothing)
+{
+  Fixture fixture;
+  const std::string folder = kExamples + "nadi";
+  const Run run = fixture.Ctl({ "apply", "--dry-run", "-f", folder });
+  cr_assert_eq(run.exit_, 0, "%s", run.err_.c_str());
+  cr_assert_eq(fixture.revision_, 0);
+  cr_assert_eq(fixture.puts_, 12);
+}
+
+Test(Ctl, PruneDeletesOnlyOfDeclaredKinds)
+{
+  Fixture fixture;
+  const std::string file = fixture.Write("w.yaml", kWorkspace);
+  fixture.Store(
+    "Workspace/old",
+    { { "kind", "Workspace" }, { "metadata", { { "name", "old" } } } });
+  fixture.Store(
+    "Service/keep",
+    { { "kind", "Service" }, { "metadata", { { "name", "keep" } } } });
+  cr_assert_eq(fixture.Ctl({ "apply", "-f", file }).exit_, 0);
+  cr_assert_eq(fixture.resources_.count("Workspace/old"), 1);
+  cr_assert_eq(fixture.Ctl({ "apply", "--prune", "-f", file }).exit_, 0);
+  cr_assert_eq(fixture.resources_.count("Workspace/old"), 0);
+  cr_assert_eq(fixture.resources_.count("Service/keep"), 1);
+}
+
+// Guards against overwriting the change of another operator.
+Test(Ctl, LostRaceIsSaidAndNothingIsOverwritten)
+{
+  Fixture fixture;
+  const std::string file = fixture.Write("w.yaml", kWorkspace);
+  Json theirs = { { "kind", "Workspace" },
+                  { "metadata", { { "name", "ridge" } } },
+                  { "spec", { { "share", 9 } } } };
+  fixture.onWrite_ = [&] { fixture.Store("Workspace/ridge", theirs); };
+  const Run lost = fixture.Ctl({ "apply", "-f", file });
+  cr_assert_eq(lost.exit_, 2);
+  ExpectPart(lost.err_, "was changed by another operator (read at version 0");
+  cr_assert_eq(fixture.resources_["Workspace/ridge"]["spec"]["share"], 9);
+  theirs["spec"]["share"] = 7;
+  const Run same = fixture.Ctl({ "apply", "-f", file });
+  cr_assert_eq(same.exit_, 0, "%s", same.err_.c_str());
+  ExpectPart(same.out_, "to the same spec by another operator");
+}
+
+// All faults, with file and line, and no request to the server.
+Test(Ctl, WrongFilesAreRefusedBeforeAnyWrite)
+{
+  Fixture fixture;
+  const std::string file = fixture.Write("w.yaml",
+                                         kWorkspace + "  colour: red\n---\n" +
+                                           kWorkspace + "---\nkind: Thing\n");
+  for (const char* command : { "validate", "diff", "apply" }) {
+    const Run run = fixture.Ctl({ command, "-f", file });
+    cr_assert_eq(run.exit_, 2);
+    ExpectPart(run.err_, "w.yaml:5: spec.colour: ");
+    ExpectPart(run.err_, "w.yaml:8: metadata.name: Workspace/ridge is decl");
+    ExpectPart(run.err_, "w.yaml:12: kind: ");
+  }
+  cr_assert(fixture.seen_.empty());
+}
+
+// The server's details are shown at the lines of the file.
+Test(Ctl, ErrorsOfTheServerNameFileAndLine)
+{
+  Fixture fixture;
+  const std::string file = fixture.Write("w.yaml", kWorkspace);
+  fixture.canned_["/apis/v1/Workspace/ridge"] = {
+    422,
+    R"({"error":{"code":"invalid","message":"Not right.",
+        "details":[{"field":"spec.share","message":"Too large."}]}})"
+  };
+  const Run run = fixture.Ctl({ "apply", "-f", file });
+  cr_assert_eq(run.exit_, 2);
+  ExpectPart(run.err_, "status 422 (invalid): Not right.");
+  ExpectPart(run.err_, "w.yaml:4: spec.share: Too large.");
+}
+
+Test(Ctl, WatchGoesOnAfterCutsAndOldRevisions)
+{
+  Fixture fixture;
+  fixture.revision_ = 7;
+  const Run run =
+    fixture.Ctl({ "watch", "Service", "--since", "2", "--events", "3" });
+  cr_assert_eq(run.exit_, 0, "%s", run.err_.c_str());
+  ExpectPart(run.err_, "Revision 2 is too old");
+  ExpectPart(run.out_, "MODIFIED Service/n8 version 8");
+  ExpectPart(run.out_, "MODIFIED Service/n10 version 10");
+}
+
+// What get writes as YAML must be what apply reads.
+Test(Ctl, YamlOfGetCanBeApplied)
+{
+  Fixture fixture;
+  const std::string folder = kExamples + "lochgair";
+  cr_assert_eq(fixture.Ctl({ "apply", "-f", folder }).exit_, 0);
+  const Run got = fixture.Ctl({ "get", "services", "-o", "yaml" });
+  const std::string file = fixture.Write("got.yaml", got.out_);
+  const Run diff = fixture.Ctl({ "diff", "-f", file });
+  cr_assert_eq(diff.exit_, 0, "%s%s", diff.out_.c_str(), diff.err_.c_str());
+}
+
+Test(Ctl, RequestShowsAttemptsAndEvidence)
+{
+  Fixture fixture;
+  fixture.canned_["/v1/requests/r%2F1"] = {
+    200,
+    R"({"request":"r/1","workspace":"ridge","service":"certificate-issue",
+        "kind":"unknown","acceptedUs":1000000,"endedUs":3500000,
+        "attempts":[{"number":1,"server":"desk-2","sentUs":1250000,
+                     "end":"connection broken"}],
+        "answerDigest":"","answerLength":0,"evidence":"no status path"})"
+  };
+  const Run run = fixture.Ctl({ "request", "r/1" });
+  cr_assert_eq(run.exit_, 0, "%s", run.err_.c_str());
+  ExpectPart(run.out_, "1970-01-01T00:00:01.250Z  attempt 1 at desk-2: connec");
+  ExpectPart(run.out_, "outcome unknown");
+  ExpectPart(run.out_, "evidence: no status path");
+}
+
+Test(Ctl, WrongCommandLinesAreRefused)
+{
+  Fixture fixture;
+  for (const std::vector<std::string>& line :
+       std::vector<std::vector<std::string>>{ {},
+                                              { "aply" },
+                                              { "apply" },
+                                              { "get" },
+                                              { "get", "Thing" },
+                                              { "delete", "Service" },
+                                              { "get", "service", "-o", "xml" },
+                                              { "get", "service", "--colour" },
+                                              { "validate", "-f", "/none" },
+                                              { "explain", "Service.x" } }) {
+    const Run run = fixture.Ctl(line);
+    cr_assert_eq(run.exit_, 2);
+    ExpectPart(run.err_, "error: ");
+  }
+  cr_assert(fixture.seen_.empty());
+}
+
+Test(Ctl, ExamplesAreRight)
+{
+  Fixture fixture;
+  cr_assert_eq(fixture.Ctl({ "validate", "-f", kExamples + "lochgair" }).exit_,
+               0);
+  cr_assert_eq(fixture.Ctl({ "validate", "-f", kExamples + "nadi" }).exit_, 0);
+  const Run run =
+    fixture.Ctl({ "validate", "--settings", "-f", kExamples + "settings" });
+  cr_assert_eq(run.exit_, 0, "%s", run.err_.c_str());
+}
+
+// The committed page must be the output of the program.
+Test(Ctl, ReferencePageIsUpToDate)
+{
+  Fixture fixture;
+  const Run run = fixture.Ctl({ "reference" });
+  cr_assert(run.out_ ==
+              ReadAll(std::string(SOURCE_DIRECTORY) + "/docs/reference.md"),
+            "docs/reference.md is old; run: build/bin/sycamorewardctl "
+            "reference > docs/reference.md");
+}
--- a/tools/sycamorewardctl/ResourceFiles.cpp
+++ b/tools/sycamorewardctl/ResourceFiles.cpp
@@ -48,6 +48,20 @@
   aFiles.insert(aFiles.end(), found.begin(), found.end());
 }
 
+// "Kind/name" of a document, right or not; empty when it has none.
+std::string
+StatedName(const nlohmann::json& aDocument)
+{
+  const nlohmann::json::json_pointer name("/metadata/name");
+  if (!aDocument.is_object() || !aDocument.contains("kind") ||
+      !aDocument["kind"].is_string() || !aDocument.contains(name) ||
+      !aDocument[name].is_string()) {
+    return "";
+  }
+  return aDocument["kind"].get<std::string>() + "/" +
+         aDocument[name].get<std::string>();
+}
+
 void
 AddDocument(YamlDocument aDocument,
             std::map<std::string, std::string>& aSeen,
@@ -55,14 +69,11 @@
 {
   ParsedResource parsed = ResourceFromJson(aDocument.value_);
   AddFaults(aDocument, parsed.errors_, aResult.faults_);
-  if (!parsed.resource_) {
-    return;
-  }
-  const std::string name = FullName(*parsed.resource_);
+  const std::string name = StatedName(aDocument.value_);
   const std::string place =
     aDocument.file_ + ":" + std::to_string(aDocument.line_);
   const auto [entry, isNew] = aSeen.emplace(name, place);
-  if (!isNew) {
+  if (!isNew && !name.empty()) {
     AddFaults(aDocument,
               { { "metadata.name",
                   name + " is declared twice, first in " + entry->second +
@@ -70,8 +81,10 @@
                   0 } },
               aResult.faults_);
   }
-  aResult.resources_.push_back(
-    { std::move(*parsed.resource_), std::move(aDocument) });
+  if (parsed.resource_) {
+    aResult.resources_.push_back(
+      { std::move(*parsed.resource_), std::move(aDocument) });
+  }
 }
 
 } // namespace
