--- /dev/null
+++ b/src/ledger/LedgerClient.h
@@ -0,0 +1,114 @@
+#pragma once
+
+// The ledger as the request path of this instance sees it: finds the registrar
+// of each request and keeps outcomes until they are durable.
+
+#include "ledger/Registrar.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace sycamoreward {
+
+struct LedgerClientOptions
+{
+  // Outcomes that are not durable; HasRoom is false from here on.
+  Bytes maxBuffer_{ 16 * 1024 * 1024 };
+  // Longest wait for the reply to Record, after which the outcomes are sent
+  // again.
+  Duration recordTimeout_ = std::chrono::seconds(30);
+  Duration lookupTimeout_ = std::chrono::seconds(5);
+};
+
+class LedgerClient final : public Ledger
+{
+public:
+  // aLocal serves the partitions of this instance and may be null.
+  LedgerClient(EventLoop& aLoop,
+               Membership& aMembership,
+               PeerNetwork& aPeers,
+               Registrar* aLocal,
+               std::function<std::uint64_t()> aRandom,
+               LedgerClientOptions aOptions = {});
+  ~LedgerClient() override;
+  LedgerClient(const LedgerClient&) = delete;
+  LedgerClient& operator=(const LedgerClient&) = delete;
+
+  RequestId MakeRequestId(const RegionId& aRegion,
+                          const WorkspaceId& aWorkspace,
+                          const ServiceName& aService,
+                          const std::string& aKeyDigest) override;
+
+  // After Unavailable for a durable claim, the caller records NotRun, which
+  // withdraws the claim whether or not it took effect.
+  void Register(const RegisterRequest& aRequest,
+                Duration aLimit,
+                std::function<void(RegisterReply)> aOnReply) override;
+
+  // The first outcome of a request counts; later ones are ignored.
+  void Record(const Outcome& aOutcome,
+              std::function<void()> aOnDurable) override;
+
+  bool HasRoom() const override;
+
+  // Gives outcomes that are not durable yet too. Throws UserError when aRequest
+  // is malformed.
+  void Lookup(const RequestId& aRequest,
+              std::function<void(LookupReply)> aOnReply) override;
+
+  // Outcomes that are not durable yet.
+  std::size_t BufferedOutcomes() const { return buffer_.size(); }
+
+private:
+  struct Buffered
+  {
+    Outcome outcome_;
+    std::uint64_t bytes_ = 0;
+    std::vector<std::function<void()>> onDurable_;
+  };
+  struct Attempt;
+
+  // Empty when no member can serve the partition.
+  std::optional<PeerIdentity> FindRegistrar(const RequestId& aRequest) const;
+  bool IsLocal(const PeerIdentity& aRegistrar) const;
+  void Try(std::shared_ptr<Attempt> aAttempt);
+  void OnRegistered(const std::shared_ptr<Attempt>& aAttempt,
+                    const RegisterReply& aReply);
+  void Finish(const std::shared_ptr<Attempt>& aAttempt, RegisterReply aReply);
+  void WithdrawStray(const Attempt& aAttempt, const RegisterReply& aReply);
+  void RegisterAgain();
+  void ScheduleSend(Duration aWait);
+  void SendUnsent();
+  void SendRecord(const PeerIdentity& aRegistrar,
+                  const std::vector<RequestId>& aRequests);
+  void OnRecorded(const std::vector<RequestId>& aSent,
+                  const std::vector<RequestId>& aDurable);
+  Incarnation OwnIncarnation() const;
+  template<typename Function>
+  auto Guard(Function aFunction);
+
+  EventLoop& loop_;
+  Membership& membership_;
+  PeerNetwork& peers_;
+  Registrar* local_;
+  std::function<std::uint64_t()> random_;
+  LedgerClientOptions options_;
+  std::unordered_map<RequestId, Buffered> buffer_;
+  std::uint64_t bufferedBytes_ = 0;
+  std::deque<RequestId> unsent_;
+  bool isSendScheduled_ = false;
+  Duration backoff_{ 0 };
+  // Keyed repeatable requests that run here, with the registrar that knows
+  // them, to be registered again with its successor.
+  struct Active
+  {
+    RegisterRequest request_;
+    InstanceId registrar_;
+  };
+  std::unordered_map<RequestId, Active> active_;
+  std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/ledger/LogRow.cpp
@@ -0,0 +1,201 @@
+#include "ledger/LogRow.h"
+
+#include "base/Error.h"
+#include "ledger/Digest.h"
+#include "ledger/OutcomeJson.h"
+#include "store/ResolveInsert.h"
+
+#include <cstdio>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char* const kPrevious = "previous";
+const char* const kWritten = "writtenUs";
+const char* const kEntries = "entries";
+const char* const kMoved = "moved";
+
+Json
+ClaimToJson(const Claim& aClaim)
+{
+  return { { "request", aClaim.request_.Value() },
+           { "workspace", aClaim.workspace_.Value() },
+           { "service", aClaim.service_.Value() },
+           { "keyDigest", aClaim.keyDigest_ },
+           { "bodyDigest", aClaim.bodyDigest_ },
+           { "owner", aClaim.owner_.Value() },
+           { "ownerIncarnation", aClaim.ownerIncarnation_.Value() } };
+}
+
+Claim
+ClaimFromJson(const Json& aJson)
+{
+  Claim claim;
+  claim.request_ = RequestId(aJson.at("request").get<std::string>());
+  claim.workspace_ = WorkspaceId(aJson.at("workspace").get<std::string>());
+  claim.service_ = ServiceName(aJson.at("service").get<std::string>());
+  claim.keyDigest_ = aJson.at("keyDigest").get<std::string>();
+  claim.bodyDigest_ = aJson.at("bodyDigest").get<std::string>();
+  claim.owner_ = InstanceId(aJson.at("owner").get<std::string>());
+  claim.ownerIncarnation_ =
+    Incarnation(aJson.value("ownerIncarnation", std::uint64_t{ 0 }));
+  return claim;
+}
+
+LogEntry
+EntryFromJson(const Json& aJson)
+{
+  LogEntry entry;
+  if (aJson.contains("claim")) {
+    entry.claim_ = ClaimFromJson(aJson.at("claim"));
+  } else {
+    entry.kind_ = EntryKind::Outcome;
+    entry.outcome_ = OutcomeFromJson(aJson.at("outcome"));
+  }
+  return entry;
+}
+
+const std::string&
+ValueOf(const Row& aRow, const std::string& aName)
+{
+  const auto found = aRow.values_.find(aName);
+  if (found == aRow.values_.end()) {
+    throw InternalError("load ledger",
+                        "",
+                        "The row " + aRow.key_.partition_ + "/" +
+                          aRow.key_.sort_ + " has no value \"" + aName + "\".");
+  }
+  return found->second;
+}
+
+} // namespace
+
+const RequestId&
+RequestOf(const LogEntry& aEntry)
+{
+  return aEntry.kind_ == EntryKind::Claim ? aEntry.claim_.request_
+                                          : aEntry.outcome_.request_;
+}
+
+std::string
+EntryToText(const LogEntry& aEntry)
+{
+  const Json json = aEntry.kind_ == EntryKind::Claim
+                      ? Json{ { "claim", ClaimToJson(aEntry.claim_) } }
+                      : Json{ { "outcome", OutcomeToJson(aEntry.outcome_) } };
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::vector<LogEntry>
+ParseEntries(const LogRow& aRow)
+{
+  try {
+    std::vector<LogEntry> entries;
+    for (const Json& entry : Json::parse(aRow.entries_)) {
+      entries.push_back(EntryFromJson(entry));
+    }
+    return entries;
+  } catch (const Json::exception& error) {
+    throw InternalError("load ledger",
+                        "",
+                        "The entries of ledger row " +
+                          std::to_string(aRow.sequence_.Value()) +
+                          " are malformed: " + error.what());
+  }
+}
+
+std::string
+RowDigest(const LogRow& aRow)
+{
+  // The entries come last, so that no two rows give the same text.
+  return Sha256Hex(SortKey(aRow.sequence_) + "\n" + aRow.writeToken_ + "\n" +
+                   aRow.previousDigest_ + "\n" +
+                   std::to_string(aRow.written_.time_since_epoch().count()) +
+                   "\n" + aRow.entries_);
+}
+
+std::string
+SortKey(Sequence aSequence)
+{
+  char text[21];
+  std::snprintf(text,
+                sizeof(text),
+                "%020llu",
+                static_cast<unsigned long long>(aSequence.Value()));
+  return text;
+}
+
+Row
+ToTableRow(const LedgerPartition& aPartition, const LogRow& aRow)
+{
+  Row row;
+  row.key_ = { PartitionName(aPartition), SortKey(aRow.sequence_) };
+  row.values_[kWriteTokenValue] = aRow.writeToken_;
+  row.values_[kPrevious] = aRow.previousDigest_;
+  row.values_[kWritten] =
+    std::to_string(aRow.written_.time_since_epoch().count());
+  row.values_[kEntries] = aRow.entries_;
+  return row;
+}
+
+LogRow
+FromTableRow(const Row& aRow)
+{
+  LogRow row;
+  row.writeToken_ = ValueOf(aRow, kWriteTokenValue);
+  row.previousDigest_ = ValueOf(aRow, kPrevious);
+  row.entries_ = ValueOf(aRow, kEntries);
+  try {
+    row.sequence_ = Sequence(std::stoull(aRow.key_.sort_));
+    row.written_ = WallTime(Duration(std::stoll(ValueOf(aRow, kWritten))));
+  } catch (const std::logic_error&) {
+    throw InternalError("load ledger",
+                        "",
+                        "The row " + aRow.key_.partition_ + "/" +
+                          aRow.key_.sort_ + " has a malformed number.");
+  }
+  return row;
+}
+
+Row
+MovedMarker(const LedgerPartition& aPartition, Sequence aSequence)
+{
+  Row row;
+  row.key_ = { PartitionName(aPartition), SortKey(aSequence) };
+  row.values_[kWriteTokenValue] = kMoved;
+  row.values_[kMoved] = "yes";
+  return row;
+}
+
+bool
+IsMovedMarker(const Row& aRow)
+{
+  return aRow.values_.count(kMoved) != 0;
+}
+
+std::vector<RowWrite>
+AppendWrites(const LedgerPartition& aPartition,
+             const LogRow& aRow,
+             const std::string& aPreviousToken)
+{
+  RowWrite insert;
+  insert.row_ = ToTableRow(aPartition, aRow);
+  insert.condition_ = RowCondition::Absent;
+  std::vector<RowWrite> writes{ insert };
+  if (aRow.sequence_ > Sequence(1)) {
+    RowWrite check;
+    check.operation_ = RowOperation::Check;
+    check.row_.key_ = { PartitionName(aPartition),
+                        SortKey(Sequence(aRow.sequence_.Value() - 1)) };
+    check.condition_ = RowCondition::ValueEquals;
+    check.conditionName_ = kWriteTokenValue;
+    check.conditionValue_ = aPreviousToken;
+    writes.push_back(check);
+  }
+  return writes;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/ledger/LogRow.h
@@ -0,0 +1,99 @@
+#pragma once
+
+// Rows of a partition's log and their form in the table.
+
+#include "base/Ids.h"
+#include "ledger/Ledger.h"
+#include "ledger/Outcome.h"
+#include "ledger/Partition.h"
+#include "store/Table.h"
+
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+// A claim of a key for one request.
+struct Claim
+{
+  RequestId request_;
+  WorkspaceId workspace_;
+  ServiceName service_;
+  std::string keyDigest_;
+  std::string bodyDigest_;
+  InstanceId owner_;
+  // Of the owner's process when it asked; 0 when not known.
+  Incarnation ownerIncarnation_;
+};
+
+enum class EntryKind
+{
+  Claim,
+  // An outcome. NotRun also withdraws a claim, before or after it was made.
+  Outcome
+};
+
+struct LogEntry
+{
+  EntryKind kind_ = EntryKind::Claim;
+  Claim claim_;
+  Outcome outcome_;
+};
+
+// The request that an entry is about.
+const RequestId&
+RequestOf(const LogEntry& aEntry);
+
+struct LogRow
+{
+  Sequence sequence_;
+  std::string writeToken_;
+  // Digest of the row before; empty in the first row.
+  std::string previousDigest_;
+  WallTime written_;
+  // JSON array of entries, kept as text so that the digest does not depend on
+  // how a version of the program writes JSON.
+  std::string entries_;
+};
+
+std::string
+EntryToText(const LogEntry& aEntry);
+
+// Throws InternalError when the text is malformed.
+std::vector<LogEntry>
+ParseEntries(const LogRow& aRow);
+
+// SHA-256 over all fields of a row.
+std::string
+RowDigest(const LogRow& aRow);
+
+// Sort key of a row: the sequence in 20 digits.
+std::string
+SortKey(Sequence aSequence);
+
+Row
+ToTableRow(const LedgerPartition& aPartition, const LogRow& aRow);
+
+// Throws InternalError when a value is missing or malformed.
+LogRow
+FromTableRow(const Row& aRow);
+
+// A row whose content was moved to the object store is deleted, but for the
+// first row of a partition: a marker takes its place, so that the insert of the
+// first row can't take effect again.
+Row
+MovedMarker(const LedgerPartition& aPartition, Sequence aSequence);
+
+bool
+IsMovedMarker(const Row& aRow);
+
+// The writes of one append: the insert of the row on condition that it is
+// absent, and a check that the row before is still in the table with the token
+// that aRow was chained to. Without the check, a registrar that slept while
+// rows were moved to the object store could insert an old sequence again.
+std::vector<RowWrite>
+AppendWrites(const LedgerPartition& aPartition,
+             const LogRow& aRow,
+             const std::string& aPreviousToken);
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/ledger/PartitionLog.cpp
@@ -0,0 +1,333 @@
+#include "ledger/PartitionLog.h"
+
+#include "base/Error.h"
+
+namespace sycamoreward {
+
+namespace {
+
+std::string
+KeyName(const WorkspaceId& aWorkspace,
+        const ServiceName& aService,
+        const std::string& aKeyDigest)
+{
+  return aWorkspace.Value() + "\n" + aService.Value() + "\n" + aKeyDigest;
+}
+
+std::string
+PendingName(const LogEntry& aEntry)
+{
+  return (aEntry.kind_ == EntryKind::Claim ? "c" : "o") +
+         RequestOf(aEntry).Value();
+}
+
+// A withdrawn request leaves its key free.
+bool
+IsWithdrawn(const RequestRecord& aRecord)
+{
+  return aRecord.outcome_ && aRecord.outcome_->kind_ == OutcomeKind::NotRun;
+}
+
+// The request that holds a key and was not withdrawn.
+const RequestRecord*
+FindHolder(const PartitionLog& aLog, const std::string& aKeyName)
+{
+  const auto key = aLog.keys_.find(aKeyName);
+  if (key == aLog.keys_.end()) {
+    return nullptr;
+  }
+  const auto record = aLog.requests_.find(key->second);
+  return record == aLog.requests_.end() || IsWithdrawn(record->second)
+           ? nullptr
+           : &record->second;
+}
+
+const RequestRecord*
+FindRecord(const PartitionLog& aLog, const RequestId& aRequest)
+{
+  const auto found = aLog.requests_.find(aRequest);
+  return found == aLog.requests_.end() ? nullptr : &found->second;
+}
+
+// A claim takes effect when its request was not withdrawn or claimed before
+// and no other request holds the key.
+bool
+IsClaimPossible(const PartitionLog& aLog, const Claim& aClaim)
+{
+  if (FindRecord(aLog, aClaim.request_) != nullptr) {
+    return false;
+  }
+  return aClaim.keyDigest_.empty() ||
+         FindHolder(
+           aLog,
+           KeyName(aClaim.workspace_, aClaim.service_, aClaim.keyDigest_)) ==
+           nullptr;
+}
+
+bool
+IsSettled(const PartitionLog& aLog, const LogEntry& aEntry)
+{
+  if (aEntry.kind_ == EntryKind::Claim) {
+    return !IsClaimPossible(aLog, aEntry.claim_);
+  }
+  const RequestRecord* record = FindRecord(aLog, aEntry.outcome_.request_);
+  return record != nullptr && record->outcome_;
+}
+
+void
+ApplyClaim(PartitionLog& aLog, const Claim& aClaim, WallTime aWritten)
+{
+  if (!IsClaimPossible(aLog, aClaim)) {
+    return;
+  }
+  aLog.requests_[aClaim.request_].claim_ = aClaim;
+  aLog.running_.insert(aClaim.request_);
+  aLog.ages_.emplace_back(aWritten, aClaim.request_);
+  if (!aClaim.keyDigest_.empty()) {
+    aLog.keys_[KeyName(aClaim.workspace_, aClaim.service_, aClaim.keyDigest_)] =
+      aClaim.request_;
+  }
+}
+
+// Outcomes of repeatable work come without a claim; the latest of them holds
+// the key, because its answer is the one most likely to be kept still.
+void
+ApplyOutcome(PartitionLog& aLog, const Outcome& aOutcome, WallTime aWritten)
+{
+  RequestRecord& record = aLog.requests_[aOutcome.request_];
+  if (record.outcome_) {
+    return;
+  }
+  const bool isClaimed = record.claim_.has_value();
+  record.outcome_ = aOutcome;
+  aLog.running_.erase(aOutcome.request_);
+  aLog.ages_.emplace_back(aWritten, aOutcome.request_);
+  if (isClaimed || aOutcome.keyDigest_.empty() || IsWithdrawn(record)) {
+    return;
+  }
+  const std::string name =
+    KeyName(aOutcome.workspace_, aOutcome.service_, aOutcome.keyDigest_);
+  const RequestRecord* holder = FindHolder(aLog, name);
+  if (holder == nullptr || !holder->claim_) {
+    aLog.keys_[name] = aOutcome.request_;
+  }
+}
+
+void
+Forget(PartitionLog& aLog, const RequestId& aRequest)
+{
+  const auto found = aLog.requests_.find(aRequest);
+  if (found == aLog.requests_.end() || !found->second.outcome_) {
+    return;
+  }
+  const Outcome& outcome = *found->second.outcome_;
+  const auto key = aLog.keys_.find(
+    KeyName(outcome.workspace_, outcome.service_, outcome.keyDigest_));
+  if (key != aLog.keys_.end() && key->second == aRequest) {
+    aLog.keys_.erase(key);
+  }
+  aLog.requests_.erase(found);
+}
+
+// A claim without outcome is kept whatever its age.
+void
+ForgetBefore(PartitionLog& aLog, WallTime aTime)
+{
+  while (!aLog.ages_.empty() && aLog.ages_.front().first < aTime) {
+    const RequestId request = aLog.ages_.front().second;
+    aLog.ages_.pop_front();
+    const RequestRecord* record = FindRecord(aLog, request);
+    if (record != nullptr && record->outcome_) {
+      Forget(aLog, request);
+    }
+  }
+}
+
+template<typename Predicate>
+void
+DropIf(PartitionLog& aLog, Predicate aIsDropped)
+{
+  std::deque<PendingEntry> left;
+  for (PendingEntry& pending : aLog.pending_) {
+    if (aIsDropped(pending.entry_)) {
+      aLog.pendingBytes_ -= pending.text_.size();
+      aLog.pendingNames_.erase(PendingName(pending.entry_));
+    } else {
+      left.push_back(std::move(pending));
+    }
+  }
+  aLog.pending_ = std::move(left);
+}
+
+void
+DropSettled(PartitionLog& aLog)
+{
+  DropIf(aLog, [&](const LogEntry& aEntry) { return IsSettled(aLog, aEntry); });
+}
+
+RegisterReply
+ReplyFor(RegisterStatus aStatus, const RequestRecord& aRecord)
+{
+  RegisterReply reply;
+  reply.status_ = aStatus;
+  reply.outcome_ = aRecord.outcome_;
+  if (aRecord.claim_) {
+    reply.request_ = aRecord.claim_->request_;
+    reply.owner_ = aRecord.claim_->owner_;
+  } else if (aRecord.outcome_) {
+    reply.request_ = aRecord.outcome_->request_;
+  }
+  return reply;
+}
+
+} // namespace
+
+void
+ApplyRow(PartitionLog& aLog, const LogRow& aRow)
+{
+  const bool isFirst = aLog.applied_ == Sequence(0);
+  if (!isFirst && (aRow.sequence_.Value() != aLog.applied_.Value() + 1 ||
+                   aRow.previousDigest_ != aLog.lastDigest_)) {
+    throw InternalError("load ledger",
+                        "",
+                        "Row " + std::to_string(aRow.sequence_.Value()) +
+                          " of " + PartitionName(aLog.partition_) +
+                          " does not continue row " +
+                          std::to_string(aLog.applied_.Value()) + ".");
+  }
+  for (const LogEntry& entry : ParseEntries(aRow)) {
+    if (entry.kind_ == EntryKind::Claim) {
+      ApplyClaim(aLog, entry.claim_, aRow.written_);
+    } else {
+      ApplyOutcome(aLog, entry.outcome_, aRow.written_);
+    }
+  }
+  aLog.applied_ = aRow.sequence_;
+  aLog.lastToken_ = aRow.writeToken_;
+  aLog.lastDigest_ = RowDigest(aRow);
+  ForgetBefore(aLog, aRow.written_ - kKeyLifetime);
+}
+
+std::optional<RegisterReply>
+DecideRegister(const PartitionLog& aLog, const RegisterRequest& aRequest)
+{
+  if (const RequestRecord* own = FindRecord(aLog, aRequest.request_)) {
+    if (own->outcome_) {
+      return ReplyFor(RegisterStatus::Finished, *own);
+    }
+    return ReplyFor(own->claim_->owner_ == aRequest.owner_
+                      ? RegisterStatus::Granted
+                      : RegisterStatus::Running,
+                    *own);
+  }
+  if (aRequest.keyDigest_.empty()) {
+    return std::nullopt;
+  }
+  const RequestRecord* holder = FindHolder(
+    aLog, KeyName(aRequest.workspace_, aRequest.service_, aRequest.keyDigest_));
+  if (holder == nullptr) {
+    return std::nullopt;
+  }
+  const std::string& body = holder->claim_ ? holder->claim_->bodyDigest_
+                                           : holder->outcome_->bodyDigest_;
+  if (body != aRequest.bodyDigest_) {
+    return RegisterReply{ RegisterStatus::BodyMismatch, {}, {}, std::nullopt };
+  }
+  return ReplyFor(holder->outcome_ ? RegisterStatus::Finished
+                                   : RegisterStatus::Running,
+                  *holder);
+}
+
+const Claim*
+FindRunningClaim(const PartitionLog& aLog, const RegisterRequest& aRequest)
+{
+  if (aRequest.keyDigest_.empty()) {
+    return nullptr;
+  }
+  const RequestRecord* holder = FindHolder(
+    aLog, KeyName(aRequest.workspace_, aRequest.service_, aRequest.keyDigest_));
+  return holder == nullptr || holder->outcome_ || !holder->claim_
+           ? nullptr
+           : &*holder->claim_;
+}
+
+bool
+AddPending(PartitionLog& aLog, const LogEntry& aEntry)
+{
+  const std::string name = PendingName(aEntry);
+  if (IsSettled(aLog, aEntry) || aLog.pendingNames_.count(name) != 0) {
+    return true;
+  }
+  PendingEntry pending{ aEntry, EntryToText(aEntry) };
+  if (aLog.pendingBytes_ + pending.text_.size() > kMaxPendingBytes) {
+    return false;
+  }
+  aLog.pendingBytes_ += pending.text_.size();
+  aLog.pendingNames_.insert(name);
+  aLog.pending_.push_back(std::move(pending));
+  return true;
+}
+
+std::optional<LogRow>
+StartAppend(PartitionLog& aLog, const std::string& aWriteToken, WallTime aNow)
+{
+  if (aLog.inFlight_) {
+    return std::nullopt;
+  }
+  DropSettled(aLog);
+  if (aLog.pending_.empty()) {
+    return std::nullopt;
+  }
+  LogRow row;
+  row.sequence_ = Sequence(aLog.applied_.Value() + 1);
+  row.writeToken_ = aWriteToken;
+  row.previousDigest_ = aLog.lastDigest_;
+  row.written_ = aNow;
+  for (const PendingEntry& pending : aLog.pending_) {
+    if (!row.entries_.empty() &&
+        row.entries_.size() + pending.text_.size() > kMaxRowBytes) {
+      break;
+    }
+    row.entries_ += (row.entries_.empty() ? "[" : ",") + pending.text_;
+  }
+  row.entries_ += "]";
+  aLog.inFlight_ = row;
+  return row;
+}
+
+void
+AfterCommitted(PartitionLog& aLog)
+{
+  const LogRow row = std::move(*aLog.inFlight_);
+  aLog.inFlight_.reset();
+  ApplyRow(aLog, row);
+  DropSettled(aLog);
+}
+
+void
+AfterNotCommitted(PartitionLog& aLog)
+{
+  aLog.inFlight_.reset();
+}
+
+void
+DropPendingClaims(PartitionLog& aLog)
+{
+  DropIf(aLog, [](const LogEntry& aEntry) {
+    return aEntry.kind_ == EntryKind::Claim;
+  });
+}
+
+void
+ResetRows(PartitionLog& aLog)
+{
+  aLog.applied_ = Sequence(0);
+  aLog.lastToken_.clear();
+  aLog.lastDigest_.clear();
+  aLog.requests_.clear();
+  aLog.keys_.clear();
+  aLog.running_.clear();
+  aLog.ages_.clear();
+}
+
+} // namespace sycamoreward
--- a/standins/platform/TableStore.cpp
+++ b/standins/platform/TableStore.cpp
@@ -9,6 +9,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxItems = 100;
+// A reply to Query ends after this much, as that of DynamoDB does.
+constexpr std::size_t kMaxPageBytes = 1024 * 1024;
 
 std::string
 Text(const Json& aAttributes, const std::string& aName)
@@ -140,11 +142,13 @@
   const std::string partition = Text(values, ":p");
   const std::size_t limit = aRequest.value("Limit", std::size_t{ 1000 });
   TableReply reply;
+  std::size_t bytes = 0;
   Json& rows = reply.body_["Items"] = Json::array();
   for (auto row = items_.lower_bound({ partition, Text(values, ":s") });
        row != items_.end() && row->first.first == partition &&
-       rows.size() < limit;
+       rows.size() < limit && bytes < kMaxPageBytes;
        ++row) {
+    bytes += row->second.dump().size();
     rows.push_back(row->second);
   }
   reply.body_["Count"] = rows.size();
--- /dev/null
+++ b/test/property/LedgerLogTest.cpp
@@ -0,0 +1,265 @@
+// Registrars that race on one partition, with lost replies and writes that
+// take effect late.
+
+#include "ledger/PartitionLog.h"
+#include "support/MemoryTable.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr unsigned kRegistrars = 3;
+constexpr unsigned kKeys = 3;
+const LedgerPartition kPartition{ RegionId("r"), PartitionId(0) };
+
+struct LateWrite
+{
+  std::vector<RowWrite> writes_;
+};
+
+// Registrars that share a table; each step does one thing at one of them.
+struct Race
+{
+  MemoryTable table_;
+  std::vector<PartitionLog> logs_{ kRegistrars };
+  std::vector<LateWrite> late_;
+  std::vector<RegisterRequest> requests_;
+  // Requests that their owner withdrew, and must not run.
+  std::set<std::string> withdrawn_;
+  // Requests granted at each key whose holder may have been sent.
+  std::map<std::string, std::set<std::string>> ran_;
+  // Outcome as first seen, by request.
+  std::map<std::string, std::string> seen_;
+  std::uint64_t nextToken_ = 1;
+  bool isOk_ = true;
+
+  Race()
+  {
+    for (PartitionLog& log : logs_) {
+      log.partition_ = kPartition;
+    }
+  }
+
+  void Load(PartitionLog& aLog)
+  {
+    table_.Query(PartitionName(kPartition),
+                 SortKey(Sequence(aLog.applied_.Value() + 1)),
+                 1000,
+                 [&](ReadReply aReply) {
+                   for (const Row& row : aReply.rows_) {
+                     ApplyRow(aLog, FromTableRow(row));
+                   }
+                 });
+  }
+
+  void Register(PartitionLog& aLog, unsigned aKey)
+  {
+    RegisterRequest request;
+    request.request_ = FormatRequestId(kPartition, HexOf(requests_.size()));
+    request.keyDigest_ = std::to_string(aKey);
+    request.bodyDigest_ = "body";
+    request.isDurable_ = true;
+    request.owner_ = InstanceId("owner" + std::to_string(requests_.size()));
+    requests_.push_back(request);
+    Retry(aLog, request);
+  }
+
+  // The client may ask several registrars, one after another.
+  void Retry(PartitionLog& aLog, const RegisterRequest& aRequest)
+  {
+    if (!DecideRegister(aLog, aRequest)) {
+      LogEntry entry;
+      entry.claim_.request_ = aRequest.request_;
+      entry.claim_.keyDigest_ = aRequest.keyDigest_;
+      entry.claim_.bodyDigest_ = aRequest.bodyDigest_;
+      entry.claim_.owner_ = aRequest.owner_;
+      AddPending(aLog, entry);
+    }
+  }
+
+  void AddOutcome(PartitionLog& aLog,
+                  const RegisterRequest& aRequest,
+                  OutcomeKind aKind)
+  {
+    LogEntry entry;
+    entry.kind_ = EntryKind::Outcome;
+    entry.outcome_.request_ = aRequest.request_;
+    entry.outcome_.keyDigest_ = aRequest.keyDigest_;
+    entry.outcome_.bodyDigest_ = aRequest.bodyDigest_;
+    entry.outcome_.kind_ = aKind;
+    AddPending(aLog, entry);
+  }
+
+  // aFate: 0 reply arrives, 1 applied and reply lost, 2 never applied, 3
+  // applied later.
+  void Append(PartitionLog& aLog, unsigned aFate)
+  {
+    const auto row =
+      StartAppend(aLog, std::to_string(nextToken_++), WallTime());
+    if (!row) {
+      return;
+    }
+    const auto writes = AppendWrites(kPartition, *row, aLog.lastToken_);
+    if (aFate == 3) {
+      late_.push_back({ writes });
+    } else if (aFate < 2) {
+      const WriteResult result = table_.Apply(writes);
+      if (aFate == 0 && result == WriteResult::Committed) {
+        AfterCommitted(aLog);
+        return;
+      }
+    }
+    AfterNotCommitted(aLog);
+    Load(aLog);
+  }
+
+  void LandLate()
+  {
+    if (!late_.empty()) {
+      table_.Apply(late_.front().writes_);
+      late_.erase(late_.begin());
+    }
+  }
+
+  // Owners run what a registrar grants, unless they withdrew it before.
+  void Observe(const PartitionLog& aLog)
+  {
+    for (const RegisterRequest& request : requests_) {
+      const auto reply = DecideRegister(aLog, request);
+      const std::string& id = request.request_.Value();
+      if (reply && reply->status_ == RegisterStatus::Granted &&
+          withdrawn_.count(id) == 0) {
+        ran_[request.keyDigest_].insert(id);
+      }
+    }
+    for (const auto& record : aLog.requests_) {
+      if (record.second.outcome_) {
+        const std::string text = ToString(record.second.outcome_->kind_);
+        const auto seen = seen_.emplace(record.first.Value(), text).first;
+        isOk_ = isOk_ && seen->second == text;
+      }
+    }
+    for (const auto& key : ran_) {
+      isOk_ = isOk_ && key.second.size() <= 1;
+    }
+  }
+
+  // A request that was told "not run" must not hold its key in the end.
+  bool WithdrawnAreFree()
+  {
+    PartitionLog log;
+    log.partition_ = kPartition;
+    Load(log);
+    for (const auto& record : log.requests_) {
+      const auto& outcome = record.second.outcome_;
+      if (outcome && outcome->kind_ == OutcomeKind::NotRun &&
+          ran_[outcome->keyDigest_].count(record.first.Value()) != 0) {
+        return false;
+      }
+      if (outcome && log.running_.count(record.first) != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+};
+
+void
+Step(Race& aRace, const std::vector<unsigned>& aStep)
+{
+  PartitionLog& log = aRace.logs_[aStep[0] % kRegistrars];
+  const auto& requests = aRace.requests_;
+  const std::size_t chosen = requests.empty() ? 0 : aStep[2] % requests.size();
+  switch (aStep[1] % 7) {
+    case 0:
+      aRace.Register(log, aStep[2] % kKeys);
+      break;
+    case 1:
+      aRace.Append(log, aStep[3] % 4);
+      break;
+    case 2:
+      aRace.LandLate();
+      break;
+    case 3:
+      if (!requests.empty()) {
+        aRace.Retry(log, requests[chosen]);
+      }
+      break;
+    case 4:
+      // The owner gives up before it learned of a grant.
+      if (!requests.empty()) {
+        const RegisterRequest& request = requests[chosen];
+        const std::string& id = request.request_.Value();
+        if (aRace.ran_[request.keyDigest_].count(id) == 0) {
+          aRace.withdrawn_.insert(id);
+          aRace.AddOutcome(log, request, OutcomeKind::NotRun);
+        }
+      }
+      break;
+    case 5:
+      if (!requests.empty()) {
+        const RegisterRequest& request = requests[chosen];
+        if (aRace.ran_[request.keyDigest_].count(request.request_.Value()) !=
+            0) {
+          aRace.AddOutcome(log, request, OutcomeKind::Completed);
+        }
+      }
+      break;
+    default:
+      aRace.Load(log);
+  }
+  aRace.Observe(log);
+}
+
+} // namespace
+
+// Guards against two owners for one key (an unrepeatable request that runs
+// twice), against outcomes that change, and against claims that take effect
+// after their withdrawal.
+Test(LedgerLog, RacingRegistrarsGrantAKeyOnce)
+{
+  cr_assert(rc::check("a key runs once", [] {
+    const auto size = *rc::gen::inRange<std::size_t>(20, 200);
+    const auto steps = *rc::gen::container<std::vector<std::vector<unsigned>>>(
+      size,
+      rc::gen::container<std::vector<unsigned>>(
+        4, rc::gen::inRange<unsigned>(0, 84)));
+    Race race;
+    for (const auto& step : steps) {
+      Step(race, step);
+      RC_ASSERT(race.isOk_);
+    }
+    while (!race.late_.empty()) {
+      race.LandLate();
+    }
+    RC_ASSERT(race.WithdrawnAreFree());
+  }));
+}
+
+// Guards against a registrar that slept while rows were moved away and then
+// inserts an old sequence again.
+Test(LedgerLog, LateAppendAtAMovedSequenceFails)
+{
+  Race race;
+  race.Register(race.logs_[0], 0);
+  race.Append(race.logs_[0], 0);
+  race.Load(race.logs_[1]);
+  race.Register(race.logs_[1], 1);
+  race.Append(race.logs_[1], 3);
+  for (unsigned round = 0; round < 3; ++round) {
+    race.Register(race.logs_[0], 2 + round);
+    race.Append(race.logs_[0], 0);
+  }
+  cr_assert_eq(race.table_.rows_.size(), 4U);
+  const std::string name = PartitionName(kPartition);
+  race.table_.rows_.erase({ name, SortKey(Sequence(2)) });
+  race.table_.rows_.erase({ name, SortKey(Sequence(3)) });
+  cr_assert_eq(race.table_.Apply(race.late_.front().writes_),
+               WriteResult::Committed,
+               "row 1 is kept, so that only the check of row 2 can refuse");
+}
--- /dev/null
+++ b/test/support/FakePeerNetwork.h
@@ -0,0 +1,183 @@
+#pragma once
+
+// Peer networks of several instances in one process, with links that a test can
+// cut. Messages are delivered through the event loop.
+
+#include "peer/PeerNetwork.h"
+#include "runtime/EventLoop.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace sycamoreward {
+
+class FakePeerNetwork;
+
+// What the networks of one test share.
+struct FakePeerHub
+{
+  explicit FakePeerHub(EventLoop& aLoop)
+    : loop_(aLoop)
+  {
+  }
+
+  // Drops messages in one direction.
+  void CutOneWay(const std::string& aFrom, const std::string& aTo)
+  {
+    cut_.emplace(aFrom, aTo);
+  }
+  // Drops messages in both directions.
+  void Cut(const std::string& aOne, const std::string& aOther)
+  {
+    CutOneWay(aOne, aOther);
+    CutOneWay(aOther, aOne);
+  }
+  void Restore(const std::string& aOne, const std::string& aOther)
+  {
+    cut_.erase({ aOne, aOther });
+    cut_.erase({ aOther, aOne });
+  }
+  bool IsOpen(const InstanceId& aFrom, const InstanceId& aTo) const
+  {
+    return cut_.count({ aFrom.Value(), aTo.Value() }) == 0;
+  }
+
+  EventLoop& loop_;
+  std::map<InstanceId, FakePeerNetwork*> networks_;
+  std::set<std::pair<std::string, std::string>> cut_;
+};
+
+// The hub outlives its networks, and a network outlives what is posted to the
+// loop for it or is looked up again by id.
+class FakePeerNetwork final : public PeerNetwork
+{
+public:
+  FakePeerNetwork(FakePeerHub& aHub, PeerIdentity aSelf)
+    : hub_(aHub)
+    , self_(std::move(aSelf))
+  {
+    hub_.networks_[self_.instance_] = this;
+  }
+  ~FakePeerNetwork() override { hub_.networks_.erase(self_.instance_); }
+
+  void Send(const PeerIdentity& aTo, Message aMessage) override
+  {
+    Deliver(aTo, std::move(aMessage), [](Message) {});
+  }
+
+  void Call(const PeerIdentity& aTo,
+            Message aMessage,
+            Duration aTimeout,
+            std::function<void(PeerReply)> aOnReply) override
+  {
+    auto end =
+      std::make_shared<std::function<void(PeerReply)>>(std::move(aOnReply));
+    const auto finish = [end](PeerReply aReply) {
+      if (const auto callback = std::exchange(*end, nullptr)) {
+        callback(std::move(aReply));
+      }
+    };
+    hub_.loop_.CallAfter(aTimeout, [finish] {
+      finish({ std::nullopt, "timeout" });
+    });
+    Deliver(aTo, std::move(aMessage), [finish](Message aReply) {
+      finish({ std::move(aReply), "" });
+    });
+  }
+
+  std::function<void()> OpenStream(
+    const PeerIdentity& aTo,
+    Message aMessage,
+    Duration aSilence,
+    std::function<void(PeerReply)> aOnReply) override
+  {
+    auto stream = std::make_shared<Stream>();
+    stream->onReply_ = std::move(aOnReply);
+    ArmSilence(stream, aSilence);
+    Deliver(aTo, std::move(aMessage), [this, stream, aSilence](Message aReply) {
+      if (stream->onReply_) {
+        hub_.loop_.CancelTimer(stream->timer_);
+        ArmSilence(stream, aSilence);
+        const auto onReply = stream->onReply_;
+        onReply({ std::move(aReply), "" });
+      }
+    });
+    return [stream] { stream->onReply_ = nullptr; };
+  }
+
+  void ProbeOnNewConnection(const PeerIdentity& aTo,
+                            Duration aTimeout,
+                            std::function<void(bool)> aOnResult) override
+  {
+    const bool isAlive =
+      IsReachable(aTo) && hub_.IsOpen(aTo.instance_, self_.instance_);
+    hub_.loop_.CallAfter(
+      isAlive ? Duration(0) : aTimeout,
+      [isAlive, aOnResult = std::move(aOnResult)] { aOnResult(isAlive); });
+  }
+
+protected:
+  void SetHandler(std::size_t aType, Handler aHandler) override
+  {
+    handlers_[aType] = std::move(aHandler);
+  }
+
+private:
+  struct Stream
+  {
+    std::function<void(PeerReply)> onReply_;
+    EventLoop::TimerId timer_ = 0;
+  };
+
+  void ArmSilence(const std::shared_ptr<Stream>& aStream, Duration aSilence)
+  {
+    aStream->timer_ = hub_.loop_.CallAfter(aSilence, [aStream] {
+      if (const auto onReply = std::exchange(aStream->onReply_, nullptr)) {
+        onReply({ std::nullopt, "timeout" });
+      }
+    });
+  }
+
+  bool IsReachable(const PeerIdentity& aTo) const
+  {
+    const auto peer = hub_.networks_.find(aTo.instance_);
+    return peer != hub_.networks_.end() &&
+           peer->second->self_.incarnation_ == aTo.incarnation_ &&
+           hub_.IsOpen(self_.instance_, aTo.instance_);
+  }
+
+  void Deliver(const PeerIdentity& aTo, Message aMessage, Responder aOnReply)
+  {
+    FakePeerHub& hub = hub_;
+    const PeerIdentity from = self_;
+    hub.loop_.Post([&hub, from, aTo, aMessage, aOnReply] {
+      const auto sender = hub.networks_.find(from.instance_);
+      if (sender == hub.networks_.end() || !sender->second->IsReachable(aTo)) {
+        return;
+      }
+      const auto& handlers = hub.networks_.at(aTo.instance_)->handlers_;
+      const auto handler = handlers.find(aMessage.index());
+      if (handler == handlers.end()) {
+        return;
+      }
+      handler->second(
+        from, aMessage, [&hub, from, aTo, aOnReply](Message aReply) {
+          hub.loop_.Post([&hub, from, aTo, aOnReply, aReply] {
+            if (hub.networks_.count(from.instance_) != 0 &&
+                hub.networks_.count(aTo.instance_) != 0 &&
+                hub.IsOpen(aTo.instance_, from.instance_)) {
+              aOnReply(aReply);
+            }
+          });
+        });
+    });
+  }
+
+  FakePeerHub& hub_;
+  PeerIdentity self_;
+  std::map<std::size_t, Handler> handlers_;
+};
+
+} // namespace sycamoreward
