--- /dev/null
+++ b/test/failure/LedgerJournalTest.cpp
@@ -0,0 +1,117 @@
+// Moves of old rows to the object store, and checks of the chain.
+
+#include "support/LedgerCluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+struct Filled
+{
+  LedgerCluster cluster_{ { "a", "b" } };
+  std::vector<RegisterRequest> requests_;
+  LedgerPartition partition_;
+
+  // Each request makes two rows, a claim and an outcome, in one partition.
+  explicit Filled(unsigned aRequests)
+  {
+    for (unsigned index = 0; requests_.size() < aRequests; ++index) {
+      const auto request =
+        cluster_.Request("a", "key" + std::to_string(index), true);
+      const LedgerPartition partition = ParsePartition(request.request_);
+      if (requests_.empty()) {
+        partition_ = partition;
+      }
+      if (partition == partition_) {
+        requests_.push_back(request);
+        cluster_.Register(request, std::chrono::milliseconds(300));
+        cluster_.Client("a").Record(OutcomeOf(request, OutcomeKind::Completed),
+                                    {});
+        cluster_.Run(std::chrono::milliseconds(300));
+      }
+    }
+  }
+
+  Journal::MoveReply Move(const std::string& aToken)
+  {
+    Journal::MoveReply reply;
+    cluster_.journal_.Move(partition_,
+                           cluster_.clock_.Wall() + std::chrono::hours(1),
+                           aToken,
+                           [&](Journal::MoveReply aReply) { reply = aReply; });
+    return reply;
+  }
+
+  Journal::VerifyReply Verify()
+  {
+    Journal::VerifyReply reply;
+    cluster_.journal_.VerifyChain(
+      partition_, [&](Journal::VerifyReply aReply) { reply = aReply; });
+    return reply;
+  }
+};
+
+} // namespace
+
+// Guards against rows lost when a move is interrupted at any step.
+Test(LedgerJournal, InterruptedMoveLosesNoRow)
+{
+  Filled filled(3);
+  MemoryTable& table = filled.cluster_.table_;
+  cr_assert_eq(table.rows_.size(), 6U);
+  filled.cluster_.objects_.isDown_ = true;
+  cr_assert(!filled.Move("1").isOk_);
+  cr_assert_eq(table.rows_.size(), 6U, "rows were deleted without a segment");
+  filled.cluster_.objects_.isDown_ = false;
+  // The process ends between the segment and the deletion.
+  table.isHeld_ = true;
+  filled.Move("2");
+  table.isHeld_ = false;
+  cr_assert_eq(table.rows_.size(), 6U);
+  cr_assert_eq(filled.Verify().report_.rows_, 6U);
+  filled.cluster_.objects_.loseReply_ = true;
+  cr_assert_eq(filled.Move("3").moved_, 5U);
+  cr_assert_eq(table.rows_.size(), 2U, "newest row and marker are expected");
+  const auto verified = filled.Verify();
+  cr_assert(verified.isOk_ && !verified.report_.broken_);
+  cr_assert_eq(verified.report_.rows_, 6U);
+}
+
+// Guards against a key that runs again after its row was moved.
+Test(LedgerJournal, NextRegistrarKnowsMovedRows)
+{
+  Filled filled(3);
+  cr_assert_eq(filled.Move("1").moved_, 5U);
+  LedgerCluster& cluster = filled.cluster_;
+  const auto again = cluster.Request("a", filled.requests_[0].keyDigest_, true);
+  for (const char* leaving : { "a", "b" }) {
+    cluster.SetState(leaving, MemberState::Leaving);
+    cluster.Run(std::chrono::seconds(1));
+    const auto reply = cluster.Register(again);
+    cr_assert_eq(reply.status_, RegisterStatus::Finished);
+    cr_assert_eq(reply.request_, filled.requests_[0].request_);
+    cluster.SetState(leaving, MemberState::Live);
+    cluster.Run(std::chrono::seconds(1));
+  }
+  std::optional<Ledger::LookupReply> found;
+  cluster.journal_.Find(filled.requests_[1].request_,
+                        [&](Ledger::LookupReply aReply) { found = aReply; });
+  cr_assert_eq(found->outcome_->kind_, OutcomeKind::Completed);
+}
+
+Test(LedgerJournal, ChangedOrMissingRowIsNamed)
+{
+  Filled filled(3);
+  filled.Move("1");
+  auto& segment = filled.cluster_.objects_.objects_.begin()->second;
+  const std::string whole = segment;
+  segment.replace(segment.find("completed"), 9, "not_run!!");
+  auto report = filled.Verify().report_;
+  cr_assert(report.broken_.has_value(), "a changed row was not found");
+  cr_assert_eq(report.broken_->Value(), 3U);
+  segment = whole.substr(whole.find('\n') + 1);
+  report = filled.Verify().report_;
+  cr_assert_eq(report.broken_.value_or(Sequence(0)), Sequence(1));
+}
--- /dev/null
+++ b/test/failure/LedgerTest.cpp
@@ -0,0 +1,205 @@
+// The ledger end to end: registrars and clients of three instances over one
+// table.
+
+#include "support/LedgerCluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+const std::vector<std::string> kNames{ "a", "b", "c" };
+
+// The registrar of a request, and two others.
+std::string
+RegistrarOf(LedgerCluster& aCluster, const RequestId& aRequest)
+{
+  const MemberList& members =
+    aCluster.nodes_.begin()->second.membership_.Members();
+  const LedgerPartition partition = ParsePartition(aRequest);
+  return RankForDuty(members, PartitionName(partition), partition.region_)
+    .front()
+    .Value();
+}
+
+std::string
+NextName(const std::string& aName)
+{
+  return aName == "a" ? "b" : aName == "b" ? "c" : "a";
+}
+
+// A durable request whose owner is not its registrar.
+RegisterRequest
+RemoteRequest(LedgerCluster& aCluster, bool aIsDurable)
+{
+  const RegisterRequest probe = aCluster.Request("a", "key", aIsDurable);
+  const std::string registrar = RegistrarOf(aCluster, probe.request_);
+  return aCluster.Request(NextName(registrar), "key", aIsDurable);
+}
+
+} // namespace
+
+Test(Ledger, DurableClaimIsGrantedOnceAndItsOutcomeIsGivenAgain)
+{
+  for (const std::string& owner : kNames) {
+    LedgerCluster cluster(kNames);
+    const auto first = cluster.Request(owner, "key", true);
+    cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Granted);
+    cr_assert_eq(cluster.table_.rows_.size(), 1U, "the claim is not durable");
+    const auto second = cluster.Request(NextName(owner), "key", true);
+    const RegisterReply running = cluster.Register(second);
+    cr_assert_eq(running.status_, RegisterStatus::Running);
+    cr_assert_eq(running.owner_, first.owner_);
+    auto other = cluster.Request(owner, "key", true);
+    other.bodyDigest_ = "another body";
+    cr_assert_eq(cluster.Register(other).status_, RegisterStatus::BodyMismatch);
+    bool isDurable = false;
+    cluster.Client(owner).Record(OutcomeOf(first, OutcomeKind::Completed),
+                                 [&] { isDurable = true; });
+    cluster.Run(std::chrono::seconds(1));
+    cr_assert(isDurable);
+    cr_assert_eq(cluster.Client(owner).BufferedOutcomes(), 0U);
+    const RegisterReply finished =
+      cluster.Register(cluster.Request(NextName(owner), "key", true));
+    cr_assert_eq(finished.status_, RegisterStatus::Finished);
+    cr_assert_eq(finished.outcome_->kind_, OutcomeKind::Completed);
+    cr_assert_eq(finished.request_, first.request_);
+    const auto lookup = cluster.Lookup(NextName(owner), first.request_);
+    cr_assert_eq(lookup.outcome_->kind_, OutcomeKind::Completed);
+  }
+}
+
+Test(Ledger, RepeatableRequestsAreJoinedWithoutAWrite)
+{
+  LedgerCluster cluster(kNames);
+  const auto first = cluster.Request("a", "key", false);
+  const Duration limit = std::chrono::milliseconds(100);
+  cr_assert_eq(cluster.Register(first, limit).status_, RegisterStatus::Granted);
+  cr_assert_eq(
+    cluster.Register(cluster.Request("b", "key", false), limit).status_,
+    RegisterStatus::Running);
+  cr_assert_eq(cluster.table_.writes_, 0U);
+}
+
+// Guards against a repeatable request running twice because its registrar died.
+Test(Ledger, ActiveRequestsAreRegisteredAgainWithTheNextRegistrar)
+{
+  LedgerCluster cluster(kNames);
+  const auto first = RemoteRequest(cluster, false);
+  const std::string registrar = RegistrarOf(cluster, first.request_);
+  const std::string owner = first.owner_.Value();
+  const Duration limit = std::chrono::milliseconds(100);
+  cr_assert_eq(cluster.Register(first, limit).status_, RegisterStatus::Granted);
+  cluster.Kill(registrar);
+  cluster.Run(std::chrono::seconds(2));
+  const std::string third = NextName(owner);
+  cr_assert_eq(
+    cluster.Register(cluster.Request(third, "key", false), limit).status_,
+    RegisterStatus::Running);
+}
+
+// Guards against a caller being told "not run" of a request that is granted
+// later.
+Test(Ledger, ClaimThatIsNotConfirmedIsWithdrawn)
+{
+  LedgerCluster cluster(kNames);
+  cluster.table_.isHeld_ = true;
+  const auto first = RemoteRequest(cluster, true);
+  const std::string owner = first.owner_.Value();
+  cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Unavailable);
+  cluster.Client(owner).Record(OutcomeOf(first, OutcomeKind::NotRun), {});
+  cluster.Run(std::chrono::milliseconds(50));
+  // The claim takes effect late, and its reply is lost.
+  cluster.table_.isHeld_ = false;
+  cr_assert_eq(cluster.table_.held_.size(), 1U);
+  cluster.table_.Apply(cluster.table_.held_.front().writes_);
+  cluster.table_.held_.front().onResult_(WriteResult::Unknown);
+  cluster.Run(std::chrono::seconds(2));
+  cr_assert_eq(cluster.Client(owner).BufferedOutcomes(), 0U);
+  cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Finished);
+  const auto second = cluster.Request(NextName(owner), "key", true);
+  cr_assert_eq(cluster.Register(second).status_, RegisterStatus::Granted);
+}
+
+// Guards against an unrepeatable request running again after its owner died.
+Test(Ledger, ClaimOfADeadOwnerIsSettledAsUnknown)
+{
+  LedgerCluster cluster(kNames);
+  const auto first = RemoteRequest(cluster, true);
+  const std::string owner = first.owner_.Value();
+  const std::string other = NextName(owner);
+  cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Granted);
+  cluster.Kill(owner);
+  cr_assert_eq(cluster.Register(cluster.Request(other, "key", true)).status_,
+               RegisterStatus::Unsettled);
+  cluster.Run(std::chrono::seconds(8));
+  const RegisterReply reply =
+    cluster.Register(cluster.Request(other, "key", true));
+  cr_assert_eq(reply.status_, RegisterStatus::Finished);
+  cr_assert_eq(reply.outcome_->kind_, OutcomeKind::Unknown);
+  cr_assert_eq(cluster.asked_, 1U);
+}
+
+// A paused owner may still send a request that its server has not seen yet.
+Test(Ledger, ServerThatHasNotSeenARequestFreesItOnlyWhenTheOwnerIsGone)
+{
+  for (const bool isGone : { false, true }) {
+    LedgerCluster cluster(kNames);
+    cluster.serverAnswer_.word_ = ServerWord::NotRun;
+    cluster.isOwnerGone_ = isGone;
+    const auto first = RemoteRequest(cluster, true);
+    const std::string owner = first.owner_.Value();
+    cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Granted);
+    cluster.Kill(owner);
+    cluster.Run(std::chrono::seconds(8));
+    const RegisterReply reply =
+      cluster.Register(cluster.Request(NextName(owner), "key", true));
+    cr_assert_eq(reply.status_,
+                 isGone ? RegisterStatus::Granted : RegisterStatus::Finished);
+  }
+}
+
+// Guards against lost outcomes when the table is down for long and the
+// registrar changes meanwhile, and against a burst of writes afterwards.
+Test(Ledger, OutcomesSurviveAnOutageAndAChangeOfRegistrar)
+{
+  LedgerCluster cluster(kNames);
+  cluster.table_.isDown_ = true;
+  const auto probe = RemoteRequest(cluster, false);
+  const std::string owner = probe.owner_.Value();
+  constexpr unsigned kOutcomes = 200;
+  unsigned durable = 0;
+  std::vector<RequestId> requests;
+  for (unsigned index = 0; index < kOutcomes; ++index) {
+    const auto request = cluster.Request(owner, "", false);
+    requests.push_back(request.request_);
+    cluster.Client(owner).Record(OutcomeOf(request, OutcomeKind::Completed),
+                                 [&] { ++durable; });
+  }
+  cluster.Run(std::chrono::seconds(40));
+  cr_assert_eq(durable, 0U);
+  cluster.Kill(RegistrarOf(cluster, probe.request_));
+  cluster.Run(std::chrono::seconds(5));
+  cluster.table_.isDown_ = false;
+  const unsigned writesBefore = cluster.table_.writes_;
+  cluster.Run(std::chrono::seconds(40));
+  cr_assert_eq(durable, kOutcomes);
+  cr_assert_eq(cluster.Client(owner).BufferedOutcomes(), 0U);
+  cr_assert_leq(cluster.table_.writes_ - writesBefore,
+                kPartitionsPerRegion * 3);
+  cr_assert_eq(cluster.Lookup(owner, requests.back()).outcome_->kind_,
+               OutcomeKind::Completed);
+}
+
+Test(Ledger, FullBufferIsReported)
+{
+  LedgerCluster cluster(kNames);
+  cluster.table_.isDown_ = true;
+  auto outcome =
+    OutcomeOf(cluster.Request("a", "", false), OutcomeKind::Completed);
+  outcome.evidence_ = std::string(16 * 1024 * 1024, 'x');
+  cr_assert(cluster.Client("a").HasRoom());
+  cluster.Client("a").Record(outcome, {});
+  cr_assert(!cluster.Client("a").HasRoom());
+}
