--- a/src/limits/FairQueue.cpp
+++ b/src/limits/FairQueue.cpp
@@ -180,6 +180,9 @@
     if (aItem.level_ < level) {
       break;
     }
+    if (level.isLong_ != aItem.level_.isLong_) {
+      continue;
+    }
     if (level < aItem.level_) {
       ahead += round.size_;
       continue;
--- a/src/limits/FairQueue.h
+++ b/src/limits/FairQueue.h
@@ -99,8 +99,9 @@
 std::optional<QueueItem>
 ChooseVictim(const FairQueue& aQueue, const QueueItem& aItem);
 
-// Waiting items that will be served before a new item: those of earlier levels,
-// and those of the same level that its workspace's share lets go first.
+// Waiting items of the same kind, short or long, that will be served before a
+// new item: those of earlier levels, and those of the same level that its
+// workspace's share lets go first.
 std::size_t
 CountAhead(const FairQueue& aQueue, const QueueItem& aItem);
 
--- a/src/limits/Shed.cpp
+++ b/src/limits/Shed.cpp
@@ -51,18 +51,14 @@
          double(aTotalInUse + 1) * aShare;
 }
 
-std::size_t
-CountToShed(std::size_t aWaiting,
-            std::size_t aSlots,
-            Duration aServiceTime,
-            Duration aDeadline)
+bool
+ShouldShedLast(std::size_t aWaiting,
+               std::size_t aSlots,
+               Duration aServiceTime,
+               Duration aTimeLeft)
 {
-  if (aServiceTime <= Duration(0) || aSlots == 0) {
-    return 0;
-  }
-  const double kept =
-    double(aDeadline.count()) * double(aSlots) / double(aServiceTime.count());
-  return kept >= double(aWaiting) ? 0 : aWaiting - std::size_t(kept);
+  return aSlots > 0 && aWaiting > 0 &&
+         ExpectedWait(aWaiting - 1, aSlots, aServiceTime) > aTimeLeft;
 }
 
 } // namespace sycamoreward
--- a/src/limits/Shed.h
+++ b/src/limits/Shed.h
@@ -45,12 +45,14 @@
             unsigned aShare,
             unsigned aTotalShares);
 
-// Waiting requests to shed, from the lowest priority up, so that the last one
-// left still starts within aDeadline. For use after a loss of capacity.
-std::size_t
-CountToShed(std::size_t aWaiting,
-            std::size_t aSlots,
-            Duration aServiceTime,
-            Duration aDeadline);
+// Whether the last of aWaiting requests would start too late, so that it is
+// refused at once. Applied from the lowest priority up after a loss of
+// capacity. Without any slot the requests wait until their deadline: the loss
+// may be short.
+bool
+ShouldShedLast(std::size_t aWaiting,
+               std::size_t aSlots,
+               Duration aServiceTime,
+               Duration aTimeLeft);
 
 } // namespace sycamoreward
--- a/src/routing/ServerView.cpp
+++ b/src/routing/ServerView.cpp
@@ -51,11 +51,16 @@
 }
 
 bool
-MayGetWork(const ServerView& aView, MonotonicTime aNow)
+IsAccepting(const ServerView& aView, MonotonicTime aNow)
 {
   return aView.server_.state_ == ServerState::Live && aView.accepted_ &&
-         aNow - *aView.accepted_ <= kMaxStatementAge &&
-         aNow >= aView.fullUntil_;
+         aNow - *aView.accepted_ <= kMaxStatementAge;
+}
+
+bool
+MayGetWork(const ServerView& aView, MonotonicTime aNow)
+{
+  return IsAccepting(aView, aNow) && aNow >= aView.fullUntil_;
 }
 
 double
--- a/src/routing/ServerView.h
+++ b/src/routing/ServerView.h
@@ -54,7 +54,12 @@
 void
 MarkRefused(ServerView& aView, bool aIsLeaving, MonotonicTime aNow);
 
-// Whether the server may get new work at aNow.
+// Whether the server accepts new work by its last statement and by the list.
+bool
+IsAccepting(const ServerView& aView, MonotonicTime aNow);
+
+// Whether the server may get new work at aNow: it accepts work and did not just
+// say that it is full.
 bool
 MayGetWork(const ServerView& aView, MonotonicTime aNow);
 
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -351,7 +351,8 @@
   connection_ = nullptr;
   if (aIsReusable && !isPaused_) {
     state->Release(request_.address_, connection);
-  } else {
+  } else if (connection != nullptr) {
+    // A call that is cancelled before it began has no connection.
     state->FreeLater(connection);
   }
   if (callbacks_.onEnd_) {
--- a/test/correctness/EngineStandInTest.cpp
+++ b/test/correctness/EngineStandInTest.cpp
@@ -142,6 +142,18 @@
     kLimit));
 }
 
+// A call that was cancelled in the turn that started it used to crash, since it
+// has no connection yet.
+Test(EngineStandIn, CallCancelledBeforeItBeganReachesNoEngine)
+{
+  Fixture fixture;
+  const auto call =
+    fixture.client_.Start(fixture.Post("/v1/completions", Prompt("p", 2)), {});
+  call->Cancel();
+  fixture.Get("/load");
+  cr_assert(fixture.engine_.Counters().requests_.empty());
+}
+
 Test(EngineStandIn, LeavingEngineRefusesAsNotRun)
 {
   Fixture fixture;
--- /dev/null
+++ b/test/property/LimitsPropertyTest.cpp
@@ -0,0 +1,149 @@
+// Properties of the fair queue and of shedding.
+
+#include "limits/FairQueue.h"
+#include "limits/Shed.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+const auto kAnyFits = [](const QueueItem&) { return true; };
+
+QueueItem
+Item(std::uint64_t aTicket, int aWorkspace, std::uint64_t aCost)
+{
+  QueueItem item;
+  item.ticket_ = aTicket;
+  item.workspace_ = WorkspaceId("w" + std::to_string(aWorkspace));
+  item.cost_ = aCost;
+  return item;
+}
+
+} // namespace
+
+// Guards against starvation of a workspace behind others with more or larger
+// requests: while all wait, served work differs by a bounded amount.
+Test(Limits, WaitingWorkspacesGetWorkInProportionToTheirShares)
+{
+  cr_assert(rc::check([] {
+    constexpr int kWorkspaces = 4;
+    FairQueue queue;
+    std::uint64_t ticket = 1;
+    unsigned shares[kWorkspaces];
+    for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
+      shares[workspace] = *rc::gen::inRange(1U, 4U);
+      for (int count = 0; count < 80; ++count) {
+        QueueItem item =
+          Item(ticket++,
+               workspace,
+               *rc::gen::inRange<std::uint64_t>(1, kMaxCost + 1));
+        item.share_ = shares[workspace];
+        Push(queue, item);
+      }
+    }
+    double served[kWorkspaces] = {};
+    // Few enough that no workspace runs out of requests.
+    for (int count = 0; count < 75; ++count) {
+      const auto item = PopNext(queue, {}, kAnyFits);
+      RC_ASSERT(item.has_value());
+      const int workspace = item->workspace_.Value()[1] - '0';
+      served[workspace] += double(item->cost_) / item->share_;
+      for (const double left : served) {
+        for (const double right : served) {
+          RC_ASSERT(left - right <= double(2 * kMaxCost + kQuantum));
+        }
+      }
+    }
+  }));
+}
+
+// A request whose servers are excluded must not hold up its workspace.
+Test(Limits, ItemThatDoesNotFitIsPassedOver)
+{
+  FairQueue queue;
+  Push(queue, Item(1, 0, 10));
+  Push(queue, Item(2, 0, 10));
+  const auto item = PopNext(
+    queue, {}, [](const QueueItem& aItem) { return aItem.ticket_ != 1; });
+  cr_assert(item.has_value());
+  cr_assert_eq(item->ticket_, 2);
+  cr_assert_not(
+    PopNext(queue, {}, [](const QueueItem&) { return false; }).has_value());
+  cr_assert_eq(SizeOf(queue), 1);
+}
+
+Test(Limits, EachItemLeavesTheQueueExactlyOnce)
+{
+  cr_assert(rc::check([] {
+    FairQueue queue;
+    std::set<std::uint64_t> waiting;
+    std::uint64_t next = 1;
+    const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    for (const int step : steps) {
+      if (step < 2) {
+        waiting.insert(next);
+        QueueItem item = Item(next++, step, 100);
+        item.level_.priority_ = unsigned(next % 3);
+        Push(queue, item);
+      } else if (step == 2 && !waiting.empty()) {
+        RC_ASSERT(Remove(queue, *waiting.begin()).has_value());
+        waiting.erase(waiting.begin());
+      } else if (!queue.levels_.empty()) {
+        const auto item =
+          PopNext(queue, queue.levels_.begin()->first, kAnyFits);
+        RC_ASSERT(item.has_value());
+        RC_ASSERT(waiting.erase(item->ticket_) == 1);
+      }
+      RC_ASSERT(SizeOf(queue) == waiting.size());
+    }
+  }));
+}
+
+// Guards against a workspace that fills the queue and so shuts others out.
+Test(Limits, FullQueueMakesRoomAtTheExpenseOfTheLargestBacklog)
+{
+  FairQueue queue;
+  for (std::uint64_t ticket = 1; ticket <= 8; ++ticket) {
+    Push(queue, Item(ticket, 0, 10));
+  }
+  const auto victim = ChooseVictim(queue, Item(9, 1, 10));
+  cr_assert(victim.has_value());
+  cr_assert_eq(victim->ticket_, 8);
+  cr_assert_not(ChooseVictim(queue, Item(9, 0, 10)).has_value());
+  QueueItem low = Item(9, 1, 10);
+  low.level_.priority_ = 7;
+  cr_assert_not(ChooseVictim(queue, low).has_value());
+}
+
+// A refusal must come at once when the wait is known to be too long, and say
+// 429 only to the workspace that causes it.
+Test(Limits, RequestThatWouldWaitTooLongIsRefused)
+{
+  cr_assert(rc::check([] {
+    ShedQuestion question;
+    question.slots_ = *rc::gen::inRange(0U, 50U);
+    question.ahead_ = *rc::gen::inRange(0U, 500U);
+    question.serviceTime_ =
+      std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+    question.deadline_ = std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+    question.isQueueFull_ = *rc::gen::arbitrary<bool>();
+    question.isWorkspaceOverShare_ = *rc::gen::arbitrary<bool>();
+    const ShedDecision decision = DecideShed(question);
+    const Duration wait =
+      ExpectedWait(question.ahead_, question.slots_, question.serviceTime_);
+    if (question.slots_ == 0) {
+      RC_ASSERT(decision.refusal_ == Refusal::NoServer);
+    } else if (question.isQueueFull_ || wait > question.deadline_) {
+      RC_ASSERT(decision.refusal_ == (question.isWorkspaceOverShare_
+                                        ? Refusal::WorkspaceOverShare
+                                        : Refusal::Overloaded));
+      RC_ASSERT(decision.retryAfter_ > Duration(0));
+    } else {
+      RC_ASSERT(decision.refusal_ == Refusal::None);
+    }
+  }));
+}
--- /dev/null
+++ b/test/property/RetriesPropertyTest.cpp
@@ -0,0 +1,119 @@
+// Properties of the retry rules, the retry budget and the hedge delay.
+
+#include "retries/Failure.h"
+#include "retries/Hedge.h"
+#include "retries/RetryBudget.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+AttemptFailure
+AnyFailure()
+{
+  AttemptFailure failure;
+  failure.end_ = *rc::gen::element(
+    HttpEnd::Complete, HttpEnd::NotConnected, HttpEnd::Broken, HttpEnd::Silent);
+  failure.status_ = *rc::gen::element(0, 200, 400, 409, 429, 500, 503);
+  failure.isConfirmedNotRun_ = *rc::gen::arbitrary<bool>();
+  failure.isLeaving_ = *rc::gen::arbitrary<bool>();
+  failure.isWrongVersion_ = *rc::gen::arbitrary<bool>();
+  return failure;
+}
+
+} // namespace
+
+// Guards against a second run of unrepeatable work (promise P4).
+Test(Retries, UnrepeatableWorkIsNeverSentAgainUnlessItDidNotRun)
+{
+  cr_assert(rc::check([] {
+    const AttemptFailure failure = AnyFailure();
+    RetryQuestion question;
+    question.class_ = ClassifyFailure(failure);
+    question.isRepeatable_ = false;
+    question.attempts_ = *rc::gen::inRange(1U, 5U);
+    question.hasBudget_ = *rc::gen::arbitrary<bool>();
+    question.remaining_ = std::chrono::seconds(*rc::gen::inRange(0, 10));
+    const RetryAction action = DecideRetry(question);
+    const bool isSentAgain = action == RetryAction::RetryElsewhere ||
+                             action == RetryAction::RetryAfterBackoff;
+    const bool didNotRun =
+      failure.end_ == HttpEnd::NotConnected || failure.isConfirmedNotRun_;
+    RC_ASSERT(!isSentAgain || didNotRun);
+  }));
+}
+
+// Guards against a request that is given up, and so reported as failed, while
+// its server may still have run it.
+Test(Retries, UnrepeatableTransportFailureAsksTheServer)
+{
+  cr_assert(rc::check([] {
+    RetryQuestion question;
+    question.class_ = FailureClass::Transport;
+    question.isRepeatable_ = false;
+    question.hasBudget_ = *rc::gen::arbitrary<bool>();
+    question.remaining_ = std::chrono::seconds(*rc::gen::inRange(0, 10));
+    RC_ASSERT(DecideRetry(question) == RetryAction::AskServer);
+  }));
+}
+
+Test(Retries, EachRequestEndsAfterABoundedNumberOfAttempts)
+{
+  cr_assert(rc::check([] {
+    RetryQuestion question;
+    question.class_ = *rc::gen::element(FailureClass::NotSent,
+                                        FailureClass::Moved,
+                                        FailureClass::Overloaded,
+                                        FailureClass::Transport);
+    question.remaining_ = std::chrono::hours(1);
+    question.attempts_ = *rc::gen::inRange(6U, 100U);
+    RC_ASSERT(DecideRetry(question) == RetryAction::GiveUp);
+  }));
+}
+
+// Guards against retries that multiply the load of a failing pool.
+Test(Retries, RetriesNeverExceedTheBudget)
+{
+  cr_assert(rc::check([] {
+    const double part = *rc::gen::inRange(0, 50) / 100.0;
+    RetryBudget budget = MakeRetryBudget(part);
+    const double reserve = budget.reserve_;
+    double requests = 0;
+    double retries = 0;
+    for (const bool isRequest :
+         *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>())) {
+      if (isRequest) {
+        CountRequest(budget);
+        ++requests;
+      } else if (TakeRetry(budget)) {
+        ++retries;
+      }
+      RC_ASSERT(retries <= reserve + part * requests + 1e-6);
+    }
+  }));
+}
+
+Test(Retries, HedgeDelayIsNearTheObservedQuantile)
+{
+  FirstByteTimes times;
+  for (int round = 0; round < 500; ++round) {
+    ObserveFirstByte(times,
+                     std::chrono::milliseconds(round % 20 == 0 ? 400 : 20));
+  }
+  const auto delay = DecideHedgeDelay(
+    times, std::chrono::milliseconds(310), std::chrono::seconds(10));
+  cr_assert(delay.has_value());
+  cr_assert_geq(delay->count(), 20000);
+  cr_assert_leq(delay->count(), 26000);
+}
+
+Test(Retries, NoHedgeThatCouldNotAnswerInTime)
+{
+  cr_assert_not(DecideHedgeDelay(FirstByteTimes{},
+                                 std::chrono::milliseconds(310),
+                                 std::chrono::milliseconds(200))
+                  .has_value());
+}
--- /dev/null
+++ b/test/property/RoutingPropertyTest.cpp
@@ -0,0 +1,235 @@
+// Properties of the choice of a server.
+
+#include "routing/ChooseServer.h"
+#include "routing/DetectSlow.h"
+#include "routing/LoadPoller.h"
+#include "routing/PrefixAffinity.h"
+#include "routing/Subset.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace sycamoreward;
+
+namespace {
+
+const MonotonicTime kStart{ std::chrono::hours(1) };
+
+ServerView
+View(std::size_t aNumber)
+{
+  ServerView view;
+  view.server_.id_ = ServerId("server-" + std::to_string(aNumber));
+  view.accepted_ = kStart;
+  view.reportSent_ = kStart;
+  view.report_ = LoadReport{};
+  view.lastStart_ = kStart;
+  return view;
+}
+
+ServerView
+AnyView(std::size_t aNumber)
+{
+  ServerView view = View(aNumber);
+  view.inFlight_ = *rc::gen::inRange(0U, 20U);
+  view.longInFlight_ = *rc::gen::inRange(0U, view.inFlight_ + 1);
+  view.report_->running_ = *rc::gen::inRange(0U, 40U);
+  view.tokenMicroseconds_ = *rc::gen::inRange(0, 100000);
+  view.accepted_ =
+    kStart - std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+  if (*rc::gen::inRange(0, 4) == 0) {
+    MarkRefused(view, *rc::gen::arbitrary<bool>(), kStart);
+  }
+  if (*rc::gen::inRange(0, 5) == 0) {
+    view.server_.state_ = ServerState::Leaving;
+  }
+  return view;
+}
+
+} // namespace
+
+// Guards against new work on a server that leaves, was not heard of for 2.5 s,
+// failed before or has no slot left.
+Test(Routing, ChosenServerMayAlwaysGetTheRequest)
+{
+  cr_assert(rc::check([] {
+    std::vector<ServerView> views;
+    const auto count = *rc::gen::inRange<std::size_t>(0, 12);
+    for (std::size_t number = 0; number < count; ++number) {
+      views.push_back(AnyView(number));
+    }
+    DetectSlow(views, 3.0, kStart);
+    ChooseQuestion question;
+    question.isLong_ = *rc::gen::arbitrary<bool>();
+    question.excluded_ = { ServerId("server-0"), ServerId("server-3") };
+    if (*rc::gen::arbitrary<bool>()) {
+      question.prefixHashes_ = { *rc::gen::arbitrary<std::uint64_t>() };
+    }
+    RoutingPolicy policy;
+    RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
+    const auto chosen = ChooseServer(views, policy, question, kStart, random);
+    bool isAnyUsable = false;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+      const ServerView& view = views[index];
+      const bool isUsable =
+        index != 0 && index != 3 && view.server_.state_ == ServerState::Live &&
+        view.accepted_ &&
+        kStart - *view.accepted_ <= std::chrono::milliseconds(2500) &&
+        view.fullUntil_ <= kStart && view.inFlight_ < policy.slotsPerServer_ &&
+        HasRoom(view, policy, question.isLong_, kStart);
+      isAnyUsable = isAnyUsable || isUsable;
+      RC_ASSERT(chosen != index || isUsable);
+    }
+    RC_ASSERT(chosen.has_value() == isAnyUsable);
+  }));
+}
+
+// Guards against long work that fills every slot and so blocks short work.
+Test(Routing, LongWorkNeverFillsMoreThanItsPart)
+{
+  cr_assert(rc::check([] {
+    RoutingPolicy policy;
+    policy.slotsPerServer_ = *rc::gen::inRange(2U, 32U);
+    policy.longShare_ = *rc::gen::inRange(0, 100) / 100.0;
+    ServerView view = View(0);
+    while (HasRoom(view, policy, true, kStart)) {
+      RecordStart(view, Tokens(1), true, kStart);
+    }
+    RC_ASSERT(view.longInFlight_ <=
+              std::max(1.0, policy.longShare_ * policy.slotsPerServer_));
+    RC_ASSERT(view.longInFlight_ >= 1);
+    RC_ASSERT(HasRoom(view, policy, false, kStart));
+  }));
+}
+
+// Guards against a herd on the server that last reported idle: the reports
+// stand still while the requests are sent.
+Test(Routing, NoHerdOnTheServerThatReportedIdle)
+{
+  cr_assert(rc::check([] {
+    std::vector<ServerView> views;
+    for (std::size_t number = 0; number < 20; ++number) {
+      views.push_back(View(number));
+      views.back().report_->running_ = number == 7 ? 0 : 8;
+    }
+    RoutingPolicy policy;
+    RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
+    const MonotonicTime now = kStart + std::chrono::seconds(2);
+    for (int request = 0; request < 100; ++request) {
+      const auto chosen = ChooseServer(views, policy, {}, now, random);
+      RecordStart(views[*chosen], Tokens(100), false, now);
+    }
+    // An even spread gives each server 5.
+    for (const ServerView& view : views) {
+      RC_ASSERT(view.inFlight_ <= 12);
+    }
+  }));
+}
+
+// A server 10 times slower must get far less than its even share, be probed,
+// and be restored on good answers.
+Test(Routing, SlowServerGetsLittleWorkAndIsRestored)
+{
+  std::vector<ServerView> views;
+  for (std::size_t number = 0; number < 20; ++number) {
+    views.push_back(View(number));
+    views.back().tokenMicroseconds_ = number == 0 ? 200000 : 20000;
+  }
+  DetectSlow(views, 3.0, kStart);
+  cr_assert(views[0].isSlow_);
+  cr_assert_not(views[1].isSlow_);
+  RandomSource random(1);
+  int slow = 0;
+  for (int request = 0; request < 10000; ++request) {
+    slow += ChooseServer(views, {}, {}, kStart, random) == 0U ? 1 : 0;
+  }
+  cr_assert_lt(slow, 50, "%d of 10000 went to the slow server", slow);
+  cr_assert(IsProbeDue(views[0], kStart + kProbeInterval));
+  for (int answer = 0; answer < 60; ++answer) {
+    RecordTokens(views[0], Tokens(1), std::chrono::milliseconds(20), kStart);
+  }
+  DetectSlow(views, 3.0, kStart);
+  cr_assert_not(views[0].isSlow_);
+}
+
+// A slow reply or a late one must not make a statement look newer.
+Test(Routing, StatementAgeCountsFromTheSendingOfThePoll)
+{
+  ServerView view = View(0);
+  const MonotonicTime later = kStart + std::chrono::milliseconds(2600);
+  cr_assert_not(MayGetWork(view, later));
+  ApplyReport(view, LoadReport{}, kStart + std::chrono::milliseconds(200));
+  cr_assert(MayGetWork(view, later));
+  MarkRefused(view, true, later);
+  ApplyReport(view, LoadReport{}, later - std::chrono::milliseconds(10));
+  cr_assert_not(MayGetWork(view, later));
+  ApplyReport(view, LoadReport{}, later + std::chrono::milliseconds(10));
+  cr_assert(MayGetWork(view, later + std::chrono::milliseconds(20)));
+}
+
+Test(Routing, PrefixStaysWithItsServerWithinTheLoadBound)
+{
+  cr_assert(rc::check([] {
+    std::vector<ServerView> views;
+    std::vector<std::size_t> candidates;
+    for (std::size_t number = 0; number < 10; ++number) {
+      views.push_back(View(number));
+      candidates.push_back(number);
+    }
+    const auto key = *rc::gen::arbitrary<std::uint64_t>();
+    const auto first = ChooseByPrefix(views, candidates, key, 1.25, kStart);
+    RC_ASSERT(first == ChooseByPrefix(views, candidates, key, 1.25, kStart));
+    for (int request = 0; request < 100; ++request) {
+      const auto chosen = ChooseByPrefix(views, candidates, key, 1.25, kStart);
+      RC_ASSERT(chosen.has_value());
+      RecordStart(views[*chosen], Tokens(1), false, kStart);
+    }
+    for (const ServerView& view : views) {
+      RC_ASSERT(view.inFlight_ <= 13U);
+    }
+  }));
+}
+
+// Guards against servers that no instance uses.
+Test(Routing, SubsetsCoverEachServerAndStaySmall)
+{
+  std::vector<Server> servers(400);
+  for (std::size_t number = 0; number < servers.size(); ++number) {
+    servers[number].id_ = ServerId("server-" + std::to_string(number));
+  }
+  std::vector<InstanceId> instances;
+  for (int number = 0; number < 60; ++number) {
+    instances.emplace_back("instance-" + std::to_string(number));
+  }
+  std::map<ServerId, unsigned> users;
+  std::size_t total = 0;
+  for (const InstanceId& instance : instances) {
+    const auto subset = ChooseSubset(instance, instances, servers);
+    cr_assert_gt(subset.size(), 0);
+    // Ranks give an instance one group on average and rarely as many as five;
+    // groups vary in size. The poller must be able to ask all at once.
+    cr_assert_leq(subset.size(), LoadPoller::kMaxPolls);
+    total += subset.size();
+    for (const Server& server : subset) {
+      ++users[server.id_];
+    }
+  }
+  cr_assert_eq(users.size(), servers.size());
+  for (const auto& [server, count] : users) {
+    cr_assert_geq(count, kInstancesPerGroup);
+  }
+  cr_assert_leq(total / instances.size(), 2 * kGroupSize);
+}
+
+// A malformed report must not count as a statement that work is accepted.
+Test(Routing, MalformedReportIsNoStatement)
+{
+  cr_assert_not(ParseLoad("[]").has_value());
+  cr_assert_not(ParseLoad("{").has_value());
+  cr_assert_not(ParseLoad("{}")->report_.isAccepting_);
+  cr_assert_not(
+    ParseLoad(R"({"accepting":true,"leaving":true})")->report_.isAccepting_);
+  cr_assert(ParseLoad(R"({"accepting":true})")->report_.isAccepting_);
+}
