Add the request path and the recovery plans

The life of a request from claim to reply in RequestTask, the callers' API, joins through Follow, handover, the answer assembler and the event parser.

--- /dev/null
+++ b/src/recovery/SseParser.cpp
@@ -0,0 +1,62 @@
+#include "recovery/SseParser.h"
+
+namespace sycamoreward {
+
+bool
+SseParser::Feed(std::string_view aData, std::vector<std::string>& aEvents)
+{
+  while (!aData.empty() && !isBroken_) {
+    if (hadReturn_) {
+      // A line may end in CR LF, whose halves can come in two reads.
+      hadReturn_ = false;
+      if (aData.front() == '\n') {
+        aData.remove_prefix(1);
+        continue;
+      }
+    }
+    const std::size_t end = aData.find_first_of("\r\n");
+    const std::size_t length = end == std::string_view::npos ? aData.size()
+                                                             : end;
+    if (line_.size() + length > maxEvent_.Value()) {
+      isBroken_ = true;
+      break;
+    }
+    line_.append(aData.substr(0, length));
+    aData.remove_prefix(length);
+    if (end != std::string_view::npos) {
+      hadReturn_ = aData.front() == '\r';
+      aData.remove_prefix(1);
+      isBroken_ = !EndLine(aEvents);
+    }
+  }
+  return !isBroken_;
+}
+
+bool
+SseParser::EndLine(std::vector<std::string>& aEvents)
+{
+  if (line_.empty()) {
+    if (hasData_) {
+      aEvents.push_back(std::move(data_));
+      data_.clear();
+      hasData_ = false;
+    }
+    return true;
+  }
+  // Comments, event names and ids are not used by engines' streams.
+  if (line_.rfind("data:", 0) == 0) {
+    const std::size_t start = line_.size() > 5 && line_[5] == ' ' ? 6 : 5;
+    if (data_.size() + line_.size() > maxEvent_.Value()) {
+      return false;
+    }
+    if (hasData_) {
+      data_ += '\n';
+    }
+    data_.append(line_, start, std::string::npos);
+    hasData_ = true;
+  }
+  line_.clear();
+  return true;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/AnswerLog.cpp
@@ -0,0 +1,153 @@
+#include "requests/AnswerLog.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+void
+AnswerLog::SetHead(int aStatus, std::string aContentType)
+{
+  status_ = aStatus;
+  contentType_ = std::move(aContentType);
+}
+
+void
+AnswerLog::Append(std::string aPart)
+{
+  if (state_ != State::Open) {
+    return;
+  }
+  size_ += aPart.size();
+  parts_.push_back(std::move(aPart));
+}
+
+void
+AnswerLog::Notify()
+{
+  std::vector<ObserverId> ids;
+  ids.reserve(observers_.size());
+  for (const auto& [id, observer] : observers_) {
+    ids.push_back(id);
+  }
+  for (const ObserverId id : ids) {
+    const auto found = observers_.find(id);
+    if (found != observers_.end()) {
+      // A copy, because an observer may end its own observation.
+      const auto callback = found->second.callback_;
+      callback();
+    }
+  }
+}
+
+void
+AnswerLog::End(std::string aFinishReason)
+{
+  finishReason_ = std::move(aFinishReason);
+  Finish(State::Whole);
+}
+
+void
+AnswerLog::Fail(CallerError aError)
+{
+  if (state_ == State::Open) {
+    error_ = std::move(aError);
+  }
+  Finish(State::Failed);
+}
+
+void
+AnswerLog::Cut()
+{
+  Finish(State::Cut);
+}
+
+void
+AnswerLog::Finish(State aState)
+{
+  if (state_ != State::Open) {
+    return;
+  }
+  state_ = aState;
+  onAbandoned_ = nullptr;
+  onFlow_ = nullptr;
+  Notify();
+}
+
+std::string
+AnswerLog::Text() const
+{
+  std::string text;
+  text.reserve(size_);
+  for (const std::string& part : parts_) {
+    text += part;
+  }
+  return text;
+}
+
+AnswerLog::ObserverId
+AnswerLog::Observe(std::function<void()> aObserver)
+{
+  const ObserverId id = nextObserver_++;
+  observers_.emplace(id, Observer{ std::move(aObserver), false });
+  UpdateFlow();
+  return id;
+}
+
+void
+AnswerLog::Forget(ObserverId aObserver)
+{
+  const auto found = observers_.find(aObserver);
+  if (found == observers_.end()) {
+    return;
+  }
+  // Kept until the end of this function: it may own the last reference to the
+  // observer that calls this.
+  const Observer forgotten = std::move(found->second);
+  observers_.erase(found);
+  UpdateFlow();
+  if (observers_.empty() && onAbandoned_) {
+    const auto callback = onAbandoned_;
+    callback();
+  }
+}
+
+void
+AnswerLog::SetBehind(ObserverId aObserver, bool aIsBehind)
+{
+  const auto found = observers_.find(aObserver);
+  if (found != observers_.end()) {
+    found->second.isBehind_ = aIsBehind;
+    UpdateFlow();
+  }
+}
+
+void
+AnswerLog::UpdateFlow()
+{
+  const bool isBlocked =
+    !observers_.empty() &&
+    std::all_of(observers_.begin(), observers_.end(), [](const auto& aEntry) {
+      return aEntry.second.isBehind_;
+    });
+  if (isBlocked != isBlocked_) {
+    isBlocked_ = isBlocked;
+    if (onFlow_) {
+      const auto callback = onFlow_;
+      callback(isBlocked);
+    }
+  }
+}
+
+void
+AnswerLog::OnAbandoned(std::function<void()> aCallback)
+{
+  onAbandoned_ = std::move(aCallback);
+}
+
+void
+AnswerLog::OnFlow(std::function<void(bool aIsBlocked)> aCallback)
+{
+  onFlow_ = std::move(aCallback);
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/CallerApi.cpp
@@ -0,0 +1,272 @@
+#include "requests/CallerApi.h"
+
+#include "requests/Access.h"
+#include "requests/AddressAnswer.h"
+#include "requests/CallerError.h"
+#include "requests/CallerReply.h"
+#include "requests/TaskErrors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamoreward {
+
+namespace {
+
+using nlohmann::json;
+
+const std::string kLookupPrefix = "/v1/requests/";
+const std::string kServicesPrefix = "/services/";
+
+[[noreturn]] void
+Refuse(int aStatus,
+       const char* aCode,
+       const std::string& aMessage,
+       Ran aRan = Ran::NotRun)
+{
+  CallerError error;
+  error.status_ = aStatus;
+  error.code_ = aCode;
+  error.step_ = "accept";
+  error.message_ = aMessage;
+  error.ran_ = aRan;
+  throw RequestRefused(error);
+}
+
+void
+ReplyWithError(HttpExchange& aExchange, const CallerError& aError)
+{
+  aExchange.Reply(aError.status_, HeadersOf(aError), BodyOf(aError));
+}
+
+std::int64_t
+Milliseconds(WallTime aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
+json
+OutcomeJson(const Outcome& aOutcome)
+{
+  json attempts = json::array();
+  for (const AttemptRecord& attempt : aOutcome.attempts_) {
+    attempts.push_back({ { "number", attempt.number_.Value() },
+                         { "server", attempt.server_.Value() },
+                         { "sentMs", Milliseconds(attempt.sent_) },
+                         { "end", attempt.end_ } });
+  }
+  return { { "id", aOutcome.request_.Value() },
+           { "state", "ended" },
+           { "service", aOutcome.service_.Value() },
+           { "outcome", ToString(aOutcome.kind_) },
+           { "attempts", attempts },
+           { "acceptedMs", Milliseconds(aOutcome.accepted_) },
+           { "endedMs", Milliseconds(aOutcome.ended_) },
+           { "answerDigest", aOutcome.answerDigest_ },
+           { "answerLength", aOutcome.answerLength_.Value() },
+           { "evidence", aOutcome.evidence_ } };
+}
+
+RequestInput
+InputOf(const HttpServerRequest& aRequest)
+{
+  RequestInput input;
+  input.method_ = aRequest.method_;
+  input.path_ = aRequest.path_;
+  input.target_ = aRequest.target_;
+  input.contentType_ = FindHeader(aRequest.headers_, "Content-Type");
+  input.idempotencyKey_ = FindHeader(aRequest.headers_, "Idempotency-Key");
+  input.traceParent_ = FindHeader(aRequest.headers_, "traceparent");
+  input.body_ = aRequest.body_;
+  return input;
+}
+
+CallerError
+NoSuchRequest(const std::string& aId)
+{
+  CallerError error;
+  error.status_ = 404;
+  error.code_ = "no_such_request";
+  error.step_ = "lookup";
+  error.ran_ = Ran::Unknown;
+  error.message_ = "There is no request \"" + aId + "\" in this workspace.";
+  return error;
+}
+
+void
+ReplyLookup(HttpExchange& aExchange,
+            const WorkspaceId& aWorkspace,
+            const std::string& aId,
+            const Ledger::LookupReply& aReply)
+{
+  if (!aReply.error_.empty()) {
+    CallerError error;
+    error.status_ = 503;
+    error.code_ = "lookup_unavailable";
+    error.step_ = "lookup";
+    error.ran_ = Ran::Unknown;
+    error.message_ = "The record can't be read now: " + aReply.error_;
+    ReplyWithError(aExchange, error);
+  } else if (!aReply.outcome_ || aReply.outcome_->workspace_ != aWorkspace) {
+    ReplyWithError(aExchange, NoSuchRequest(aId));
+  } else {
+    aExchange.Reply(200,
+                    { { "Content-Type", "application/json" },
+                      { "X-Request-Id", aId } },
+                    OutcomeJson(*aReply.outcome_)
+                      .dump(-1, ' ', false, json::error_handler_t::replace));
+  }
+}
+
+} // namespace
+
+CallerApi::CallerApi(RequestContext aContext)
+  : context_(std::move(aContext))
+  , table_(context_)
+  , reclaim_(context_, table_)
+{
+}
+
+bool
+CallerApi::Handle(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string& path = aExchange->Request().path_;
+  try {
+    if (path == "/v1/addresses") {
+      HandleAddresses(*aExchange);
+    } else if (path.compare(0, kLookupPrefix.size(), kLookupPrefix) == 0) {
+      HandleLookup(aExchange);
+    } else if (IsModelPath(path) ||
+               path.compare(0, kServicesPrefix.size(), kServicesPrefix) == 0) {
+      HandleRequest(aExchange);
+    } else {
+      return false;
+    }
+  } catch (const RequestRefused& refused) {
+    ReplyWithError(*aExchange, refused.Error());
+  }
+  return true;
+}
+
+void
+CallerApi::HandleAddresses(HttpExchange& aExchange)
+{
+  aExchange.Reply(200,
+                  { { "Content-Type", "application/json" } },
+                  WriteAddresses(context_.membership_.Members(),
+                                 kAddressLifetime,
+                                 kMaxAddresses));
+}
+
+WorkspaceId
+CallerApi::Authenticate(const HttpExchange& aExchange) const
+{
+  const auto workspace =
+    FindWorkspace(*context_.configuration_.Current(),
+                  FindHeader(aExchange.Request().headers_, "Authorization"));
+  if (!workspace) {
+    Refuse(401,
+           "unauthorized",
+           "The request has no bearer token of a known workspace.");
+  }
+  return *workspace;
+}
+
+void
+CallerApi::HandleLookup(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const WorkspaceId workspace = Authenticate(*aExchange);
+  const std::string id =
+    aExchange->Request().path_.substr(kLookupPrefix.size());
+  if (aExchange->Request().method_ != HttpMethod::Get) {
+    Refuse(405, "method_not_allowed", "A request record can only be read.");
+  }
+  if (const auto task = table_.FindRunning(RequestId(id))) {
+    if (task->Request().workspace_ != workspace) {
+      ReplyWithError(*aExchange, NoSuchRequest(id));
+      return;
+    }
+    aExchange->Reply(200,
+                     { { "Content-Type", "application/json" },
+                       { "X-Request-Id", id } },
+                     json{ { "id", id },
+                           { "state", "running" },
+                           { "service", task->Request().Name().Value() } }
+                       .dump());
+    return;
+  }
+  context_.ledger_.Lookup(
+    RequestId(id),
+    [aExchange, workspace, id](const Ledger::LookupReply& aReply) {
+      ReplyLookup(*aExchange, workspace, id, aReply);
+    });
+}
+
+void
+CallerApi::CheckRoom() const
+{
+  if (!isAccepting_) {
+    Refuse(503,
+           "leaving",
+           "This instance is leaving; GET /v1/addresses names others.");
+  }
+  if (!context_.ledger_.HasRoom()) {
+    Refuse(503,
+           "ledger_full",
+           "Too many outcomes wait to be recorded; no request is taken.");
+  }
+  if (table_.Size() >= RequestTable::kMaxRunning) {
+    Refuse(503,
+           "overloaded",
+           "This instance runs as many requests as it can.");
+  }
+}
+
+void
+CallerApi::HandleRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const HttpServerRequest& received = aExchange->Request();
+  RequestInput input = InputOf(received);
+  input.workspace_ = Authenticate(*aExchange);
+  if (IsModelPath(received.path_) && received.method_ != HttpMethod::Post) {
+    Refuse(405, "method_not_allowed", "Completions are asked for with POST.");
+  }
+  AcceptedRequest request = AcceptRequest(context_, std::move(input));
+  const ReplyForm form = FormOf(request);
+  const auto known = table_.FindByKey(request.keyDigest_);
+  if (known.log_ != nullptr) {
+    if (known.bodyDigest_ != request.bodyDigest_) {
+      RegisterReply mismatch;
+      mismatch.status_ = RegisterStatus::BodyMismatch;
+      ReplyWithError(*aExchange, KeyError(mismatch));
+      return;
+    }
+    CallerReply::Attach(aExchange, known.log_, form);
+    return;
+  }
+  CheckRoom();
+  CallerReply::Attach(aExchange, table_.Run(std::move(request)), form);
+}
+
+void
+CallerApi::StopAccepting()
+{
+  isAccepting_ = false;
+  reclaim_.StopAccepting();
+}
+
+void
+CallerApi::OnIdle(std::function<void()> aCallback)
+{
+  table_.OnIdle(std::move(aCallback));
+}
+
+void
+CallerApi::HandOverAll(MonotonicTime aDeadline)
+{
+  isAccepting_ = false;
+  reclaim_.HandOverAll(aDeadline);
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/CallerReply.cpp
@@ -0,0 +1,160 @@
+#include "requests/CallerReply.h"
+
+namespace sycamoreward {
+
+void
+CallerReply::Attach(const std::shared_ptr<HttpExchange>& aExchange,
+                    const std::shared_ptr<AnswerLog>& aLog,
+                    const ReplyForm& aForm)
+{
+  std::make_shared<CallerReply>(aExchange, aLog, aForm)->Begin();
+}
+
+CallerReply::CallerReply(std::shared_ptr<HttpExchange> aExchange,
+                         std::shared_ptr<AnswerLog> aLog,
+                         ReplyForm aForm)
+  : exchange_(std::move(aExchange))
+  , log_(std::move(aLog))
+  , form_(std::move(aForm))
+{
+}
+
+void
+CallerReply::Begin()
+{
+  // The log owns this object until Finish; the exchange only points at it.
+  const std::weak_ptr<CallerReply> weak = weak_from_this();
+  observer_ = log_->Observe([self = shared_from_this()] { self->Continue(); });
+  exchange_->OnCallerGone([weak] {
+    if (const auto self = weak.lock()) {
+      self->Finish();
+    }
+  });
+  exchange_->OnDrained([weak] {
+    const auto self = weak.lock();
+    if (self != nullptr && !self->isDone_) {
+      self->log_->SetBehind(self->observer_, false);
+      self->Continue();
+    }
+  });
+  Continue();
+}
+
+void
+CallerReply::Continue()
+{
+  if (isDone_) {
+    return;
+  }
+  const bool isStarted = writer_.has_value();
+  const AnswerLog::State state = log_->GetState();
+  if (state == AnswerLog::State::Cut ||
+      (state == AnswerLog::State::Failed && isStarted)) {
+    exchange_->Abort();
+    Finish();
+  } else if (state == AnswerLog::State::Failed) {
+    ReplyError();
+  } else if (form_.kind_ == ReplyKind::Stream) {
+    ContinueStream();
+  } else if (state == AnswerLog::State::Whole) {
+    ReplyWhole();
+  }
+}
+
+void
+CallerReply::ContinueStream()
+{
+  const bool isWhole = log_->GetState() == AnswerLog::State::Whole;
+  if (!writer_) {
+    if (log_->Parts().empty() && !isWhole) {
+      return;
+    }
+    writer_.emplace(form_, log_->Request().Value());
+    HttpHeaders headers = BaseHeaders("text/event-stream");
+    headers.emplace_back("Cache-Control", "no-store");
+    exchange_->StartReply(200, headers);
+  }
+  if (exchange_->BufferedBytes().Value() > kMaxUnread) {
+    log_->SetBehind(observer_, true);
+    return;
+  }
+  std::string chunk = TakeChunk();
+  const bool isLast = isWhole && next_ == log_->Parts().size();
+  if (isLast) {
+    writer_->AppendEnd(chunk, log_->FinishReason());
+  }
+  exchange_->SendChunk(chunk);
+  if (isLast) {
+    exchange_->EndReply();
+    Finish();
+  } else if (exchange_->BufferedBytes().Value() > kMaxUnread) {
+    log_->SetBehind(observer_, true);
+  }
+}
+
+std::string
+CallerReply::TakeChunk()
+{
+  std::string chunk;
+  const auto& parts = log_->Parts();
+  // The rest follows when the caller has taken this much.
+  while (next_ < parts.size() && chunk.size() <= kMaxUnread) {
+    writer_->AppendToken(chunk, parts[next_]);
+    ++next_;
+  }
+  return chunk;
+}
+
+void
+CallerReply::ReplyWhole()
+{
+  const std::string text = log_->Text();
+  if (form_.kind_ == ReplyKind::Raw) {
+    exchange_->Reply(
+      log_->Status(), BaseHeaders(log_->ContentType()), text);
+  } else {
+    exchange_->Reply(200,
+                     BaseHeaders("application/json"),
+                     WriteObject(form_,
+                                 log_->Request().Value(),
+                                 text,
+                                 log_->FinishReason(),
+                                 Tokens(log_->Parts().size())));
+  }
+  Finish();
+}
+
+void
+CallerReply::ReplyError()
+{
+  HttpHeaders headers = HeadersOf(log_->Error());
+  headers.emplace_back("X-Request-Id", log_->Request().Value());
+  exchange_->Reply(
+    log_->Error().status_, headers, BodyOf(log_->Error()));
+  Finish();
+}
+
+void
+CallerReply::Finish()
+{
+  if (isDone_) {
+    return;
+  }
+  isDone_ = true;
+  // Forget may drop the last reference to this object.
+  const auto self = shared_from_this();
+  exchange_.reset();
+  log_->Forget(observer_);
+}
+
+HttpHeaders
+CallerReply::BaseHeaders(const std::string& aContentType) const
+{
+  HttpHeaders headers{ { "X-Request-Id", log_->Request().Value() } };
+  if (!aContentType.empty()) {
+    headers.emplace_back("Content-Type", aContentType);
+  }
+  return headers;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/CallerReply.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Writes an answer log to one caller's connection as it grows.
+
+#include "requests/AnswerLog.h"
+#include "requests/ReplyForm.h"
+#include "runtime/HttpServer.h"
+
+#include <memory>
+#include <optional>
+
+namespace sycamoreward {
+
+class CallerReply : public std::enable_shared_from_this<CallerReply>
+{
+public:
+  // Unread bytes above which a caller counts as behind.
+  static constexpr std::uint64_t kMaxUnread = 256 * 1024;
+
+  // Serves aExchange from aLog until the answer or the connection ends.
+  static void Attach(const std::shared_ptr<HttpExchange>& aExchange,
+                     const std::shared_ptr<AnswerLog>& aLog,
+                     const ReplyForm& aForm);
+
+  CallerReply(std::shared_ptr<HttpExchange> aExchange,
+              std::shared_ptr<AnswerLog> aLog,
+              ReplyForm aForm);
+
+private:
+  void Begin();
+  void Continue();
+  void ContinueStream();
+  std::string TakeChunk();
+  void ReplyWhole();
+  void ReplyError();
+  void Finish();
+  HttpHeaders BaseHeaders(const std::string& aContentType) const;
+
+  std::shared_ptr<HttpExchange> exchange_;
+  std::shared_ptr<AnswerLog> log_;
+  ReplyForm form_;
+  AnswerLog::ObserverId observer_ = 0;
+  std::optional<ChunkWriter> writer_;
+  std::size_t next_ = 0;
+  bool isDone_ = false;
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/Follower.cpp
@@ -0,0 +1,262 @@
+#include "requests/Follower.h"
+
+#include "recovery/AnswerAssembler.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+namespace {
+
+// An owner repeats the head of an answer this often, so that a follower can
+// tell a quiet owner from a dead connection.
+constexpr Duration kSignOfLife = std::chrono::seconds(1);
+constexpr Duration kFollowSilence = std::chrono::seconds(5);
+// Parts of one answer come from one log, so a single number serves for all.
+const AttemptNumber kFollowAttempt(1);
+const char* const kMoved = "moved";
+
+CallerError
+LostError(const InstanceId& aOwner, const std::string& aReason)
+{
+  CallerError error;
+  error.status_ = 503;
+  error.code_ = "owner_unreachable";
+  error.step_ = "follow";
+  error.peer_ = aOwner.Value();
+  error.ran_ = Ran::Unknown;
+  error.message_ = "The instance that runs the request can't be followed: " +
+                   aReason + ".";
+  return error;
+}
+
+// Sends one log to one peer.
+class PeerFeed : public std::enable_shared_from_this<PeerFeed>
+{
+public:
+  PeerFeed(EventLoop& aLoop,
+           std::shared_ptr<AnswerLog> aLog,
+           PartIndex aFrom,
+           PeerNetwork::Responder aRespond)
+    : loop_(aLoop)
+    , log_(std::move(aLog))
+    , next_(aFrom.Value())
+    , respond_(std::move(aRespond))
+  {
+  }
+
+  void Begin()
+  {
+    observer_ =
+      log_->Observe([self = shared_from_this()] { self->Continue(); });
+    SendHead();
+    Continue();
+  }
+
+private:
+  void SendHead()
+  {
+    AnswerPart part = Part(AnswerPartKind::Head, 0);
+    part.status_ = log_->Status();
+    part.contentType_ = log_->ContentType();
+    respond_(part);
+    timer_ = loop_.CallAfter(kSignOfLife, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->SendHead();
+      }
+    });
+  }
+
+  void Continue()
+  {
+    const AnswerLog::State state = log_->GetState();
+    const bool isEnded = state != AnswerLog::State::Open;
+    if (isEnded) {
+      // The head may have changed since it was sent first.
+      loop_.CancelTimer(timer_);
+      SendHead();
+      loop_.CancelTimer(timer_);
+    }
+    for (; next_ < log_->Parts().size(); ++next_) {
+      AnswerPart part = Part(AnswerPartKind::Data, next_);
+      part.data_ = log_->Parts()[next_];
+      respond_(part);
+    }
+    if (isEnded) {
+      SendEnd(state);
+      log_->Forget(observer_);
+    }
+  }
+
+  void SendEnd(AnswerLog::State aState)
+  {
+    const bool isWhole = aState == AnswerLog::State::Whole;
+    AnswerPart part =
+      Part(isWhole ? AnswerPartKind::End : AnswerPartKind::Broken, next_);
+    if (isWhole) {
+      part.data_ = log_->FinishReason();
+    } else if (aState == AnswerLog::State::Cut) {
+      part.data_ = kMoved;
+    } else {
+      part.data_ = WriteCallerError(log_->Error());
+    }
+    respond_(part);
+  }
+
+  AnswerPart Part(AnswerPartKind aKind, std::size_t aIndex) const
+  {
+    AnswerPart part;
+    part.request_ = log_->Request();
+    part.attempt_ = kFollowAttempt;
+    part.index_ = PartIndex(aIndex);
+    part.kind_ = aKind;
+    return part;
+  }
+
+  EventLoop& loop_;
+  std::shared_ptr<AnswerLog> log_;
+  std::size_t next_;
+  PeerNetwork::Responder respond_;
+  AnswerLog::ObserverId observer_ = 0;
+  EventLoop::TimerId timer_ = 0;
+};
+
+// The receiving end of a followed answer.
+struct Joined
+{
+  std::shared_ptr<AnswerLog> log_;
+  InstanceId owner_;
+  AnswerAssembler assembler_;
+  std::function<void()> stop_;
+
+  void Take(const PeerReply& aReply)
+  {
+    if (log_->GetState() != AnswerLog::State::Open) {
+      return;
+    }
+    const AnswerPart* part =
+      aReply.message_ ? std::get_if<AnswerPart>(&*aReply.message_) : nullptr;
+    if (part == nullptr) {
+      log_->Fail(LostError(owner_, aReply.error_));
+    } else if (part->request_ == log_->Request()) {
+      TakePart(*part);
+    }
+  }
+
+  void TakePart(const AnswerPart& aPart)
+  {
+    switch (aPart.kind_) {
+      case AnswerPartKind::Head:
+        log_->SetHead(aPart.status_, aPart.contentType_);
+        return;
+      case AnswerPartKind::Data:
+        TakeData(aPart);
+        return;
+      case AnswerPartKind::End:
+        if (assembler_.End(aPart.attempt_, aPart.index_) ==
+            PartVerdict::Accepted) {
+          log_->End(aPart.data_);
+        } else {
+          log_->Fail(LostError(owner_, "a part of the answer is missing"));
+        }
+        return;
+      case AnswerPartKind::Broken:
+        if (aPart.data_ == kMoved) {
+          log_->Cut();
+        } else {
+          log_->Fail(ReadCallerError(aPart.data_));
+        }
+        return;
+    }
+  }
+
+  void TakeData(const AnswerPart& aPart)
+  {
+    const PartVerdict verdict =
+      assembler_.Accept(aPart.attempt_, aPart.index_, aPart.data_);
+    if (verdict == PartVerdict::Accepted) {
+      log_->Append(aPart.data_);
+      log_->Notify();
+    } else if (verdict == PartVerdict::Gap) {
+      log_->Fail(LostError(owner_, "a part of the answer is missing"));
+    }
+  }
+};
+
+const PeerIdentity*
+FindPeer(const MemberList& aMembers, const InstanceId& aInstance)
+{
+  for (const Member& member : aMembers.members_) {
+    if (member.identity_.instance_ == aInstance &&
+        member.state_ != MemberState::Dead) {
+      return &member.identity_;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+Follower::Follower(RequestContext& aContext, Finder aFinder)
+  : context_(aContext)
+{
+  context_.peers_.OnMessage<Follow>(
+    [&loop = context_.loop_, finder = std::move(aFinder)](
+      const PeerIdentity&,
+      const Message& aMessage,
+      const PeerNetwork::Responder& aRespond) {
+      const auto& follow = std::get<Follow>(aMessage);
+      const auto log = finder(follow.request_);
+      if (log != nullptr) {
+        std::make_shared<PeerFeed>(loop, log, follow.from_, aRespond)->Begin();
+        return;
+      }
+      AnswerPart part;
+      part.request_ = follow.request_;
+      part.attempt_ = kFollowAttempt;
+      part.kind_ = AnswerPartKind::Broken;
+      CallerError error = LostError(InstanceId(), "it no longer has the answer");
+      part.data_ = WriteCallerError(error);
+      aRespond(part);
+    });
+}
+
+void
+Follower::Join(const std::shared_ptr<AnswerLog>& aLog,
+               const InstanceId& aOwner,
+               const RequestId& aRequest)
+{
+  aLog->SetRequest(aRequest);
+  const PeerIdentity* peer =
+    FindPeer(context_.membership_.Members(), aOwner);
+  if (peer == nullptr || aOwner == context_.membership_.Members().self_) {
+    aLog->Fail(LostError(aOwner, "it is not among the live instances"));
+    return;
+  }
+  auto joined = std::make_shared<Joined>();
+  joined->log_ = aLog;
+  joined->owner_ = aOwner;
+  joined->assembler_.BeginAttempt(kFollowAttempt);
+  Follow follow;
+  follow.request_ = aRequest;
+  joined->stop_ = context_.peers_.OpenStream(
+    *peer, follow, kFollowSilence, [joined](const PeerReply& aReply) {
+      joined->Take(aReply);
+      if (joined->log_->GetState() != AnswerLog::State::Open &&
+          joined->stop_) {
+        const auto stop = std::move(joined->stop_);
+        joined->stop_ = nullptr;
+        stop();
+      }
+    });
+  aLog->OnAbandoned([weak = std::weak_ptr<Joined>(joined)] {
+    const auto alive = weak.lock();
+    if (alive != nullptr && alive->stop_) {
+      const auto stop = std::move(alive->stop_);
+      alive->stop_ = nullptr;
+      stop();
+    }
+  });
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/Reclaim.cpp
@@ -0,0 +1,164 @@
+#include "requests/Reclaim.h"
+
+#include "requests/CallerError.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+struct Reclaim::State : std::enable_shared_from_this<Reclaim::State>
+{
+  State(RequestContext& aContext, RequestTable& aTable)
+    : context_(aContext)
+    , table_(aTable)
+  {
+  }
+
+  void Plan(MonotonicTime aDeadline);
+  void SendOne(const RequestId& aRequest, const InstanceId& aSuccessor);
+  void Offer(const std::shared_ptr<RequestTask>& aTask,
+             const HandOver& aMessage,
+             std::vector<PeerIdentity> aSuccessors);
+  HandOverReply Take(const HandOver& aMessage);
+
+  RequestContext& context_;
+  RequestTable& table_;
+  bool isAccepting_ = true;
+};
+
+namespace {
+
+constexpr Duration kReplyLimit = std::chrono::milliseconds(400);
+// Successors that are asked for one request.
+constexpr std::size_t kMaxOffers = 3;
+const char* const kNotConnected = "not connected";
+
+} // namespace
+
+Reclaim::Reclaim(RequestContext& aContext, RequestTable& aTable)
+  : state_(std::make_shared<State>(aContext, aTable))
+{
+  aContext.peers_.OnMessage<HandOver>(
+    [state = state_](const PeerIdentity&,
+                     const Message& aMessage,
+                     const PeerNetwork::Responder& aRespond) {
+      aRespond(state->Take(std::get<HandOver>(aMessage)));
+    });
+}
+
+void
+Reclaim::HandOverAll(MonotonicTime aDeadline)
+{
+  state_->isAccepting_ = false;
+  state_->Plan(aDeadline);
+}
+
+void
+Reclaim::StopAccepting()
+{
+  state_->isAccepting_ = false;
+}
+
+void
+Reclaim::State::Plan(MonotonicTime aDeadline)
+{
+  HandoverInput input;
+  input.members_ = context_.membership_.Members();
+  input.remaining_ =
+    std::max(Duration(0), aDeadline - context_.loop_.GetClock().Now());
+  for (const auto& task : table_.Running()) {
+    input.requests_.push_back(task->Candidate());
+  }
+  const HandoverPlan plan = PlanHandover(input);
+  for (const HandoverStep& step : plan.steps_) {
+    context_.loop_.CallAfter(
+      step.delay_, [weak = weak_from_this(), step] {
+        if (const auto self = weak.lock()) {
+          self->SendOne(step.request_, step.successor_);
+        }
+      });
+  }
+  LogFor("recovery")
+    ->info("Handing over {} requests, {} end in time, {} can't be saved.",
+           plan.steps_.size(),
+           plan.stay_.size(),
+           plan.lost_.size());
+}
+
+void
+Reclaim::State::SendOne(const RequestId& aRequest, const InstanceId& aSuccessor)
+{
+  const auto task = table_.FindRunning(aRequest);
+  if (task == nullptr) {
+    return;
+  }
+  std::vector<PeerIdentity> successors =
+    ChooseSuccessors(context_.membership_.Members());
+  std::stable_partition(
+    successors.begin(), successors.end(), [&](const PeerIdentity& aPeer) {
+      return aPeer.instance_ == aSuccessor;
+    });
+  successors.resize(std::min(successors.size(), kMaxOffers));
+  const HandOver message = task->Freeze();
+  Offer(task, message, std::move(successors));
+}
+
+void
+Reclaim::State::Offer(const std::shared_ptr<RequestTask>& aTask,
+                      const HandOver& aMessage,
+                      std::vector<PeerIdentity> aSuccessors)
+{
+  if (aSuccessors.empty()) {
+    aTask->Thaw();
+    return;
+  }
+  const PeerIdentity successor = aSuccessors.front();
+  aSuccessors.erase(aSuccessors.begin());
+  context_.peers_.Call(
+    successor,
+    aMessage,
+    kReplyLimit,
+    [self = shared_from_this(), aTask, aMessage, aSuccessors](
+      const PeerReply& aReply) {
+      const auto* reply =
+        aReply.message_ ? std::get_if<HandOverReply>(&*aReply.message_)
+                        : nullptr;
+      if (reply != nullptr && reply->isAccepted_) {
+        aTask->Leave();
+        return;
+      }
+      const bool isRefused =
+        reply != nullptr || aReply.error_ == kNotConnected;
+      if (!isRefused && !aTask->Request().isRepeatable_) {
+        // The successor may have it. Going on here could run it twice; if the
+        // message was lost, the claim in the ledger settles the request.
+        aTask->Leave();
+        return;
+      }
+      self->Offer(aTask, aMessage, aSuccessors);
+    });
+}
+
+HandOverReply
+Reclaim::State::Take(const HandOver& aMessage)
+{
+  HandOverReply reply;
+  if (!isAccepting_) {
+    reply.reason_ = "This instance is leaving.";
+    return reply;
+  }
+  if (table_.Size() >= RequestTable::kMaxRunning) {
+    reply.reason_ = "This instance runs as many requests as it can.";
+    return reply;
+  }
+  try {
+    table_.Adopt(aMessage);
+    reply.isAccepted_ = true;
+  } catch (const RequestRefused& refused) {
+    reply.reason_ = refused.what();
+  }
+  return reply;
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/RequestContext.h
@@ -0,0 +1,31 @@
+#pragma once
+
+// What the request path uses of the rest of an instance. All of it lives on one
+// event loop and outlives the request path.
+
+#include "configuration/ConfigurationSource.h"
+#include "ledger/Ledger.h"
+#include "membership/Membership.h"
+#include "peer/PeerNetwork.h"
+#include "routing/Scheduler.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
+
+#include <functional>
+
+namespace sycamoreward {
+
+struct RequestContext
+{
+  EventLoop& loop_;
+  HttpClient& client_;
+  Scheduler& scheduler_;
+  Ledger& ledger_;
+  ConfigurationSource& configuration_;
+  ServerList& servers_;
+  Membership& membership_;
+  PeerNetwork& peers_;
+  std::function<std::uint64_t()> random_;
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/RequestEnding.cpp
@@ -0,0 +1,271 @@
+// The end of a request's life: record, reply, and handover.
+
+#include "requests/Digest.h"
+#include "requests/RequestTask.h"
+#include "requests/TaskErrors.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+namespace {
+
+// Size of a handover message besides body and tokens.
+constexpr std::uint64_t kHandoverHead = 512;
+constexpr const char* kModelAnswerType = "text/plain; charset=utf-8";
+
+} // namespace
+
+// Record, then reply.
+
+void
+RequestTask::CompletePlain(const AttemptReply& aReply,
+                           const std::string& aEvidence)
+{
+  const std::string type = FindHeader(aReply.headers_, "Content-Type");
+  log_->SetHead(aReply.status_, type);
+  log_->Append(aReply.body_);
+  StopWork();
+  Record(aReply.status_ >= 500 ? OutcomeKind::Failed : OutcomeKind::Completed,
+         aEvidence,
+         KeptAnswer{ aReply.status_, type, aReply.body_ });
+  log_->End("");
+  End();
+}
+
+void
+RequestTask::CompleteModel(const std::string& aServer)
+{
+  if (!request_.isRepeatable_) {
+    for (const std::string& part : assembler_.Parts()) {
+      log_->Append(part);
+    }
+  }
+  StopWork();
+  Record(OutcomeKind::Completed,
+         "reply of " + aServer,
+         KeptAnswer{ 200, kModelAnswerType, log_->Text() });
+  log_->End(finishReason_);
+  End();
+}
+
+void
+RequestTask::GiveUp(const CallerError& aError, const std::string& aEvidence)
+{
+  StopWork();
+  Record(aError.ran_ == Ran::NotRun ? OutcomeKind::NotRun : OutcomeKind::Failed,
+         aEvidence,
+         std::nullopt);
+  log_->Fail(aError);
+  End();
+}
+
+void
+RequestTask::Record(OutcomeKind aKind,
+                    const std::string& aEvidence,
+                    const std::optional<KeptAnswer>& aAnswer)
+{
+  Outcome outcome;
+  outcome.request_ = request_.id_;
+  outcome.workspace_ = request_.workspace_;
+  outcome.service_ = request_.Name();
+  outcome.keyDigest_ = request_.keyDigest_;
+  outcome.bodyDigest_ = request_.bodyDigest_;
+  outcome.kind_ = aKind;
+  outcome.attempts_ = attempts_;
+  outcome.accepted_ = request_.accepted_;
+  outcome.ended_ = context_.loop_.GetClock().Wall();
+  outcome.evidence_ = aEvidence;
+  if (aAnswer) {
+    outcome.answerDigest_ = Sha256Hex(aAnswer->body_);
+    outcome.answerLength_ = Bytes(aAnswer->body_.size());
+    if (!request_.isRepeatable_ && aAnswer->body_.size() <= kMaxKeptAnswer) {
+      outcome.answer_ = aAnswer;
+    }
+  }
+  context_.ledger_.Record(outcome, nullptr);
+}
+
+void
+RequestTask::CloseAttempt(AttemptNumber aAttempt,
+                          AttemptEnd aEnd,
+                          const std::string& aWords)
+{
+  const auto found = running_.find(aAttempt);
+  attempts_[found->second.record_].end_ = aWords;
+  context_.scheduler_.End(found->second.ticket_, aEnd);
+  running_.erase(found);
+}
+
+// Leaves the queue, cancels running attempts and stops the timers. Called
+// before the outcome is recorded, so that its attempts are final.
+void
+RequestTask::StopWork()
+{
+  isEnded_ = true;
+  for (const EventLoop::TimerId timer : timers_) {
+    context_.loop_.CancelTimer(timer);
+  }
+  for (const Scheduler::Ticket ticket : waiting_) {
+    context_.scheduler_.Cancel(ticket);
+  }
+  waiting_.clear();
+  while (!running_.empty()) {
+    running_.begin()->second.attempt_->Cancel();
+    CloseAttempt(running_.begin()->first, AttemptEnd::Cancelled, "cancelled");
+  }
+}
+
+void
+RequestTask::End()
+{
+  // Steps that see isEnded_ give back what they hold, such as a slot.
+  isFrozen_ = false;
+  std::vector<std::function<void()>> deferred;
+  deferred.swap(deferred_);
+  for (const auto& step : deferred) {
+    step();
+  }
+  const auto self = shared_from_this();
+  if (hooks_.onEnded_) {
+    const auto callback = std::move(hooks_.onEnded_);
+    hooks_ = {};
+    callback();
+  }
+}
+
+Duration
+RequestTask::Remaining() const
+{
+  return std::max(Duration(0),
+                  request_.deadline_ - context_.loop_.GetClock().Now());
+}
+
+void
+RequestTask::WhenThawed(std::function<void()> aStep)
+{
+  if (isFrozen_) {
+    deferred_.push_back(std::move(aStep));
+  } else {
+    aStep();
+  }
+}
+
+// Handover.
+
+HandoverCandidate
+RequestTask::Candidate() const
+{
+  HandoverCandidate candidate;
+  const std::size_t parts = assembler_.Parts().size();
+  candidate.request_ = request_.id_;
+  candidate.size_ = Bytes(kHandoverHead + request_.body_.size() +
+                          log_->Size().Value());
+  candidate.isSentOnce_ =
+    !request_.isRepeatable_ && (!running_.empty() || isAsking_);
+  if (!request_.model_) {
+    return candidate;
+  }
+  candidate.computed_ =
+    Tokens(parts + EstimateTokens(request_.model_->prompt_).Value());
+  const std::uint64_t most = request_.model_->maxTokens_.Value();
+  if (parts > 1 && most > parts && firstToken_ != MonotonicTime{}) {
+    const Duration since = context_.loop_.GetClock().Now() - firstToken_;
+    candidate.expectedEnd_ = since * std::int64_t(most - parts) /
+                             std::int64_t(parts - 1);
+  }
+  return candidate;
+}
+
+HandOver
+RequestTask::Freeze()
+{
+  isFrozen_ = true;
+  for (auto& [number, running] : running_) {
+    running.attempt_->Hold(true);
+  }
+  HandOver message;
+  message.request_ = request_.id_;
+  message.workspace_ = request_.workspace_;
+  message.service_ = request_.Name();
+  message.keyDigest_ = request_.keyDigest_;
+  message.bodyDigest_ = request_.bodyDigest_;
+  message.method_ = ToString(request_.method_);
+  message.target_ = request_.target_;
+  message.contentType_ = request_.contentType_;
+  message.body_ = request_.body_;
+  message.accepted_ = request_.accepted_;
+  message.remaining_ = Remaining();
+  message.attempts_ = attempts_;
+  message.isSent_ = !request_.isRepeatable_ && (!running_.empty() || isAsking_);
+  if (request_.isRepeatable_) {
+    message.tokens_ = assembler_.Parts();
+  }
+  return message;
+}
+
+void
+RequestTask::Thaw()
+{
+  isFrozen_ = false;
+  for (auto& [number, running] : running_) {
+    running.attempt_->Hold(false);
+  }
+  std::vector<std::function<void()>> deferred;
+  deferred.swap(deferred_);
+  for (const auto& step : deferred) {
+    WhenThawed(step);
+  }
+}
+
+void
+RequestTask::Leave()
+{
+  if (isEnded_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  StopWork();
+  log_->Cut();
+  End();
+}
+
+void
+RequestTask::Adopt(const HandOver& aMessage)
+{
+  Begin();
+  attempts_ = aMessage.attempts_;
+  hasRun_ = !attempts_.empty();
+  assembler_.BeginAttempt(AttemptNumber(0));
+  for (const std::string& token : aMessage.tokens_) {
+    assembler_.Accept(AttemptNumber(0), assembler_.Next(), token);
+    log_->Append(token);
+  }
+  if (!aMessage.isSent_) {
+    hasRun_ = hasRun_ && request_.isRepeatable_;
+    Claim();
+    return;
+  }
+  // The claim is durable already; this tells the registrar who owns it now.
+  RegisterRequest claim;
+  claim.request_ = request_.id_;
+  claim.workspace_ = request_.workspace_;
+  claim.service_ = request_.Name();
+  claim.region_ = request_.service_.region_;
+  claim.keyDigest_ = request_.keyDigest_;
+  claim.bodyDigest_ = request_.bodyDigest_;
+  claim.owner_ = context_.membership_.Members().self_;
+  context_.ledger_.Register(claim, kClaimLimit, [](const RegisterReply&) {});
+  Server server;
+  server.id_ =
+    attempts_.empty() ? ServerId() : attempts_.back().server_;
+  for (const Server& listed : context_.servers_.Servers()) {
+    if (listed.id_ == server.id_) {
+      AskServer(listed);
+      return;
+    }
+  }
+  OnStatus(server, StatusAnswer{});
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/StatusQuery.cpp
@@ -0,0 +1,153 @@
+#include "requests/StatusQuery.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+
+namespace sycamoreward {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+constexpr Duration kMaxPause = std::chrono::seconds(2);
+constexpr Duration kAnswerLimit = std::chrono::seconds(1);
+
+struct Query
+{
+  RequestContext& context_;
+  Address server_;
+  std::string target_;
+  std::function<void(StatusAnswer)> onAnswer_;
+  unsigned asked_ = 0;
+  unsigned failures_ = 0;
+  unsigned notRun_ = 0;
+  Duration pause_ = kFirstPause;
+};
+
+void
+Ask(const std::shared_ptr<Query>& aQuery);
+
+void
+AskLater(const std::shared_ptr<Query>& aQuery)
+{
+  if (aQuery->failures_ >= kMaxStatusFailures ||
+      aQuery->asked_ >= kMaxStatusQuestions) {
+    aQuery->onAnswer_(StatusAnswer{});
+    return;
+  }
+  aQuery->context_.loop_.CallAfter(aQuery->pause_,
+                                   [aQuery] { Ask(aQuery); });
+  aQuery->pause_ = std::min(2 * aQuery->pause_, kMaxPause);
+}
+
+void
+HandleReply(const std::shared_ptr<Query>& aQuery, const HttpClientReply& aReply)
+{
+  const auto answer = ReadStatus(aReply);
+  if (answer && answer->ran_ == Ran::Ran) {
+    aQuery->onAnswer_(*answer);
+    return;
+  }
+  if (answer && answer->ran_ == Ran::NotRun) {
+    if (++aQuery->notRun_ == kNotRunAnswers) {
+      aQuery->onAnswer_(*answer);
+      return;
+    }
+  } else {
+    aQuery->notRun_ = 0;
+    aQuery->failures_ += answer ? 1 : 0;
+  }
+  AskLater(aQuery);
+}
+
+void
+Ask(const std::shared_ptr<Query>& aQuery)
+{
+  ++aQuery->asked_;
+  HttpClientRequest request;
+  request.address_ = aQuery->server_;
+  request.target_ = aQuery->target_;
+  request.connectTimeout_ = kAnswerLimit;
+  request.silenceTimeout_ = kAnswerLimit;
+  request.mayReuseConnection_ = false;
+  aQuery->context_.client_.Fetch(
+    request, [aQuery](const HttpClientReply& aReply) {
+      HandleReply(aQuery, aReply);
+    });
+}
+
+std::optional<KeptAnswer>
+ReadStoredReply(const json& aBody)
+{
+  const auto reply = aBody.find("reply");
+  if (reply == aBody.end() || !reply->is_string()) {
+    return std::nullopt;
+  }
+  KeptAnswer answer;
+  answer.status_ = 200;
+  answer.contentType_ = "application/json";
+  answer.body_ = reply->get<std::string>();
+  const auto status = aBody.find("status");
+  if (status != aBody.end() && status->is_number_integer()) {
+    answer.status_ = status->get<int>();
+  }
+  const auto type = aBody.find("contentType");
+  if (type != aBody.end() && type->is_string()) {
+    answer.contentType_ = type->get<std::string>();
+  }
+  return answer;
+}
+
+} // namespace
+
+std::optional<StatusAnswer>
+ReadStatus(const HttpClientReply& aReply)
+{
+  StatusAnswer answer;
+  if (aReply.end_ != HttpEnd::Complete || aReply.status_ != 200) {
+    return answer;
+  }
+  const json body = json::parse(aReply.body_, nullptr, false);
+  if (!body.is_object() || !body.contains("ran") ||
+      !body["ran"].is_boolean()) {
+    return answer;
+  }
+  if (body["ran"].get<bool>()) {
+    answer.ran_ = Ran::Ran;
+    answer.reply_ = ReadStoredReply(body);
+    return answer;
+  }
+  const auto running = body.find("running");
+  if (running != body.end() && running->is_boolean() && running->get<bool>()) {
+    return std::nullopt;
+  }
+  answer.ran_ = Ran::NotRun;
+  return answer;
+}
+
+std::string
+StatusTarget(const std::string& aStatusPath, const RequestId& aRequest)
+{
+  static const std::string kPlace = "{id}";
+  std::string target = aStatusPath;
+  const std::size_t at = target.find(kPlace);
+  if (at != std::string::npos) {
+    target.replace(at, kPlace.size(), aRequest.Value());
+  }
+  return target;
+}
+
+void
+AskWhetherRan(RequestContext& aContext,
+              const Address& aServer,
+              const std::string& aTarget,
+              std::function<void(StatusAnswer)> aOnAnswer)
+{
+  Ask(std::make_shared<Query>(
+    Query{ aContext, aServer, aTarget, std::move(aOnAnswer) }));
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/requests/TraceContext.cpp
@@ -0,0 +1,69 @@
+#include "requests/TraceContext.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr std::size_t kTraceAt = 3;
+constexpr std::size_t kTraceDigits = 32;
+constexpr std::size_t kParentAt = 36;
+constexpr std::size_t kParentDigits = 16;
+constexpr std::size_t kFlagsAt = 53;
+constexpr std::size_t kLength = 55;
+
+bool
+IsHex(const std::string& aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aDigit) {
+    return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
+  });
+}
+
+bool
+IsId(const std::string& aText)
+{
+  return IsHex(aText) && aText.find_first_not_of('0') != std::string::npos;
+}
+
+std::string
+Hex(std::uint64_t aValue)
+{
+  char text[kParentDigits + 1];
+  std::snprintf(text, sizeof text, "%016llx", (unsigned long long)aValue);
+  return text;
+}
+
+} // namespace
+
+TraceContext
+ReadTraceParent(const std::string& aHeader,
+                const std::function<std::uint64_t()>& aRandom)
+{
+  TraceContext trace;
+  // Later versions may append fields; version ff is invalid.
+  const bool hasForm = aHeader.size() >= kLength && aHeader[2] == '-' &&
+                       aHeader[kParentAt - 1] == '-' &&
+                       aHeader[kFlagsAt - 1] == '-' &&
+                       aHeader.compare(0, 2, "ff") != 0;
+  if (hasForm) {
+    trace.traceId_ = aHeader.substr(kTraceAt, kTraceDigits);
+    trace.parentId_ = aHeader.substr(kParentAt, kParentDigits);
+    trace.flags_ = aHeader.substr(kFlagsAt, 2);
+    if (IsId(trace.traceId_) && IsId(trace.parentId_) && IsHex(trace.flags_)) {
+      return trace;
+    }
+  }
+  // The low bit is set because an id of zeros is invalid.
+  return TraceContext{ Hex(aRandom()) + Hex(aRandom() | 1), "", "01" };
+}
+
+std::string
+WriteTraceParent(const TraceContext& aTrace, std::uint64_t aSpanId)
+{
+  return "00-" + aTrace.traceId_ + "-" + Hex(aSpanId | 1) + "-" + aTrace.flags_;
+}
+
+} // namespace sycamoreward
