Add tests of the request path and the recovery plans

Unrepeatable calls in each failure step, broken, silent and cut streams, hedges, joins and handover run against fakes of ledger, scheduler and peers, with scripted backend servers on loopback and a paused clock.

--- a/src/recovery/ExportPlan.cpp
+++ b/src/recovery/ExportPlan.cpp
@@ -22,9 +22,9 @@
   ExportPlan plan;
   for (const ExportCandidate& candidate : order) {
     const auto size = double(candidate.size_.Value());
-    const bool isWorthIt = double(candidate.tokens_.Value()) *
-                             aInput.pricePerToken_ >=
-                           size * aInput.pricePerByte_;
+    const bool isWorthIt =
+      double(candidate.tokens_.Value()) * aInput.pricePerToken_ >=
+      size * aInput.pricePerByte_;
     if (candidate.tokens_.Value() == 0 || !isWorthIt || size > budget) {
       plan.recompute_.push_back(candidate.request_);
       continue;
--- a/src/recovery/Handover.cpp
+++ b/src/recovery/Handover.cpp
@@ -18,8 +18,8 @@
 Duration
 SendTime(Bytes aSize, Bytes aBytesPerSecond)
 {
-  const double rate = double(std::max<std::uint64_t>(
-    aBytesPerSecond.Value(), 1));
+  const double rate =
+    double(std::max<std::uint64_t>(aBytesPerSecond.Value(), 1));
   return Duration(
     static_cast<Duration::rep>(double(aSize.Value()) * 1e6 / rate));
 }
@@ -48,9 +48,9 @@
         member.identity_.instance_ == aMembers.self_) {
       continue;
     }
-    const bool isOwn = self != aMembers.members_.end() &&
-                       member.identity_.failureDomain_ ==
-                         self->identity_.failureDomain_;
+    const bool isOwn =
+      self != aMembers.members_.end() &&
+      member.identity_.failureDomain_ == self->identity_.failureDomain_;
     (isOwn ? own : others).push_back(member.identity_);
   }
   others.insert(others.end(), own.begin(), own.end());
@@ -64,12 +64,12 @@
   std::vector<PeerIdentity> successors = ChooseSuccessors(aInput.members_);
   // Work is spread over the successors outside of the own failure domain when
   // there are any.
-  const auto self = std::find_if(
-    aInput.members_.members_.begin(),
-    aInput.members_.members_.end(),
-    [&](const Member& aM) {
-      return aM.identity_.instance_ == aInput.members_.self_;
-    });
+  const auto self =
+    std::find_if(aInput.members_.members_.begin(),
+                 aInput.members_.members_.end(),
+                 [&](const Member& aM) {
+                   return aM.identity_.instance_ == aInput.members_.self_;
+                 });
   if (self != aInput.members_.members_.end()) {
     const auto own = std::find_if(
       successors.begin(), successors.end(), [&](const PeerIdentity& aPeer) {
@@ -91,8 +91,7 @@
       plan.stay_.push_back(candidate.request_);
       continue;
     }
-    const Duration cost =
-      SendTime(candidate.size_, aInput.bytesPerSecond_);
+    const Duration cost = SendTime(candidate.size_, aInput.bytesPerSecond_);
     const bool hasTime = candidate.isSentOnce_ || used + cost <= usable;
     if (successors.empty() || !hasTime) {
       plan.lost_.push_back(candidate.request_);
@@ -101,9 +100,7 @@
     const InstanceId& successor =
       successors[next++ % successors.size()].instance_;
     plan.steps_.push_back(
-      { candidate.request_,
-        successor,
-        candidate.isSentOnce_ ? usable : used });
+      { candidate.request_, successor, candidate.isSentOnce_ ? usable : used });
     if (!candidate.isSentOnce_) {
       used += cost;
     }
--- a/src/recovery/SseParser.cpp
+++ b/src/recovery/SseParser.cpp
@@ -15,8 +15,8 @@
       }
     }
     const std::size_t end = aData.find_first_of("\r\n");
-    const std::size_t length = end == std::string_view::npos ? aData.size()
-                                                             : end;
+    const std::size_t length =
+      end == std::string_view::npos ? aData.size() : end;
     if (line_.size() + length > maxEvent_.Value()) {
       isBroken_ = true;
       break;
--- a/src/requests/AcceptedRequest.cpp
+++ b/src/requests/AcceptedRequest.cpp
@@ -44,8 +44,7 @@
             ServiceType aType)
 {
   const auto found = aConfiguration.services_.find(aName);
-  if (found == aConfiguration.services_.end() ||
-      found->second.type_ != aType) {
+  if (found == aConfiguration.services_.end() || found->second.type_ != aType) {
     Refuse(404, "no_such_service", "There is no service \"" + aName + "\".");
   }
   return found->second;
@@ -93,8 +92,8 @@
              " are allowed.");
   }
   AcceptedRequest request = Interpret(aContext, aInput);
-  const auto workspace = request.configuration_->workspaces_.find(
-    request.workspace_.Value());
+  const auto workspace =
+    request.configuration_->workspaces_.find(request.workspace_.Value());
   if (workspace == request.configuration_->workspaces_.end() ||
       !MayCall(workspace->second, request.Name())) {
     Refuse(403,
@@ -117,8 +116,8 @@
                                      request.Name().Value(),
                                      request.id_.Value() });
   }
-  request.bodyDigest_ = Sha256Hex(
-    { ToString(request.method_), request.target_, request.body_ });
+  request.bodyDigest_ =
+    Sha256Hex({ ToString(request.method_), request.target_, request.body_ });
   request.trace_ = ReadTraceParent(aInput.traceParent_, aContext.random_);
   request.accepted_ = aContext.loop_.GetClock().Wall();
   request.deadline_ =
@@ -151,8 +150,7 @@
   request.bodyDigest_ = aMessage.bodyDigest_;
   request.accepted_ = aMessage.accepted_;
   request.trace_ = ReadTraceParent("", aContext.random_);
-  request.deadline_ =
-    aContext.loop_.GetClock().Now() + aMessage.remaining_;
+  request.deadline_ = aContext.loop_.GetClock().Now() + aMessage.remaining_;
   return request;
 }
 
--- a/src/requests/AddressAnswer.cpp
+++ b/src/requests/AddressAnswer.cpp
@@ -53,14 +53,13 @@
   listed.resize(std::min(listed.size(), aLimit));
   nlohmann::json addresses = nlohmann::json::array();
   for (const PeerIdentity* identity : listed) {
-    addresses.push_back(
-      { { "address", ToString(identity->callerAddress_) },
-        { "failureDomain", identity->failureDomain_.Value() },
-        { "region", identity->region_.Value() } });
+    addresses.push_back({ { "address", ToString(identity->callerAddress_) },
+                          { "failureDomain", identity->failureDomain_.Value() },
+                          { "region", identity->region_.Value() } });
   }
-  return nlohmann::json{ { "addresses", addresses },
-                         { "ttlSeconds", aTimeToLive.count() } }
-    .dump();
+  return nlohmann::json{
+    { "addresses", addresses }, { "ttlSeconds", aTimeToLive.count() }
+  }.dump();
 }
 
 } // namespace sycamoreward
--- a/src/requests/Attempt.cpp
+++ b/src/requests/Attempt.cpp
@@ -21,8 +21,8 @@
   // Each callback holds a reference of its own while it runs: Cancel makes the
   // client drop the callbacks, this one included.
   HttpCallbacks callbacks;
-  callbacks.onHead_ = [self = shared_from_this()](
-                        int aStatus, const HttpHeaders& aHeaders) {
+  callbacks.onHead_ = [self = shared_from_this()](int aStatus,
+                                                  const HttpHeaders& aHeaders) {
     const auto running = self;
     running->HandleHead(aStatus, aHeaders);
   };
@@ -114,22 +114,21 @@
 Attempt::WatchGap()
 {
   const Duration silent = loop_.GetClock().Now() - lastData_;
-  gapTimer_ = loop_.CallAfter(
-    maxGap_ - silent, [weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self == nullptr || self->isDone_ || self->isEnded_) {
-        return;
-      }
-      const MonotonicTime now = self->loop_.GetClock().Now();
-      if (self->isHeld_) {
-        self->lastData_ = now;
-      }
-      if (now - self->lastData_ >= self->maxGap_) {
-        self->BreakOff(HttpEnd::Silent);
-      } else {
-        self->WatchGap();
-      }
-    });
+  gapTimer_ = loop_.CallAfter(maxGap_ - silent, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->isDone_ || self->isEnded_) {
+      return;
+    }
+    const MonotonicTime now = self->loop_.GetClock().Now();
+    if (self->isHeld_) {
+      self->lastData_ = now;
+    }
+    if (now - self->lastData_ >= self->maxGap_) {
+      self->BreakOff(HttpEnd::Silent);
+    } else {
+      self->WatchGap();
+    }
+  });
 }
 
 // Ends the attempt because the rest of the server's reply can't be used.
--- a/src/requests/BackendCall.cpp
+++ b/src/requests/BackendCall.cpp
@@ -38,9 +38,9 @@
     { "X-Request-Id", aRequest.id_.Value() },
     { "traceparent", WriteTraceParent(aRequest.trace_, aInput.spanId_) },
     { "X-Request-Deadline-Ms",
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                       aInput.remaining_)
-                       .count()) }
+      std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(aInput.remaining_)
+          .count()) }
   };
   if (aRequest.model_) {
     call.headers_.emplace_back("Content-Type", "application/json");
--- a/src/requests/BackendCall.h
+++ b/src/requests/BackendCall.h
@@ -37,7 +37,8 @@
 };
 
 HttpClientRequest
-MakeBackendCall(const AcceptedRequest& aRequest, const BackendCallInput& aInput);
+MakeBackendCall(const AcceptedRequest& aRequest,
+                const BackendCallInput& aInput);
 
 // What a reply that is no whole answer says of the attempt.
 AttemptFailure
--- a/src/requests/CallerApi.cpp
+++ b/src/requests/CallerApi.cpp
@@ -111,11 +111,11 @@
   } else if (!aReply.outcome_ || aReply.outcome_->workspace_ != aWorkspace) {
     ReplyWithError(aExchange, NoSuchRequest(aId));
   } else {
-    aExchange.Reply(200,
-                    { { "Content-Type", "application/json" },
-                      { "X-Request-Id", aId } },
-                    OutcomeJson(*aReply.outcome_)
-                      .dump(-1, ' ', false, json::error_handler_t::replace));
+    aExchange.Reply(
+      200,
+      { { "Content-Type", "application/json" }, { "X-Request-Id", aId } },
+      OutcomeJson(*aReply.outcome_)
+        .dump(-1, ' ', false, json::error_handler_t::replace));
   }
 }
 
@@ -187,13 +187,13 @@
       ReplyWithError(*aExchange, NoSuchRequest(id));
       return;
     }
-    aExchange->Reply(200,
-                     { { "Content-Type", "application/json" },
-                       { "X-Request-Id", id } },
-                     json{ { "id", id },
-                           { "state", "running" },
-                           { "service", task->Request().Name().Value() } }
-                       .dump());
+    aExchange->Reply(
+      200,
+      { { "Content-Type", "application/json" }, { "X-Request-Id", id } },
+      json{ { "id", id },
+            { "state", "running" },
+            { "service", task->Request().Name().Value() } }
+        .dump());
     return;
   }
   context_.ledger_.Lookup(
@@ -217,9 +217,7 @@
            "Too many outcomes wait to be recorded; no request is taken.");
   }
   if (table_.Size() >= RequestTable::kMaxRunning) {
-    Refuse(503,
-           "overloaded",
-           "This instance runs as many requests as it can.");
+    Refuse(503, "overloaded", "This instance runs as many requests as it can.");
   }
 }
 
--- a/src/requests/CallerReply.cpp
+++ b/src/requests/CallerReply.cpp
@@ -110,8 +110,7 @@
 {
   const std::string text = log_->Text();
   if (form_.kind_ == ReplyKind::Raw) {
-    exchange_->Reply(
-      log_->Status(), BaseHeaders(log_->ContentType()), text);
+    exchange_->Reply(log_->Status(), BaseHeaders(log_->ContentType()), text);
   } else {
     exchange_->Reply(200,
                      BaseHeaders("application/json"),
@@ -129,8 +128,7 @@
 {
   HttpHeaders headers = HeadersOf(log_->Error());
   headers.emplace_back("X-Request-Id", log_->Request().Value());
-  exchange_->Reply(
-    log_->Error().status_, headers, BodyOf(log_->Error()));
+  exchange_->Reply(log_->Error().status_, headers, BodyOf(log_->Error()));
   Finish();
 }
 
--- a/src/requests/Digest.cpp
+++ b/src/requests/Digest.cpp
@@ -10,9 +10,8 @@
 {
   static constexpr char kDigits[] = "0123456789abcdef";
   unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(reinterpret_cast<const unsigned char*>(aText.data()),
-         aText.size(),
-         digest);
+  SHA256(
+    reinterpret_cast<const unsigned char*>(aText.data()), aText.size(), digest);
   std::string text;
   text.reserve(2 * sizeof digest);
   for (const unsigned char byte : digest) {
--- a/src/requests/Follower.cpp
+++ b/src/requests/Follower.cpp
@@ -25,8 +25,8 @@
   error.step_ = "follow";
   error.peer_ = aOwner.Value();
   error.ran_ = Ran::Unknown;
-  error.message_ = "The instance that runs the request can't be followed: " +
-                   aReason + ".";
+  error.message_ =
+    "The instance that runs the request can't be followed: " + aReason + ".";
   return error;
 }
 
@@ -200,25 +200,25 @@
 Follower::Follower(RequestContext& aContext, Finder aFinder)
   : context_(aContext)
 {
-  context_.peers_.OnMessage<Follow>(
-    [&loop = context_.loop_, finder = std::move(aFinder)](
-      const PeerIdentity&,
-      const Message& aMessage,
-      const PeerNetwork::Responder& aRespond) {
-      const auto& follow = std::get<Follow>(aMessage);
-      const auto log = finder(follow.request_);
-      if (log != nullptr) {
-        std::make_shared<PeerFeed>(loop, log, follow.from_, aRespond)->Begin();
-        return;
-      }
-      AnswerPart part;
-      part.request_ = follow.request_;
-      part.attempt_ = kFollowAttempt;
-      part.kind_ = AnswerPartKind::Broken;
-      CallerError error = LostError(InstanceId(), "it no longer has the answer");
-      part.data_ = WriteCallerError(error);
-      aRespond(part);
-    });
+  context_.peers_.OnMessage<Follow>([&loop = context_.loop_,
+                                     finder = std::move(aFinder)](
+                                      const PeerIdentity&,
+                                      const Message& aMessage,
+                                      const PeerNetwork::Responder& aRespond) {
+    const auto& follow = std::get<Follow>(aMessage);
+    const auto log = finder(follow.request_);
+    if (log != nullptr) {
+      std::make_shared<PeerFeed>(loop, log, follow.from_, aRespond)->Begin();
+      return;
+    }
+    AnswerPart part;
+    part.request_ = follow.request_;
+    part.attempt_ = kFollowAttempt;
+    part.kind_ = AnswerPartKind::Broken;
+    CallerError error = LostError(InstanceId(), "it no longer has the answer");
+    part.data_ = WriteCallerError(error);
+    aRespond(part);
+  });
 }
 
 void
@@ -227,8 +227,7 @@
                const RequestId& aRequest)
 {
   aLog->SetRequest(aRequest);
-  const PeerIdentity* peer =
-    FindPeer(context_.membership_.Members(), aOwner);
+  const PeerIdentity* peer = FindPeer(context_.membership_.Members(), aOwner);
   if (peer == nullptr || aOwner == context_.membership_.Members().self_) {
     aLog->Fail(LostError(aOwner, "it is not among the live instances"));
     return;
@@ -242,8 +241,7 @@
   joined->stop_ = context_.peers_.OpenStream(
     *peer, follow, kFollowSilence, [joined](const PeerReply& aReply) {
       joined->Take(aReply);
-      if (joined->log_->GetState() != AnswerLog::State::Open &&
-          joined->stop_) {
+      if (joined->log_->GetState() != AnswerLog::State::Open && joined->stop_) {
         const auto stop = std::move(joined->stop_);
         joined->stop_ = nullptr;
         stop();
--- a/src/requests/ModelCall.cpp
+++ b/src/requests/ModelCall.cpp
@@ -155,8 +155,8 @@
        at + kBlockBytes <= aPrompt.size() && hashes.size() < kMaxBlocks;
        at += kBlockBytes) {
     for (std::size_t offset = 0; offset < kBlockBytes; ++offset) {
-      hash = (hash ^ static_cast<unsigned char>(aPrompt[at + offset])) *
-             kFnvPrime;
+      hash =
+        (hash ^ static_cast<unsigned char>(aPrompt[at + offset])) * kFnvPrime;
     }
     hashes.push_back(hash);
   }
--- a/src/requests/Reclaim.cpp
+++ b/src/requests/Reclaim.cpp
@@ -72,12 +72,11 @@
   }
   const HandoverPlan plan = PlanHandover(input);
   for (const HandoverStep& step : plan.steps_) {
-    context_.loop_.CallAfter(
-      step.delay_, [weak = weak_from_this(), step] {
-        if (const auto self = weak.lock()) {
-          self->SendOne(step.request_, step.successor_);
-        }
-      });
+    context_.loop_.CallAfter(step.delay_, [weak = weak_from_this(), step] {
+      if (const auto self = weak.lock()) {
+        self->SendOne(step.request_, step.successor_);
+      }
+    });
   }
   LogFor("recovery")
     ->info("Handing over {} requests, {} end in time, {} can't be saved.",
@@ -121,15 +120,14 @@
     kReplyLimit,
     [self = shared_from_this(), aTask, aMessage, aSuccessors](
       const PeerReply& aReply) {
-      const auto* reply =
-        aReply.message_ ? std::get_if<HandOverReply>(&*aReply.message_)
-                        : nullptr;
+      const auto* reply = aReply.message_
+                            ? std::get_if<HandOverReply>(&*aReply.message_)
+                            : nullptr;
       if (reply != nullptr && reply->isAccepted_) {
         aTask->Leave();
         return;
       }
-      const bool isRefused =
-        reply != nullptr || aReply.error_ == kNotConnected;
+      const bool isRefused = reply != nullptr || aReply.error_ == kNotConnected;
       if (!isRefused && !aTask->Request().isRepeatable_) {
         // The successor may have it. Going on here could run it twice; if the
         // message was lost, the claim in the ledger settles the request.
--- a/src/requests/ReplyForm.cpp
+++ b/src/requests/ReplyForm.cpp
@@ -29,10 +29,8 @@
 
 ChunkWriter::ChunkWriter(const ReplyForm& aForm, const std::string& aId)
 {
-  std::string frame =
-    Dump(Frame(aForm,
-               aId,
-               aForm.isChat_ ? "chat.completion.chunk" : "text_completion"));
+  std::string frame = Dump(Frame(
+    aForm, aId, aForm.isChat_ ? "chat.completion.chunk" : "text_completion"));
   frame.pop_back();
   head_ = "data: " + frame + R"(,"choices":[{"index":0,)";
   head_ += aForm.isChat_ ? R"("delta":{"content":)" : R"("text":)";
@@ -73,8 +71,8 @@
   } else {
     choice["text"] = aText;
   }
-  json body = Frame(
-    aForm, aId, aForm.isChat_ ? "chat.completion" : "text_completion");
+  json body =
+    Frame(aForm, aId, aForm.isChat_ ? "chat.completion" : "text_completion");
   body["choices"] = json::array({ choice });
   const std::uint64_t prompt = aForm.promptTokens_.Value();
   body["usage"] = { { "prompt_tokens", prompt },
--- a/src/requests/RequestEnding.cpp
+++ b/src/requests/RequestEnding.cpp
@@ -159,8 +159,8 @@
   HandoverCandidate candidate;
   const std::size_t parts = assembler_.Parts().size();
   candidate.request_ = request_.id_;
-  candidate.size_ = Bytes(kHandoverHead + request_.body_.size() +
-                          log_->Size().Value());
+  candidate.size_ =
+    Bytes(kHandoverHead + request_.body_.size() + log_->Size().Value());
   candidate.isSentOnce_ =
     !request_.isRepeatable_ && (!running_.empty() || isAsking_);
   if (!request_.model_) {
@@ -171,8 +171,8 @@
   const std::uint64_t most = request_.model_->maxTokens_.Value();
   if (parts > 1 && most > parts && firstToken_ != MonotonicTime{}) {
     const Duration since = context_.loop_.GetClock().Now() - firstToken_;
-    candidate.expectedEnd_ = since * std::int64_t(most - parts) /
-                             std::int64_t(parts - 1);
+    candidate.expectedEnd_ =
+      since * std::int64_t(most - parts) / std::int64_t(parts - 1);
   }
   return candidate;
 }
@@ -257,8 +257,7 @@
   claim.owner_ = context_.membership_.Members().self_;
   context_.ledger_.Register(claim, kClaimLimit, [](const RegisterReply&) {});
   Server server;
-  server.id_ =
-    attempts_.empty() ? ServerId() : attempts_.back().server_;
+  server.id_ = attempts_.empty() ? ServerId() : attempts_.back().server_;
   for (const Server& listed : context_.servers_.Servers()) {
     if (listed.id_ == server.id_) {
       AskServer(listed);
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -109,8 +109,7 @@
   if (found == running_.end()) {
     return;
   }
-  const auto byKey =
-    runningByKey_.find(found->second->Request().keyDigest_);
+  const auto byKey = runningByKey_.find(found->second->Request().keyDigest_);
   if (byKey != runningByKey_.end() && byKey->second == aRequest) {
     runningByKey_.erase(byKey);
   }
--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -181,10 +181,8 @@
 {
   const AttemptNumber number(
     attempts_.empty() ? 1 : attempts_.back().number_.Value() + 1);
-  attempts_.push_back({ number,
-                        aServer.id_,
-                        context_.loop_.GetClock().Wall(),
-                        "running" });
+  attempts_.push_back(
+    { number, aServer.id_, context_.loop_.GetClock().Wall(), "running" });
   BackendCallInput input;
   input.server_ = aServer.address_;
   input.attempt_ = number;
@@ -210,12 +208,11 @@
   running.server_ = aServer;
   running.sent_ = context_.loop_.GetClock().Now();
   running.record_ = attempts_.size() - 1;
-  running.attempt_ =
-    std::make_shared<Attempt>(context_.loop_,
-                              context_.client_,
-                              MakeBackendCall(request_, input),
-                              TokenSilence(),
-                              std::move(callbacks));
+  running.attempt_ = std::make_shared<Attempt>(context_.loop_,
+                                               context_.client_,
+                                               MakeBackendCall(request_, input),
+                                               TokenSilence(),
+                                               std::move(callbacks));
   running.attempt_->Start();
   running_.emplace(number, std::move(running));
   ArmHedge(number);
@@ -232,8 +229,8 @@
   if (!delay) {
     return;
   }
-  timers_.push_back(context_.loop_.CallAfter(
-    *delay, [weak = weak_from_this(), aAttempt] {
+  timers_.push_back(
+    context_.loop_.CallAfter(*delay, [weak = weak_from_this(), aAttempt] {
       const auto self = weak.lock();
       if (self == nullptr || self->isEnded_ || self->isFrozen_) {
         return;
@@ -339,8 +336,7 @@
   if (isEnded_ || found == running_.end()) {
     return;
   }
-  const bool isAnswer =
-    aReply.end_ == HttpEnd::Complete && !IsRefusal(aReply);
+  const bool isAnswer = aReply.end_ == HttpEnd::Complete && !IsRefusal(aReply);
   if (isAnswer && !request_.model_) {
     const std::string server = found->second.server_.id_.Value();
     CloseAttempt(aAttempt, AttemptEnd::Completed, "complete");
@@ -416,8 +412,8 @@
   question.isRepeatable_ = request_.isRepeatable_;
   question.attempts_ = unsigned(attempts_.size());
   question.remaining_ = Remaining();
-  question.hasBudget_ = !DrawsOnBudget(aClass) ||
-                        context_.scheduler_.TakeRetry(request_.service_);
+  question.hasBudget_ =
+    !DrawsOnBudget(aClass) || context_.scheduler_.TakeRetry(request_.service_);
   return DecideRetry(question);
 }
 
--- a/src/requests/RequestTask.h
+++ b/src/requests/RequestTask.h
@@ -88,7 +88,8 @@
   void OnGranted(Scheduler::Ticket aTicket, const Grant& aGrant, bool aIsHedge);
   void Dispatch(Scheduler::Ticket aTicket, const Server& aServer);
   void ArmHedge(AttemptNumber aAttempt);
-  void OnEvents(AttemptNumber aAttempt, const std::vector<EngineEvent>& aEvents);
+  void OnEvents(AttemptNumber aAttempt,
+                const std::vector<EngineEvent>& aEvents);
   bool TakeEvents(Running& aRunning, const std::vector<EngineEvent>& aEvents);
   void SelectWinner(AttemptNumber aAttempt, Running& aRunning);
   void OnAttemptEnd(AttemptNumber aAttempt, const AttemptReply& aReply);
--- a/src/requests/StatusQuery.cpp
+++ b/src/requests/StatusQuery.cpp
@@ -38,8 +38,7 @@
     aQuery->onAnswer_(StatusAnswer{});
     return;
   }
-  aQuery->context_.loop_.CallAfter(aQuery->pause_,
-                                   [aQuery] { Ask(aQuery); });
+  aQuery->context_.loop_.CallAfter(aQuery->pause_, [aQuery] { Ask(aQuery); });
   aQuery->pause_ = std::min(2 * aQuery->pause_, kMaxPause);
 }
 
@@ -74,9 +73,8 @@
   request.silenceTimeout_ = kAnswerLimit;
   request.mayReuseConnection_ = false;
   aQuery->context_.client_.Fetch(
-    request, [aQuery](const HttpClientReply& aReply) {
-      HandleReply(aQuery, aReply);
-    });
+    request,
+    [aQuery](const HttpClientReply& aReply) { HandleReply(aQuery, aReply); });
 }
 
 std::optional<KeptAnswer>
@@ -111,8 +109,7 @@
     return answer;
   }
   const json body = json::parse(aReply.body_, nullptr, false);
-  if (!body.is_object() || !body.contains("ran") ||
-      !body["ran"].is_boolean()) {
+  if (!body.is_object() || !body.contains("ran") || !body["ran"].is_boolean()) {
     return answer;
   }
   if (body["ran"].get<bool>()) {
--- a/src/requests/TaskErrors.cpp
+++ b/src/requests/TaskErrors.cpp
@@ -113,20 +113,18 @@
 {
   const bool isCallersFault = aReply.end_ == HttpEnd::Complete &&
                               aReply.status_ >= 400 && aReply.status_ < 500;
-  CallerError error =
-    MakeError(isCallersFault ? aReply.status_ : 502,
-              aReply.end_ == HttpEnd::Complete ? "server_error"
-                                               : "server_unreachable",
-              "stream",
-              aRan,
-              "");
+  CallerError error = MakeError(
+    isCallersFault ? aReply.status_ : 502,
+    aReply.end_ == HttpEnd::Complete ? "server_error" : "server_unreachable",
+    "stream",
+    aRan,
+    "");
   error.peer_ = aServer;
-  error.message_ =
-    aReply.end_ == HttpEnd::Complete
-      ? "The backend server replied with status " +
-          std::to_string(aReply.status_) + "."
-      : "The call to the backend server ended early: " +
-          std::string(ToString(aReply.end_)) + ".";
+  error.message_ = aReply.end_ == HttpEnd::Complete
+                     ? "The backend server replied with status " +
+                         std::to_string(aReply.status_) + "."
+                     : "The call to the backend server ended early: " +
+                         std::string(ToString(aReply.end_)) + ".";
   return error;
 }
 
--- /dev/null
+++ b/test/correctness/RequestApiTest.cpp
@@ -0,0 +1,126 @@
+// Who may call what, and what the callers' API says about requests.
+
+#include "support/RequestWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+struct Case
+{
+  RequestNet net_;
+  std::vector<HttpServerRequest> received_;
+  std::unique_ptr<RequestWorld> world_;
+
+  Case()
+  {
+    net_.AddBackend("server", [this](std::shared_ptr<HttpExchange> aExchange) {
+      received_.push_back(aExchange->Request());
+      aExchange->Reply(201, { { "Content-Type", "text/plain" } }, "found");
+    });
+    world_ = std::make_unique<RequestWorld>(net_, "entry");
+  }
+};
+
+} // namespace
+
+Test(RequestApi, TokensDecideWhoMayCall)
+{
+  Case test;
+  RequestWorld& world = *test.world_;
+  const std::string target = "/services/desk/certificates";
+  cr_assert_eq(world.Fetch(HttpMethod::Post, target, "", "", "wrong").status_,
+               401);
+  cr_assert_eq(world.Fetch(HttpMethod::Post, target, "", "", "token-b").status_,
+               403);
+  cr_assert_eq(world.Fetch(HttpMethod::Get, "/services/none/x", "").status_,
+               404);
+  cr_assert_eq(world.Fetch(HttpMethod::Post, "/v1/completions", "{").status_,
+               400);
+  cr_assert(test.received_.empty());
+  cr_assert(test.net_.ledger_.outcomes_.empty());
+}
+
+Test(RequestApi, PlainCallsArePassedThrough)
+{
+  Case test;
+  const auto reply =
+    test.world_->Fetch(HttpMethod::Put, "/services/look/a%20b?c=d", "body");
+  cr_assert_eq(reply.status_, 201);
+  cr_assert_eq(reply.body_, "found");
+  cr_assert_eq(FindHeader(reply.headers_, "Content-Type"), "text/plain");
+  const HttpServerRequest& received = test.received_.at(0);
+  cr_assert_eq(received.method_, HttpMethod::Put);
+  cr_assert_eq(received.target_, "/a%20b?c=d");
+  cr_assert_eq(received.body_, "body");
+  cr_assert_eq(FindHeader(received.headers_, "X-Request-Id"),
+               FindHeader(reply.headers_, "X-Request-Id"));
+  cr_assert_eq(FindHeader(received.headers_, "X-Request-Deadline-Ms"),
+               "120000");
+  cr_assert_eq(FindHeader(received.headers_, "traceparent").size(), 55U);
+}
+
+// A request id must not tell one workspace about another's requests.
+Test(RequestApi, RecordsAreShownToTheirWorkspaceOnly)
+{
+  Case test;
+  const auto reply =
+    test.world_->Fetch(HttpMethod::Get, "/services/look/x", "");
+  const std::string target =
+    "/v1/requests/" + FindHeader(reply.headers_, "X-Request-Id");
+  const auto own = test.world_->Fetch(HttpMethod::Get, target, "");
+  cr_assert_eq(own.status_, 200);
+  cr_assert_eq(nlohmann::json::parse(own.body_)["outcome"], "completed");
+  cr_assert_eq(
+    test.world_->Fetch(HttpMethod::Get, target, "", "", "token-b").status_,
+    404);
+}
+
+Test(RequestApi, AKeyWithAnotherBodyIsRefused)
+{
+  Case test;
+  const std::string target = "/services/desk/certificates";
+  cr_assert_eq(test.world_->Fetch(HttpMethod::Post, target, "one", "k").status_,
+               201);
+  cr_assert_eq(test.world_->Fetch(HttpMethod::Post, target, "two", "k").status_,
+               422);
+  cr_assert_eq(test.received_.size(), 1U);
+}
+
+Test(RequestApi, AnUnsettledKeyIsAskedForAgainLater)
+{
+  Case test;
+  RegisterReply unsettled;
+  unsettled.status_ = RegisterStatus::Unsettled;
+  test.net_.ledger_.forced_ = unsettled;
+  const auto reply = test.world_->Fetch(
+    HttpMethod::Post, "/services/desk/certificates", "one", "k");
+  cr_assert_eq(reply.status_, 503);
+  cr_assert_not(FindHeader(reply.headers_, "Retry-After").empty());
+  cr_assert_eq(nlohmann::json::parse(reply.body_)["error"]["ran"], "unknown");
+  cr_assert(test.received_.empty());
+  cr_assert(test.net_.ledger_.outcomes_.empty());
+}
+
+Test(RequestApi, LeavingInstancesAreNotListedAndTakeNothingNew)
+{
+  Case test;
+  RequestWorld other(test.net_, "other");
+  RequestWorld leaving(test.net_, "leaving");
+  LinkWorlds({ test.world_.get(), &other, &leaving });
+  test.world_->membership_.members_.members_.back().state_ =
+    MemberState::Leaving;
+  const auto reply =
+    test.world_->Fetch(HttpMethod::Get, "/v1/addresses", "", "", "none");
+  const auto body = nlohmann::json::parse(reply.body_);
+  cr_assert_eq(body["addresses"].size(), 2U);
+  cr_assert_eq(body["addresses"][0]["address"].get<std::string>(),
+               ToString(test.world_->front_.BoundAddress()));
+  cr_assert_gt(body["ttlSeconds"].get<int>(), 0);
+  leaving.api_.StopAccepting();
+  cr_assert_eq(leaving.Fetch(HttpMethod::Get, "/services/look/x", "").status_,
+               503);
+  cr_assert(test.received_.empty());
+}
--- /dev/null
+++ b/test/support/RequestWorld.h
@@ -0,0 +1,205 @@
+#pragma once
+
+// One entry instance's request path with fakes at its borders, and scripted
+// backend servers, on one loop with a paused clock.
+
+#include "base/Clock.h"
+#include "requests/CallerApi.h"
+#include "requests/Digest.h"
+#include "support/FakeLedger.h"
+#include "support/FakeScheduler.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+class FakeConfiguration final : public ConfigurationSource
+{
+public:
+  std::shared_ptr<const Configuration> Current() const override
+  {
+    return current_;
+  }
+  void OnChange(std::function<void()>) override {}
+  std::shared_ptr<Configuration> current_ = std::make_shared<Configuration>();
+};
+
+class FakeServers final : public ServerList
+{
+public:
+  std::vector<Server> Servers() const override { return servers_; }
+  void OnChange(std::function<void()>) override {}
+  void ReportLeaving(const ServerId&) override {}
+  std::vector<Server> servers_;
+};
+
+class FakeMembership final : public Membership
+{
+public:
+  const MemberList& Members() const override { return members_; }
+  void OnChange(std::function<void()>) override {}
+  MemberList members_;
+};
+
+// Peers in one process, linked by instance id.
+class FakePeers final : public PeerNetwork
+{
+public:
+  FakePeers(EventLoop& aLoop, InstanceId aSelf)
+    : loop_(aLoop)
+  {
+    identity_.instance_ = std::move(aSelf);
+  }
+  void Send(const PeerIdentity& aTo, Message aMessage) override
+  {
+    Deliver(aTo, std::move(aMessage), [](PeerReply) {});
+  }
+  void Call(const PeerIdentity& aTo,
+            Message aMessage,
+            Duration,
+            std::function<void(PeerReply)> aOnReply) override
+  {
+    if (losesReplies_) {
+      Deliver(aTo, std::move(aMessage), [](PeerReply) {});
+      loop_.Post([aOnReply] { aOnReply({ std::nullopt, "timeout" }); });
+      return;
+    }
+    Deliver(aTo, std::move(aMessage), aOnReply);
+  }
+  std::function<void()> OpenStream(
+    const PeerIdentity& aTo,
+    Message aMessage,
+    Duration,
+    std::function<void(PeerReply)> aOnReply) override
+  {
+    auto isOpen = std::make_shared<bool>(true);
+    Deliver(aTo, std::move(aMessage), [isOpen, aOnReply](PeerReply aReply) {
+      if (*isOpen) {
+        aOnReply(std::move(aReply));
+      }
+    });
+    return [isOpen] { *isOpen = false; };
+  }
+  void ProbeOnNewConnection(const PeerIdentity&,
+                            Duration,
+                            std::function<void(bool)>) override
+  {
+  }
+
+  std::map<InstanceId, FakePeers*> links_;
+  // Replies to calls are lost after the message was delivered.
+  bool losesReplies_ = false;
+
+protected:
+  void SetHandler(std::size_t aType, Handler aHandler) override
+  {
+    handlers_[aType] = std::move(aHandler);
+  }
+
+private:
+  void Deliver(const PeerIdentity& aTo,
+               Message aMessage,
+               std::function<void(PeerReply)> aOnReply)
+  {
+    loop_.Post([this, aTo, message = std::move(aMessage), aOnReply] {
+      const auto link = links_.find(aTo.instance_);
+      if (link == links_.end() ||
+          link->second->handlers_.count(message.index()) == 0) {
+        aOnReply({ std::nullopt, "not connected" });
+        return;
+      }
+      const Responder respond = [&loop = loop_, aOnReply](Message aReply) {
+        loop.Post([aOnReply, aReply] { aOnReply({ aReply, "" }); });
+      };
+      link->second->handlers_.at(message.index())(identity_, message, respond);
+    });
+  }
+
+  EventLoop& loop_;
+  PeerIdentity identity_;
+  std::map<std::size_t, Handler> handlers_;
+};
+
+// A caller's view of one reply.
+struct CallerView
+{
+  bool isEnded_ = false;
+  HttpClientReply reply_;
+};
+
+// Clock, loop and network, shared by the instances of a test.
+struct RequestNet
+{
+  ManualClock clock_;
+  EventLoop loop_{ clock_ };
+  HttpClient client_{ loop_ };
+  HttpClient callerClient_{ loop_ };
+  FakeLedger ledger_{ loop_ };
+  std::vector<std::unique_ptr<HttpServer>> backends_;
+  std::vector<Server> servers_;
+
+  // Starts a backend server and returns its address.
+  Address AddBackend(const std::string& aId, HttpServer::Handler aHandler);
+  // Adds an address at which nothing listens.
+  void AddDeadBackend(const std::string& aId);
+  // Runs the loop until aDone; fails the test when that takes too long.
+  void Until(const std::function<bool()>& aDone);
+  // Runs until aDone while time passes in steps of 50 ms.
+  void PassTimeUntil(const std::function<bool()>& aDone);
+};
+
+struct RequestWorld
+{
+  // Services "model" (repeatable), "desk" (unrepeatable, with a status path),
+  // "bare" (unrepeatable, without one) and "look" (repeatable, plain); tokens
+  // "token-a" of workspace a and "token-b" of b.
+  RequestWorld(RequestNet& aNet, const std::string& aInstance);
+
+  // Calls the instance.
+  std::shared_ptr<CallerView> Send(HttpMethod aMethod,
+                                   const std::string& aTarget,
+                                   const std::string& aBody,
+                                   const std::string& aKey = "",
+                                   const std::string& aToken = "token-a");
+  HttpClientReply Fetch(HttpMethod aMethod,
+                        const std::string& aTarget,
+                        const std::string& aBody,
+                        const std::string& aKey = "",
+                        const std::string& aToken = "token-a");
+
+  RequestNet& net_;
+  FakeConfiguration configuration_;
+  FakeServers servers_;
+  FakeMembership membership_;
+  FakePeers peers_;
+  FakeScheduler scheduler_;
+  CallerApi api_;
+  HttpServer front_;
+  std::shared_ptr<HttpCall> lastCall_;
+};
+
+// Links worlds as live members, each in a failure domain of its own.
+void
+LinkWorlds(const std::vector<RequestWorld*>& aWorlds);
+
+// Body of a completions request to "model".
+std::string
+CompletionBody(bool aIsStream);
+
+// The event of one token of an engine's stream, and its end.
+std::string
+TokenEvent(unsigned aAttempt, std::size_t aIndex, const std::string& aText);
+std::string
+EndEvents(unsigned aAttempt, std::size_t aCount);
+
+// The text of all chunks of a caller's stream.
+std::string
+StreamText(const std::string& aBody);
+
+} // namespace sycamoreward
