Add the peer network over WebSocket and CBOR

Inner messages are CBOR maps whose fields are described once for both directions. Connections run websocketpp's iostream transport over libevent bufferevents, so that there is one event loop and no asio. Calls use connections that this side opened; a reply returns on the connection of its call.

--- /dev/null
+++ b/src/peer/MessageFields.h
@@ -0,0 +1,252 @@
+#pragma once
+
+// The fields of each inner message and their names on the wire, written once
+// for both directions: Describe calls aArchive for each field.
+
+#include "peer/Messages.h"
+
+namespace sycamoreward {
+
+template<typename A>
+void
+Describe(A& aArchive, Address& aValue)
+{
+  aArchive("ip", aValue.ip_);
+  aArchive("port", aValue.port_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, PeerIdentity& aValue)
+{
+  aArchive("instance", aValue.instance_);
+  aArchive("incarnation", aValue.incarnation_);
+  aArchive("domain", aValue.failureDomain_);
+  aArchive("region", aValue.region_);
+  aArchive("peer", aValue.peerAddress_);
+  aArchive("caller", aValue.callerAddress_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, AttemptRecord& aValue)
+{
+  aArchive("number", aValue.number_);
+  aArchive("server", aValue.server_);
+  aArchive("sent", aValue.sent_);
+  aArchive("end", aValue.end_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, KeptAnswer& aValue)
+{
+  aArchive("status", aValue.status_);
+  aArchive("contentType", aValue.contentType_);
+  aArchive.Binary("body", aValue.body_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Outcome& aValue)
+{
+  aArchive("request", aValue.request_);
+  aArchive("workspace", aValue.workspace_);
+  aArchive("service", aValue.service_);
+  aArchive("keyDigest", aValue.keyDigest_);
+  aArchive("bodyDigest", aValue.bodyDigest_);
+  aArchive.Enum("kind", aValue.kind_, OutcomeKind::Unknown);
+  aArchive("attempts", aValue.attempts_);
+  aArchive("accepted", aValue.accepted_);
+  aArchive("ended", aValue.ended_);
+  aArchive("answerDigest", aValue.answerDigest_);
+  aArchive("answerLength", aValue.answerLength_);
+  aArchive("evidence", aValue.evidence_);
+  aArchive("answer", aValue.answer_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, RegisterRequest& aValue)
+{
+  aArchive("request", aValue.request_);
+  aArchive("workspace", aValue.workspace_);
+  aArchive("service", aValue.service_);
+  aArchive("region", aValue.region_);
+  aArchive("keyDigest", aValue.keyDigest_);
+  aArchive("bodyDigest", aValue.bodyDigest_);
+  aArchive("durable", aValue.isDurable_);
+  aArchive("owner", aValue.owner_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, RegisterReply& aValue)
+{
+  aArchive.Enum("status", aValue.status_, RegisterStatus::Unavailable);
+  aArchive("request", aValue.request_);
+  aArchive("owner", aValue.owner_);
+  aArchive("outcome", aValue.outcome_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Hello& aValue)
+{
+  aArchive("protocol", aValue.protocol_);
+  aArchive("identity", aValue.identity_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, MemberEvent& aValue)
+{
+  aArchive("identity", aValue.identity_);
+  aArchive.Enum("state", aValue.state_, MemberState::Dead);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, ServerLeavingEvent& aValue)
+{
+  aArchive("server", aValue.server_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Beat& aValue)
+{
+  aArchive("incarnation", aValue.incarnation_);
+  aArchive("config", aValue.configuration_);
+  aArchive("servers", aValue.serverListVersion_);
+  aArchive("inForce", aValue.inForce_);
+  aArchive("members", aValue.members_);
+  aArchive("leaving", aValue.leavingServers_);
+}
+
+template<typename A>
+void
+Describe(A& /*aArchive*/, Probe& /*aValue*/)
+{
+}
+
+template<typename A>
+void
+Describe(A& /*aArchive*/, ProbeReply& /*aValue*/)
+{
+}
+
+template<typename A>
+void
+Describe(A& aArchive, FeedPull& aValue)
+{
+  aArchive.Enum("feed", aValue.feed_, FeedName::ServerList);
+  aArchive("after", aValue.after_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, FeedDelta& aValue)
+{
+  aArchive.Enum("feed", aValue.feed_, FeedName::ServerList);
+  aArchive("snapshot", aValue.isSnapshot_);
+  aArchive("after", aValue.after_);
+  aArchive("version", aValue.version_);
+  aArchive("items", aValue.items_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Register& aValue)
+{
+  aArchive("request", aValue.request_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Registered& aValue)
+{
+  aArchive("reply", aValue.reply_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Record& aValue)
+{
+  aArchive("outcomes", aValue.outcomes_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Recorded& aValue)
+{
+  aArchive("requests", aValue.requests_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Lookup& aValue)
+{
+  aArchive("request", aValue.request_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, LookupAnswer& aValue)
+{
+  aArchive("outcome", aValue.outcome_);
+  aArchive("error", aValue.error_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Follow& aValue)
+{
+  aArchive("request", aValue.request_);
+  aArchive("from", aValue.from_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, AnswerPart& aValue)
+{
+  aArchive("request", aValue.request_);
+  aArchive("attempt", aValue.attempt_);
+  aArchive("index", aValue.index_);
+  aArchive.Enum("kind", aValue.kind_, AnswerPartKind::Broken);
+  aArchive("status", aValue.status_);
+  aArchive("contentType", aValue.contentType_);
+  aArchive.Binary("data", aValue.data_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, HandOver& aValue)
+{
+  aArchive("request", aValue.request_);
+  aArchive("workspace", aValue.workspace_);
+  aArchive("service", aValue.service_);
+  aArchive("keyDigest", aValue.keyDigest_);
+  aArchive("bodyDigest", aValue.bodyDigest_);
+  aArchive("method", aValue.method_);
+  aArchive("target", aValue.target_);
+  aArchive("contentType", aValue.contentType_);
+  aArchive.Binary("body", aValue.body_);
+  aArchive("accepted", aValue.accepted_);
+  aArchive("remaining", aValue.remaining_);
+  aArchive("attempts", aValue.attempts_);
+  aArchive("sent", aValue.isSent_);
+  aArchive("status", aValue.status_);
+  aArchive("answerContentType", aValue.answerContentType_);
+  aArchive("tokens", aValue.tokens_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, HandOverReply& aValue)
+{
+  aArchive("accepted", aValue.isAccepted_);
+  aArchive("reason", aValue.reason_);
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/peer/OutboundPeer.h
@@ -0,0 +1,114 @@
+#pragma once
+
+// The connecting side of a connection to one entry instance: the exchange of
+// Hello, calls that wait for replies, and the messages that wait for the
+// connection.
+
+#include "base/Clock.h"
+#include "membership/Member.h"
+#include "peer/MessageCodec.h"
+#include "peer/PeerLink.h"
+#include "peer/PeerNetwork.h"
+#include "runtime/EventLoop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+class OutboundPeer : public std::enable_shared_from_this<OutboundPeer>
+{
+public:
+  struct Callbacks
+  {
+    // The answering instance is not the expected one; the connection closes.
+    std::function<void(const PeerIdentity& aActual)> onMismatch_;
+    // A call on the established connection got no reply in time.
+    std::function<void()> onCallTimeout_;
+    // No call follows this one.
+    std::function<void()> onClosed_;
+  };
+
+  using OnReply = std::function<void(PeerReply)>;
+
+  // An incarnation of 0 in aExpected stands for any.
+  OutboundPeer(EventLoop& aLoop,
+               PeerIdentity aExpected,
+               std::shared_ptr<LinkTraffic> aTraffic,
+               Callbacks aCallbacks);
+  ~OutboundPeer();
+  OutboundPeer(const OutboundPeer&) = delete;
+  OutboundPeer& operator=(const OutboundPeer&) = delete;
+
+  // Connects; fails when Hello has not been answered within aTimeout.
+  void Start(const PeerIdentity& aSelf, Duration aTimeout);
+
+  // The answering instance once it is known, before that the expected one.
+  const PeerIdentity& Identity() const { return identity_; }
+
+  void Send(const Message& aMessage);
+
+  // aOnReply is called once, later than this call returns.
+  void Call(const Message& aMessage, Duration aTimeout, OnReply aOnReply);
+
+  // aOnReply is called for each reply and last with an error. Returns the
+  // number for EndStream.
+  std::uint64_t OpenStream(const Message& aMessage,
+                           Duration aSilence,
+                           OnReply aOnReply);
+  void EndStream(std::uint64_t aNumber);
+
+  // Sends this instance's changed identity over an established connection.
+  void SayHello(const PeerIdentity& aSelf);
+
+  bool IsEstablished() const { return isEstablished_; }
+  bool HasCalls() const { return !calls_.empty(); }
+  MonotonicTime LastUsed() const { return lastUsed_; }
+  MonotonicTime LastReceived() const { return link_->LastReceived(); }
+  void Ping() { link_->Ping(); }
+
+  // Fails all calls with aReason and cuts the connection.
+  void Close(const std::string& aReason);
+
+private:
+  struct PendingCall
+  {
+    OnReply onReply_;
+    EventLoop::TimerId timer_ = 0;
+    // Longest wait for each reply of a stream; 0 for a single reply.
+    Duration silence_{ 0 };
+  };
+
+  std::uint64_t AddCall(const Message& aMessage,
+                        Duration aTimeout,
+                        Duration aSilence,
+                        OnReply aOnReply);
+  void Write(const Message& aMessage, std::uint64_t aNumber);
+  void OnOpen(const PeerIdentity& aSelf);
+  void OnFrame(const std::string& aBytes);
+  void OnHello(const Hello& aHello);
+  void OnReplyFrame(std::uint64_t aNumber, Message aMessage);
+  void OnTimeout(std::uint64_t aNumber);
+  EventLoop::TimerId StartTimer(std::uint64_t aNumber, Duration aTimeout);
+
+  EventLoop& loop_;
+  PeerIdentity identity_;
+  std::shared_ptr<LinkTraffic> traffic_;
+  Callbacks callbacks_;
+  std::shared_ptr<PeerLink> link_;
+  bool isEstablished_ = false;
+  bool isClosed_ = false;
+  std::string closeReason_;
+  EventLoop::TimerId helloTimer_ = 0;
+  MonotonicTime lastUsed_;
+  std::uint64_t nextNumber_ = 1;
+  std::map<std::uint64_t, PendingCall> calls_;
+  // Encoded messages that wait for the answer to Hello.
+  std::vector<std::string> queued_;
+  std::size_t queuedBytes_ = 0;
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/peer/PeerNetworkState.cpp
@@ -0,0 +1,263 @@
+#include "peer/PeerNetworkState.h"
+
+#include "base/Error.h"
+#include "peer/SocketAddress.h"
+#include "telemetry/Log.h"
+
+#include <event2/listener.h>
+#include <unistd.h>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::seconds(1);
+// An accepted connection is closed when nothing arrived for this time. The side
+// that opened it pings more often while it is in use.
+constexpr Duration kAcceptedSilenceLimit = std::chrono::seconds(90);
+
+} // namespace
+
+void
+WebSocketPeerNetwork::State::Listen()
+{
+  const Address& address = options_.listen_;
+  sockaddr_storage storage{};
+  const socklen_t length = FillSocketAddress(address, storage);
+  listener_ = evconnlistener_new_bind(
+    loop_.Base(),
+    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+      static_cast<State*>(aSelf)->Accept(aSocket);
+    },
+    this,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+    -1,
+    reinterpret_cast<sockaddr*>(&storage),
+    int(length));
+  if (listener_ == nullptr) {
+    throw InternalError("listen for peers",
+                        ToString(address),
+                        "Can't listen on " + ToString(address) + ".");
+  }
+  options_.listen_.port_ = BoundPort(evconnlistener_get_fd(listener_));
+  if (self_.peerAddress_.port_ == 0) {
+    self_.peerAddress_ = options_.listen_;
+  }
+}
+
+void
+WebSocketPeerNetwork::State::Tick()
+{
+  timer_ = loop_.CallAfter(kTick, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Tick();
+    }
+  });
+  const MonotonicTime now = loop_.GetClock().Now();
+  const auto opened = opened_;
+  for (const auto& peer : opened) {
+    if (!peer->IsEstablished()) {
+      continue;
+    }
+    const Duration silence = now - peer->LastReceived();
+    const auto shared = peers_.find(peer->Identity().instance_);
+    const bool isRetired = shared == peers_.end() || shared->second != peer;
+    if (!peer->HasCalls() &&
+        (isRetired || now - peer->LastUsed() > options_.idleTime_)) {
+      peer->Close("idle");
+    } else if (silence > options_.silenceLimit_) {
+      peer->Close("silent");
+    } else if (silence > options_.pingAfter_) {
+      peer->Ping();
+    }
+  }
+  const auto accepted = accepted_;
+  for (const auto& peer : accepted) {
+    const Duration limit =
+      peer->isIntroduced_ ? kAcceptedSilenceLimit : options_.connectTimeout_;
+    if (now - peer->link_->LastReceived() > limit) {
+      Drop(peer);
+    }
+  }
+}
+
+void
+WebSocketPeerNetwork::State::Accept(int aSocket)
+{
+  if (accepted_.size() >= options_.maxConnections_) {
+    close(aSocket);
+    return;
+  }
+  const auto peer = std::make_shared<InboundPeer>();
+  const std::weak_ptr<State> weakState = weak_from_this();
+  const std::weak_ptr<InboundPeer> weakPeer = peer;
+  PeerLink::Callbacks callbacks;
+  callbacks.onFrame_ = [weakState, weakPeer](const std::string& aBytes) {
+    const auto state = weakState.lock();
+    const auto strongPeer = weakPeer.lock();
+    if (state != nullptr && strongPeer != nullptr) {
+      state->OnInboundFrame(strongPeer, aBytes);
+    }
+  };
+  callbacks.onClosed_ = [weakState, weakPeer](const std::string& /*aReason*/) {
+    const auto state = weakState.lock();
+    const auto strongPeer = weakPeer.lock();
+    if (state != nullptr && strongPeer != nullptr) {
+      state->Drop(strongPeer);
+    }
+  };
+  peer->link_ = AcceptLink(loop_, aSocket, traffic_, std::move(callbacks));
+  accepted_.insert(peer);
+  ++statistics_.acceptedConnections_;
+}
+
+void
+WebSocketPeerNetwork::State::Drop(const std::shared_ptr<InboundPeer>& aPeer)
+{
+  aPeer->link_->Close();
+  accepted_.erase(aPeer);
+}
+
+void
+WebSocketPeerNetwork::State::OnInboundFrame(
+  const std::shared_ptr<InboundPeer>& aPeer,
+  const std::string& aBytes)
+{
+  try {
+    const Frame frame = DecodeMessage(aBytes);
+    if (!frame.message_.has_value()) {
+      ++statistics_.unknownMessages_;
+    } else if (const auto* hello = std::get_if<Hello>(&*frame.message_)) {
+      if (!aPeer->isIntroduced_) {
+        aPeer->identity_ = hello->identity_;
+        aPeer->isIntroduced_ = true;
+        aPeer->link_->SendFrame(
+          EncodeMessage(Hello{ kProtocolVersion, self_ }, 0));
+      } else if (hello->identity_.instance_ == aPeer->identity_.instance_) {
+        aPeer->identity_ = hello->identity_;
+      }
+    } else if (!aPeer->isIntroduced_) {
+      ++statistics_.malformedFrames_;
+      Drop(aPeer);
+    } else {
+      Dispatch(aPeer, frame);
+    }
+  } catch (const UserError& error) {
+    ++statistics_.malformedFrames_;
+    LogFor("peer")->warn("{} sent a malformed frame: {}",
+                         aPeer->identity_.instance_.Value(),
+                         error.what());
+    Drop(aPeer);
+  }
+}
+
+void
+WebSocketPeerNetwork::State::Dispatch(const std::shared_ptr<InboundPeer>& aPeer,
+                                      const Frame& aFrame)
+{
+  const std::weak_ptr<InboundPeer> weak = aPeer;
+  const Responder respond = [weak,
+                             number = aFrame.number_](const Message& aReply) {
+    const auto peer = weak.lock();
+    if (peer == nullptr || number == 0) {
+      return;
+    }
+    try {
+      peer->link_->SendFrame(EncodeMessage(aReply, number));
+    } catch (const UserError& error) {
+      LogFor("peer")->error("A reply was dropped: {}", error.what());
+    }
+  };
+  if (std::holds_alternative<Probe>(*aFrame.message_)) {
+    respond(ProbeReply{});
+    return;
+  }
+  const Handler handler = handlers_[aFrame.message_->index()];
+  if (!handler) {
+    ++statistics_.unknownMessages_;
+    return;
+  }
+  try {
+    handler(aPeer->identity_, *aFrame.message_, respond);
+  } catch (const std::exception& error) {
+    LogFor("peer")->error(
+      "The handler of {} failed: {}", aFrame.type_, error.what());
+  }
+}
+
+std::shared_ptr<OutboundPeer>
+WebSocketPeerNetwork::State::Open(const PeerIdentity& aTo, bool aIsShared)
+{
+  if (opened_.size() >= options_.maxConnections_) {
+    return nullptr;
+  }
+  const std::weak_ptr<State> weak = weak_from_this();
+  auto holder = std::make_shared<std::weak_ptr<OutboundPeer>>();
+  const InstanceId instance = aTo.instance_;
+  OutboundPeer::Callbacks callbacks;
+  callbacks.onMismatch_ = [weak, aTo](const PeerIdentity& aActual) {
+    const auto state = weak.lock();
+    if (state == nullptr) {
+      return;
+    }
+    ++state->statistics_.identityMismatches_;
+    if (state->onMismatch_) {
+      state->onMismatch_(aTo, aActual);
+    }
+  };
+  callbacks.onCallTimeout_ = [weak, holder, instance] {
+    const auto peer = holder->lock();
+    if (const auto state = weak.lock()) {
+      state->Retire(instance, peer.get());
+    }
+  };
+  callbacks.onClosed_ = [weak, holder, instance] {
+    const auto peer = holder->lock();
+    if (const auto state = weak.lock()) {
+      state->Retire(instance, peer.get());
+      state->opened_.erase(peer);
+    }
+  };
+  auto peer =
+    std::make_shared<OutboundPeer>(loop_, aTo, traffic_, std::move(callbacks));
+  *holder = peer;
+  opened_.insert(peer);
+  ++statistics_.openedConnections_;
+  if (aIsShared) {
+    peers_[instance] = peer;
+  }
+  peer->Start(self_, options_.connectTimeout_);
+  return peer;
+}
+
+std::shared_ptr<OutboundPeer>
+WebSocketPeerNetwork::State::Find(const PeerIdentity& aTo)
+{
+  const auto found = peers_.find(aTo.instance_);
+  if (found == peers_.end()) {
+    return Open(aTo, true);
+  }
+  const auto peer = found->second;
+  const Incarnation known = peer->Identity().incarnation_;
+  if (aTo.incarnation_.Value() == 0 || known == aTo.incarnation_) {
+    return peer;
+  }
+  // Another start of the instance than the one that is connected: a new
+  // connection finds out which of them is there.
+  Retire(aTo.instance_, peer.get());
+  return Open(aTo, true);
+}
+
+// Takes a connection out of use for new messages. Tick closes it when its last
+// calls have ended.
+void
+WebSocketPeerNetwork::State::Retire(const InstanceId& aInstance,
+                                    const OutboundPeer* aPeer)
+{
+  const auto found = peers_.find(aInstance);
+  if (found != peers_.end() && found->second.get() == aPeer) {
+    peers_.erase(found);
+  }
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/peer/PeerNetworkState.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// The connections of a WebSocketPeerNetwork and what runs on them.
+
+#include "peer/OutboundPeer.h"
+#include "peer/WebSocketPeerNetwork.h"
+#include "runtime/EventLoop.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+struct evconnlistener;
+
+namespace sycamoreward {
+
+// A connection that another instance opened.
+struct InboundPeer
+{
+  std::shared_ptr<PeerLink> link_;
+  PeerIdentity identity_;
+  bool isIntroduced_ = false;
+};
+
+struct WebSocketPeerNetwork::State
+  : std::enable_shared_from_this<WebSocketPeerNetwork::State>
+{
+  State(EventLoop& aLoop,
+        const PeerNetworkOptions& aOptions,
+        const PeerIdentity& aSelf)
+    : loop_(aLoop)
+    , options_(aOptions)
+    , self_(aSelf)
+  {
+  }
+
+  void Listen();
+  void Tick();
+  void Accept(int aSocket);
+  void OnInboundFrame(const std::shared_ptr<InboundPeer>& aPeer,
+                      const std::string& aBytes);
+  void Dispatch(const std::shared_ptr<InboundPeer>& aPeer, const Frame& aFrame);
+  void Drop(const std::shared_ptr<InboundPeer>& aPeer);
+  std::shared_ptr<OutboundPeer> Open(const PeerIdentity& aTo, bool aIsShared);
+  std::shared_ptr<OutboundPeer> Find(const PeerIdentity& aTo);
+  void Retire(const InstanceId& aInstance, const OutboundPeer* aPeer);
+
+  EventLoop& loop_;
+  PeerNetworkOptions options_;
+  PeerIdentity self_;
+  evconnlistener* listener_ = nullptr;
+  EventLoop::TimerId timer_ = 0;
+  std::shared_ptr<LinkTraffic> traffic_ = std::make_shared<LinkTraffic>();
+  PeerNetworkStatistics statistics_;
+  MismatchCallback onMismatch_;
+  std::array<Handler, std::variant_size_v<Message>> handlers_;
+  // The connection for new messages to each instance.
+  std::map<InstanceId, std::shared_ptr<OutboundPeer>> peers_;
+  // All open connections, with those that are only kept for their last calls.
+  std::set<std::shared_ptr<OutboundPeer>> opened_;
+  std::set<std::shared_ptr<InboundPeer>> accepted_;
+};
+
+} // namespace sycamoreward
