Add membership: member table, neighbours, heartbeats and probes

Each heartbeat round also carries one entry of the table, which repairs what lost messages left out at a constant cost. One member thought dead or one seed is contacted every 5 s, so that the sides of a healed partition find each other.

--- /dev/null
+++ b/src/membership/MembershipTask.cpp
@@ -0,0 +1,328 @@
+#include "membership/MembershipTask.h"
+
+#include "telemetry/Log.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr Duration kBeatInterval = std::chrono::seconds(1);
+constexpr Duration kBeatTimeout = std::chrono::seconds(1);
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+// Bound of the additional heartbeats that new events cause.
+constexpr Duration kRoundInterval = std::chrono::milliseconds(100);
+// A longer time between two ticks means that this process was paused.
+constexpr Duration kPauseTime = std::chrono::seconds(5);
+// Ticks between two tries to reach a seed or a member thought dead.
+constexpr std::uint64_t kContactInterval = 5;
+constexpr std::size_t kMaxEventsPerBeat = 64;
+
+} // namespace
+
+MembershipTask::MembershipTask(EventLoop& aLoop,
+                               PeerNetwork& aNetwork,
+                               const PeerIdentity& aSelf)
+  : loop_(aLoop)
+  , network_(aNetwork)
+  , table_(aSelf)
+  , lastTick_(aLoop.GetClock().Now())
+  , lastRound_(lastTick_ - kRoundInterval)
+{
+  network_.OnMessage<Beat>([this, weak = std::weak_ptr<bool>(alive_)](
+                             const PeerIdentity& aFrom,
+                             const Message& aMessage,
+                             const PeerNetwork::Responder& aRespond) {
+    if (!weak.expired()) {
+      OnBeat(aFrom, std::get<Beat>(aMessage), aRespond);
+    }
+  });
+  timer_ = loop_.CallAfter(kBeatInterval, [this] { Tick(); });
+}
+
+MembershipTask::~MembershipTask()
+{
+  loop_.CancelTimer(timer_);
+  loop_.CancelTimer(roundTimer_);
+}
+
+const MemberList&
+MembershipTask::Members() const
+{
+  return table_.List();
+}
+
+void
+MembershipTask::OnChange(std::function<void()> aObserver)
+{
+  observers_.push_back(std::move(aObserver));
+}
+
+const PeerIdentity&
+MembershipTask::Self() const
+{
+  return table_.Self();
+}
+
+void
+MembershipTask::SetSeeds(std::vector<PeerIdentity> aSeeds)
+{
+  const bool isFirst = seeds_.empty();
+  seeds_ = std::move(aSeeds);
+  if (isFirst) {
+    for (const PeerIdentity& seed : seeds_) {
+      if (seed.instance_ != Self().instance_) {
+        SendBeat(seed, false);
+      }
+    }
+  }
+}
+
+void
+MembershipTask::OnNewIncarnation(std::function<void(Incarnation)> aCallback)
+{
+  onNewIncarnation_ = std::move(aCallback);
+}
+
+void
+MembershipTask::AddToBeats(FillBeat aFill, ReadBeat aOnBeat)
+{
+  extras_.emplace_back(std::move(aFill), std::move(aOnBeat));
+}
+
+void
+MembershipTask::Tick()
+{
+  timer_ = loop_.CallAfter(kBeatInterval, [this] { Tick(); });
+  const MonotonicTime now = loop_.GetClock().Now();
+  if (now - lastTick_ > kPauseTime) {
+    LogFor("membership")
+      ->warn(
+        "This instance was paused for {} ms.",
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTick_)
+          .count());
+    monitor_.Restart(now);
+    table_.RestartSuspicions(now);
+  }
+  lastTick_ = now;
+  const Incarnation before = Self().incarnation_;
+  if (table_.Expire(now)) {
+    Changed(before);
+  }
+  monitor_.SetNeighbours(ChooseNeighbours(table_.List()), now);
+  for (const InstanceId& instance : monitor_.DueProbes(now)) {
+    StartProbe(instance);
+  }
+  // One heartbeat of the round carries an entry of the table.
+  bool isRefresh = true;
+  for (const PeerIdentity& neighbour : Neighbours()) {
+    SendBeat(neighbour, isRefresh);
+    isRefresh = false;
+  }
+  if (++ticks_ % kContactInterval == 0) {
+    ContactLost();
+  }
+}
+
+// Without this, the two sides of a partition would not find each other again
+// after they have declared each other dead.
+void
+MembershipTask::ContactLost()
+{
+  std::vector<PeerIdentity> lost;
+  for (const Member& member : Members().members_) {
+    if (member.state_ == MemberState::Dead) {
+      lost.push_back(member.identity_);
+    }
+  }
+  for (const PeerIdentity& seed : seeds_) {
+    const auto& members = Members().members_;
+    const bool isKnown =
+      std::any_of(members.begin(), members.end(), [&](const Member& aMember) {
+        return aMember.identity_.instance_ == seed.instance_;
+      });
+    if (!isKnown) {
+      lost.push_back(seed);
+    }
+  }
+  if (!lost.empty()) {
+    SendBeat(lost[ticks_ / kContactInterval % lost.size()], false);
+  }
+}
+
+Beat
+MembershipTask::MakeBeat()
+{
+  Beat beat;
+  beat.incarnation_ = Self().incarnation_;
+  beat.members_ = table_.TakeEvents(kMaxEventsPerBeat);
+  for (const auto& [fill, read] : extras_) {
+    fill(beat);
+  }
+  return beat;
+}
+
+void
+MembershipTask::SendBeat(const PeerIdentity& aTo, bool aIsRefresh)
+{
+  Beat beat = MakeBeat();
+  if (aIsRefresh) {
+    beat.members_.push_back(table_.NextRefresh());
+  }
+  if (const auto correction = table_.CorrectionFor(aTo)) {
+    beat.members_.push_back(*correction);
+  }
+  network_.Call(
+    aTo,
+    std::move(beat),
+    kBeatTimeout,
+    [this, aTo, weak = std::weak_ptr<bool>(alive_)](const PeerReply& aReply) {
+      if (weak.expired() || !aReply.message_.has_value()) {
+        return;
+      }
+      if (const auto* reply = std::get_if<Beat>(&*aReply.message_)) {
+        PeerIdentity from = aTo;
+        from.incarnation_ = reply->incarnation_;
+        Read(from, *reply);
+      }
+    });
+}
+
+void
+MembershipTask::OnBeat(const PeerIdentity& aFrom,
+                       const Beat& aBeat,
+                       const PeerNetwork::Responder& aRespond)
+{
+  const bool isNew = !table_.Find(aFrom.instance_).has_value();
+  const Incarnation before = Self().incarnation_;
+  if (isNew &&
+      table_.Apply({ aFrom, MemberState::Live }, loop_.GetClock().Now())) {
+    Changed(before);
+  }
+  Read(aFrom, aBeat);
+  Beat reply = MakeBeat();
+  if (isNew) {
+    reply.members_ = table_.All();
+  }
+  if (const auto correction = table_.CorrectionFor(aFrom)) {
+    reply.members_.push_back(*correction);
+  }
+  aRespond(std::move(reply));
+}
+
+void
+MembershipTask::Read(const PeerIdentity& aFrom, const Beat& aBeat)
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  monitor_.Heard(aFrom.instance_, now);
+  table_.Heard(aFrom.instance_);
+  const Incarnation before = Self().incarnation_;
+  bool isChanged = false;
+  for (const MemberEvent& event : aBeat.members_) {
+    isChanged = table_.Apply(event, now) || isChanged;
+  }
+  if (isChanged) {
+    Changed(before);
+  }
+  for (const auto& [fill, read] : extras_) {
+    read(aFrom, aBeat);
+  }
+}
+
+void
+MembershipTask::StartProbe(const InstanceId& aInstance)
+{
+  const auto identity = table_.Find(aInstance);
+  if (!identity.has_value()) {
+    return;
+  }
+  network_.ProbeOnNewConnection(
+    *identity,
+    kProbeTimeout,
+    [this, aInstance, weak = std::weak_ptr<bool>(alive_)](bool aIsAlive) {
+      if (weak.expired()) {
+        return;
+      }
+      const MonotonicTime now = loop_.GetClock().Now();
+      const Incarnation before = Self().incarnation_;
+      if (aIsAlive) {
+        monitor_.Heard(aInstance, now);
+        table_.Heard(aInstance);
+      } else if (now - lastTick_ <= kPauseTime &&
+                 monitor_.ProbeFailed(aInstance, now)) {
+        table_.SuspectNeighbour(aInstance, now);
+        Changed(before);
+      }
+    });
+}
+
+void
+MembershipTask::Changed(Incarnation aBefore)
+{
+  if (Self().incarnation_ != aBefore && onNewIncarnation_) {
+    onNewIncarnation_(Self().incarnation_);
+  }
+  monitor_.SetNeighbours(ChooseNeighbours(table_.List()),
+                         loop_.GetClock().Now());
+  if (table_.HasNewEvents()) {
+    BeatNow();
+  }
+  for (const auto& observer : observers_) {
+    observer();
+  }
+}
+
+void
+MembershipTask::BeatNow()
+{
+  if (isRoundDue_) {
+    return;
+  }
+  isRoundDue_ = true;
+  const Duration age = loop_.GetClock().Now() - lastRound_;
+  roundTimer_ =
+    loop_.CallAfter(std::max(Duration(0), kRoundInterval - age), [this] {
+      isRoundDue_ = false;
+      lastRound_ = loop_.GetClock().Now();
+      for (const PeerIdentity& neighbour : Neighbours()) {
+        SendBeat(neighbour, false);
+      }
+    });
+}
+
+void
+MembershipTask::Leave()
+{
+  table_.Leave();
+  Changed(Self().incarnation_);
+  for (const PeerIdentity& neighbour : Neighbours()) {
+    SendBeat(neighbour, false);
+  }
+}
+
+void
+MembershipTask::IdentityMismatch(const PeerIdentity& aExpected,
+                                 const PeerIdentity& aActual)
+{
+  const Incarnation before = Self().incarnation_;
+  // Another instance at this address says nothing about the expected one.
+  if (aExpected.instance_ == aActual.instance_ &&
+      table_.Apply({ aActual, MemberState::Live }, loop_.GetClock().Now())) {
+    Changed(before);
+  }
+}
+
+std::vector<PeerIdentity>
+MembershipTask::Neighbours() const
+{
+  std::vector<PeerIdentity> identities;
+  for (const InstanceId& instance : monitor_.Neighbours()) {
+    if (auto identity = table_.Find(instance)) {
+      identities.push_back(std::move(*identity));
+    }
+  }
+  return identities;
+}
+
+} // namespace sycamoreward
