Test membership in a simulation on a manual clock

The simulation runs real membership tasks on a network with cuttable links and counts encoded bytes.

--- /dev/null
+++ b/test/property/MemberTest.cpp
@@ -0,0 +1,197 @@
+// Properties of membership: who is thought live, how news spreads, what it
+// costs.
+
+#include "support/MemberSimulation.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdio>
+
+using namespace sycamoreward;
+
+namespace {
+
+int
+RankOf(MemberState aState)
+{
+  const MemberState order[] = { MemberState::Live,
+                                MemberState::Suspect,
+                                MemberState::Leaving,
+                                MemberState::Dead };
+  return int(std::find(order, order + 4, aState) - order);
+}
+
+MemberList
+ListOf(std::size_t aCount, std::size_t aDomains)
+{
+  MemberList list;
+  for (std::size_t index = 0; index < aCount; ++index) {
+    list.members_.push_back(
+      { MemberSimulation::IdentityOf(index, aDomains), MemberState::Live });
+  }
+  return list;
+}
+
+} // namespace
+
+// Guards against a live member that stays declared dead after a partition, a
+// one-way partition or a false suspicion, and against a dead one that stays.
+Test(Member, EachLiveMemberIsThoughtLiveInTheEnd)
+{
+  cr_assert(rc::check([] {
+    const auto count = *rc::gen::inRange<std::size_t>(3, 9);
+    MemberSimulation simulation(count, *rc::gen::inRange<std::size_t>(1, 4));
+    simulation.Run(std::chrono::seconds(3));
+    const auto cuts =
+      *rc::gen::container<std::vector<std::pair<std::size_t, std::size_t>>>(
+        rc::gen::pair(rc::gen::inRange<std::size_t>(0, count),
+                      rc::gen::inRange<std::size_t>(0, count)));
+    for (const auto& [from, to] : cuts) {
+      simulation.links_.cut_.insert(
+        { simulation.IdOf(from), simulation.IdOf(to) });
+    }
+    const auto killed = *rc::gen::inRange<std::size_t>(0, count + 1);
+    if (killed < count) {
+      simulation.Kill(killed);
+    }
+    simulation.Run(std::chrono::seconds(*rc::gen::inRange(1, 25)));
+    simulation.links_.cut_.clear();
+    simulation.Run(std::chrono::seconds(60));
+    for (std::size_t index = 0; index < count; ++index) {
+      RC_ASSERT(simulation.AllThink(
+        index, index == killed ? MemberState::Dead : MemberState::Live));
+    }
+  }));
+}
+
+// Guards against old news that undoes newer: a leaving member must not become
+// live again but by a higher incarnation of its own.
+Test(Member, KnowledgeNeverGoesBack)
+{
+  cr_assert(rc::check([] {
+    MemberTable table(MemberSimulation::IdentityOf(0, 1));
+    MonotonicTime now;
+    std::pair<std::uint64_t, int> known{ 0, 0 };
+    const auto steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+      MemberEvent event;
+      event.identity_ = MemberSimulation::IdentityOf(1, 1);
+      event.identity_.incarnation_ =
+        Incarnation(*rc::gen::inRange<std::uint64_t>(1, 4));
+      event.state_ = *rc::gen::element(MemberState::Live,
+                                       MemberState::Suspect,
+                                       MemberState::Leaving,
+                                       MemberState::Dead);
+      table.Apply(event, now);
+      if (*rc::gen::arbitrary<bool>()) {
+        table.SuspectNeighbour(event.identity_.instance_, now);
+        table.Expire(now);
+      }
+      for (const Member& member : table.List().members_) {
+        if (member.identity_.instance_ == event.identity_.instance_) {
+          const std::pair<std::uint64_t, int> found{
+            member.identity_.incarnation_.Value(), RankOf(member.state_)
+          };
+          RC_ASSERT(found >= known);
+          known = found;
+        }
+      }
+    }
+  }));
+}
+
+// Guards against false claims about this instance that it does not refute.
+Test(Member, ClaimsAboutSelfAreRefutedByAHigherIncarnation)
+{
+  MemberTable table(MemberSimulation::IdentityOf(0, 1));
+  MemberEvent claim{ table.Self(), MemberState::Dead };
+  claim.identity_.incarnation_ =
+    Incarnation(table.Self().incarnation_.Value() + 5);
+  cr_assert(table.Apply(claim, MonotonicTime()));
+  cr_assert_gt(table.Self().incarnation_, claim.identity_.incarnation_);
+  table.Leave();
+  claim.identity_.incarnation_ = table.Self().incarnation_;
+  cr_assert(table.Apply(claim, MonotonicTime()));
+  cr_assert_eq(table.TakeEvents(1).front().state_, MemberState::Leaving);
+}
+
+// Guards against a member whose failure nobody would find.
+Test(Member, EachMemberHasAWatcher)
+{
+  cr_assert(rc::check([] {
+    MemberList list = ListOf(*rc::gen::inRange<std::size_t>(2, 60),
+                             *rc::gen::inRange<std::size_t>(1, 6));
+    std::set<InstanceId> watched;
+    for (const Member& member : list.members_) {
+      list.self_ = member.identity_.instance_;
+      const auto neighbours = ChooseNeighbours(list);
+      RC_ASSERT(neighbours.size() <= 2 * kNeighboursPerGroup);
+      for (const InstanceId& neighbour : neighbours) {
+        RC_ASSERT(neighbour != list.self_);
+        watched.insert(neighbour);
+      }
+    }
+    RC_ASSERT(watched.size() == list.members_.size());
+  }));
+}
+
+// Guards against news that does not reach all, and against a late end of a
+// failed member's duties.
+Test(Member, NewsReachesAllMembers)
+{
+  cr_assert(rc::check([] {
+    const auto count = *rc::gen::inRange<std::size_t>(10, 40);
+    MemberSimulation simulation(count, *rc::gen::inRange<std::size_t>(1, 5));
+    simulation.Run(std::chrono::seconds(5));
+    const auto leaving = *rc::gen::inRange<std::size_t>(0, count);
+    simulation.nodes_[leaving].task_->Leave();
+    simulation.Run(std::chrono::milliseconds(1500));
+    RC_ASSERT(simulation.AllThink(leaving, MemberState::Leaving));
+    const auto killed = (leaving + 1) % count;
+    simulation.Kill(killed);
+    simulation.Run(std::chrono::seconds(9));
+    RC_ASSERT(simulation.AllThink(killed, MemberState::Dead));
+  }));
+}
+
+// Guards against a paused instance that blames others for its own pause.
+Test(Member, PausedInstanceGivesOthersAFreshPeriod)
+{
+  MemberSimulation simulation(6, 3);
+  simulation.Run(std::chrono::seconds(5));
+  // No timer runs during the jump, as in a paused process.
+  simulation.clock_.Advance(std::chrono::seconds(60));
+  for (int round = 0; round < 20; ++round) {
+    simulation.Run(std::chrono::milliseconds(250));
+    for (std::size_t index = 0; index < 6; ++index) {
+      cr_assert(simulation.AllThink(index, MemberState::Live));
+    }
+  }
+}
+
+// Guards against control work that grows with the number of instances.
+Test(Member, CostOfAnInstanceDoesNotDependOnTheirNumber)
+{
+  double smallest = 0;
+  double largest = 0;
+  for (const std::size_t count : { 50, 100, 200, 400 }) {
+    MemberSimulation simulation(count, 16);
+    simulation.Run(std::chrono::seconds(20));
+    simulation.links_.isCounting_ = true;
+    simulation.Run(std::chrono::seconds(10));
+    const double perSecond = 10.0 * double(count);
+    largest = double(simulation.links_.bytes_) / perSecond;
+    smallest = count == 50 ? largest : smallest;
+    std::printf("%zu members: %.1f messages/s and %.0f bytes/s sent by each\n",
+                count,
+                double(simulation.links_.messages_) / perSecond,
+                largest);
+    cr_assert(simulation.AllThink(0, MemberState::Live));
+  }
+  cr_assert_lt(largest, 1.1 * smallest);
+  // Sent and received together stay below the budget of 9 KB/s.
+  cr_assert_lt(2 * largest, 9000);
+}
