--- a/src/requests/Digest.cpp
+++ b/src/base/Digest.cpp
@@ -1,4 +1,4 @@
-#include "requests/Digest.h"
+#include "base/Digest.h"
 
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
--- a/src/ledger/LogRow.cpp
+++ b/src/ledger/LogRow.cpp
@@ -1,7 +1,7 @@
 #include "ledger/LogRow.h"
 
+#include "base/Digest.h"
 #include "base/Error.h"
-#include "ledger/Digest.h"
 #include "ledger/OutcomeJson.h"
 #include "store/ResolveInsert.h"
 
--- a/src/requests/AcceptedRequest.cpp
+++ b/src/requests/AcceptedRequest.cpp
@@ -1,8 +1,8 @@
 #include "requests/AcceptedRequest.h"
 
+#include "base/Digest.h"
 #include "requests/Access.h"
 #include "requests/CallerError.h"
-#include "requests/Digest.h"
 
 namespace sycamoreward {
 
--- a/src/requests/Access.cpp
+++ b/src/requests/Access.cpp
@@ -1,6 +1,6 @@
 #include "requests/Access.h"
 
-#include "requests/Digest.h"
+#include "base/Digest.h"
 
 #include <algorithm>
 
--- a/src/requests/RequestEnding.cpp
+++ b/src/requests/RequestEnding.cpp
@@ -1,6 +1,6 @@
 // The end of a request's life: record, reply, and handover.
 
-#include "requests/Digest.h"
+#include "base/Digest.h"
 #include "requests/RequestTask.h"
 #include "requests/TaskErrors.h"
 
--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -1,7 +1,7 @@
 #include "requests/RequestTask.h"
 
+#include "base/Digest.h"
 #include "requests/BackendCall.h"
-#include "requests/Digest.h"
 #include "requests/TaskErrors.h"
 #include "telemetry/Log.h"
 
--- a/test/support/RequestWorld.h
+++ b/test/support/RequestWorld.h
@@ -5,7 +5,7 @@
 
 #include "base/Clock.h"
 #include "requests/CallerApi.h"
-#include "requests/Digest.h"
+#include "base/Digest.h"
 #include "support/FakeLedger.h"
 #include "support/FakeScheduler.h"
 
