--- a/src/ledger/Chain.cpp
+++ b/src/ledger/Chain.cpp
@@ -97,6 +97,18 @@
          "-" + SortKey(aRows.back().sequence_);
 }
 
+std::string
+ClaimsPrefix(const LedgerPartition& aPartition)
+{
+  return "claims/" + PartitionName(aPartition) + "/";
+}
+
+std::string
+ClaimsName(const LedgerPartition& aPartition, const std::vector<LogRow>& aRows)
+{
+  return "claims/" + SegmentName(aPartition, aRows);
+}
+
 std::string
 SegmentToText(const std::vector<LogRow>& aRows)
 {
--- a/src/ledger/Chain.h
+++ b/src/ledger/Chain.h
@@ -49,6 +49,14 @@
 SegmentName(const LedgerPartition& aPartition,
             const std::vector<LogRow>& aRows);
 
+// Name of the object that holds what ExtractClaims gives for the segment, under
+// ClaimsPrefix.
+std::string
+ClaimsName(const LedgerPartition& aPartition, const std::vector<LogRow>& aRows);
+
+std::string
+ClaimsPrefix(const LedgerPartition& aPartition);
+
 std::string
 SegmentToText(const std::vector<LogRow>& aRows);
 
--- a/src/ledger/Journal.cpp
+++ b/src/ledger/Journal.cpp
@@ -76,48 +76,61 @@
               const std::string& aToken,
               std::function<void(MoveReply)> aOnReply)
 {
-  table_.Query(PartitionName(aPartition),
-               SortKey(Sequence(1)),
-               kPage,
-               [this, aPartition, aBefore, aToken, aOnReply](ReadReply aReply) {
-                 if (!aReply.isOk_) {
-                   aOnReply({});
-                   return;
-                 }
-                 std::vector<LogRow> rows =
-                   ChooseRowsToMove(ParsePage(aReply.rows_), aBefore);
-                 if (rows.empty()) {
-                   aOnReply({ true, 0 });
-                   return;
-                 }
-                 WriteSegment(aPartition, std::move(rows), aToken, aOnReply);
-               });
+  table_.Query(
+    PartitionName(aPartition),
+    SortKey(Sequence(1)),
+    kPage,
+    [this, aPartition, aBefore, aToken, aOnReply](ReadReply aReply) {
+      if (!aReply.isOk_) {
+        aOnReply({});
+        return;
+      }
+      std::vector<LogRow> rows =
+        ChooseRowsToMove(ParsePage(aReply.rows_), aBefore);
+      if (rows.empty()) {
+        aOnReply({ true, 0 });
+        return;
+      }
+      const auto onClaims =
+        [this, aPartition, rows, aToken, aOnReply](bool aIsStored) {
+          if (aIsStored) {
+            DeleteRows(aPartition, rows, aToken, aOnReply);
+          } else {
+            aOnReply({});
+          }
+        };
+      PutAndCheck(SegmentName(aPartition, rows),
+                  SegmentToText(rows),
+                  [this, aPartition, rows, aOnReply, onClaims](bool aIsStored) {
+                    if (!aIsStored) {
+                      aOnReply({});
+                      return;
+                    }
+                    PutAndCheck(ClaimsName(aPartition, rows),
+                                SegmentToText(ExtractClaims(rows)),
+                                onClaims);
+                  });
+    });
 }
 
-// Reading the segment back also covers a lost reply, and a segment that an
+// Reading the object back also covers a lost reply, and an object that an
 // interrupted move has left.
 void
-Journal::WriteSegment(const LedgerPartition& aPartition,
-                      std::vector<LogRow> aRows,
-                      const std::string& aToken,
-                      std::function<void(MoveReply)> aOnReply)
+Journal::PutAndCheck(const std::string& aName,
+                     const std::string& aText,
+                     std::function<void(bool)> aOnResult)
 {
-  const std::string name = SegmentName(aPartition, aRows);
-  const std::string text = SegmentToText(aRows);
-  const auto onRead = [=,
-                       rows = std::move(aRows)](ObjectStore::GetReply aReply) {
-    if (aReply.isOk_ && aReply.body_ && *aReply.body_ == text) {
-      DeleteRows(aPartition, rows, aToken, aOnReply);
-      return;
-    }
-    if (aReply.body_) {
-      LogFor("ledger")->error("Segment {} differs from its rows in the table.",
-                              name);
+  const auto onRead = [aName, aText, aOnResult](ObjectStore::GetReply aReply) {
+    const bool isStored =
+      aReply.isOk_ && aReply.body_ && *aReply.body_ == aText;
+    if (aReply.body_ && !isStored) {
+      LogFor("ledger")->error(
+        "The object {} differs from the rows in the table.", aName);
     }
-    aOnReply({});
+    aOnResult(isStored);
   };
-  objects_.PutNew(name, text, [this, name, onRead](WriteResult) {
-    objects_.Get(name, onRead);
+  objects_.PutNew(aName, aText, [this, aName, onRead](WriteResult) {
+    objects_.Get(aName, onRead);
   });
 }
 
@@ -165,12 +178,12 @@
 }
 
 void
-Journal::LoadSegments(const LedgerPartition& aPartition,
-                      WallTime aSince,
-                      std::function<void(RowsReply)> aOnReply)
+Journal::LoadClaims(const LedgerPartition& aPartition,
+                    WallTime aSince,
+                    std::function<void(RowsReply)> aOnReply)
 {
   objects_.List(
-    PartitionName(aPartition) + "/",
+    ClaimsPrefix(aPartition),
     [this, aSince, aOnReply](ObjectStore::ListReply aList) {
       if (!aList.isOk_) {
         aOnReply({});
@@ -210,9 +223,12 @@
                     reply->outcome_ = FindOutcome(aRows, aRequest);
                     return !reply->outcome_;
                   };
-                  walk->onEnd_ = [reply, aOnReply](bool aIsOk) {
+                  walk->onEnd_ = [this, aRequest, reply, aOnReply](bool aIsOk) {
                     if (!aIsOk) {
                       reply->error_ = "The object store can't be read.";
+                    } else if (!reply->outcome_) {
+                      FindInTable(aRequest, SortKey(Sequence(1)), aOnReply);
+                      return;
                     }
                     aOnReply(std::move(*reply));
                   };
@@ -224,6 +240,36 @@
                 });
 }
 
+void
+Journal::FindInTable(const RequestId& aRequest,
+                     const std::string& aFrom,
+                     std::function<void(Ledger::LookupReply)> aOnReply)
+{
+  table_.Query(PartitionName(ParsePartition(aRequest)),
+               aFrom,
+               kPage,
+               [this, aRequest, aOnReply](ReadReply aReply) {
+                 if (!aReply.isOk_) {
+                   aOnReply({ std::nullopt, "The table can't be read." });
+                   return;
+                 }
+                 try {
+                   const auto outcome =
+                     FindOutcome(ParsePage(aReply.rows_), aRequest);
+                   if (outcome || aReply.rows_.empty()) {
+                     aOnReply({ outcome, "" });
+                     return;
+                   }
+                 } catch (const Error& error) {
+                   aOnReply({ std::nullopt, error.what() });
+                   return;
+                 }
+                 const std::uint64_t last =
+                   std::stoull(aReply.rows_.back().key_.sort_);
+                 FindInTable(aRequest, SortKey(Sequence(last + 1)), aOnReply);
+               });
+}
+
 void
 Journal::VerifyChain(const LedgerPartition& aPartition,
                      std::function<void(VerifyReply)> aOnReply)
--- a/src/ledger/Journal.h
+++ b/src/ledger/Journal.h
@@ -22,8 +22,9 @@
     bool isOk_ = false;
     std::size_t moved_ = 0;
   };
-  // Moves up to one segment of rows written before aBefore. The segment is read
-  // back before any row is deleted, so that no row is lost at any interruption.
+  // Moves up to one segment of rows written before aBefore. The segment and the
+  // object with its claims are read back before any row is deleted, so that
+  // none is lost at any interruption.
   // aToken names the write and must be new.
   void Move(const LedgerPartition& aPartition,
             WallTime aBefore,
@@ -36,13 +37,14 @@
     // In order, each sequence once.
     std::vector<LogRow> rows_;
   };
-  // Reads the segments that hold rows written at aSince or later.
-  void LoadSegments(const LedgerPartition& aPartition,
-                    WallTime aSince,
-                    std::function<void(RowsReply)> aOnReply);
+  // Reads the claims of moved rows that were written at aSince or later. The
+  // last row is the last one that was moved.
+  void LoadClaims(const LedgerPartition& aPartition,
+                  WallTime aSince,
+                  std::function<void(RowsReply)> aOnReply);
 
-  // Reads the outcome of a request from segments, newest first. The row in the
-  // table is the registrar's to find.
+  // Reads the outcome of a request from segments, newest first, and then from
+  // the table.
   void Find(const RequestId& aRequest,
             std::function<void(Ledger::LookupReply)> aOnReply);
 
@@ -65,10 +67,13 @@
                  const std::string& aFrom,
                  std::shared_ptr<ChainCheck> aCheck,
                  std::function<void(VerifyReply)> aOnReply);
-  void WriteSegment(const LedgerPartition& aPartition,
-                    std::vector<LogRow> aRows,
-                    const std::string& aToken,
-                    std::function<void(MoveReply)> aOnReply);
+  void FindInTable(const RequestId& aRequest,
+                   const std::string& aFrom,
+                   std::function<void(Ledger::LookupReply)> aOnReply);
+  // Stores an object and reads it back.
+  void PutAndCheck(const std::string& aName,
+                   const std::string& aText,
+                   std::function<void(bool)> aOnResult);
   void DeleteRows(const LedgerPartition& aPartition,
                   const std::vector<LogRow>& aRows,
                   const std::string& aToken,
--- a/src/ledger/LedgerClient.cpp
+++ b/src/ledger/LedgerClient.cpp
@@ -12,27 +12,8 @@
 // Longest wait for one registrar, after which the members are looked at again.
 constexpr Duration kTryTimeout = std::chrono::seconds(2);
 constexpr Duration kBatchWait = std::chrono::milliseconds(10);
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(250);
-constexpr Duration kLongestBackoff = std::chrono::seconds(2);
-constexpr std::uint64_t kMaxMessageBytes = 1024 * 1024;
 constexpr Duration kAgainTimeout = std::chrono::seconds(2);
 
-// Memory that an outcome takes, roughly.
-std::uint64_t
-SizeOf(const Outcome& aOutcome)
-{
-  constexpr std::uint64_t kFixed = 256;
-  std::uint64_t size =
-    kFixed + aOutcome.request_.Value().size() + aOutcome.keyDigest_.size() +
-    aOutcome.bodyDigest_.size() + aOutcome.answerDigest_.size() +
-    aOutcome.evidence_.size();
-  for (const AttemptRecord& attempt : aOutcome.attempts_) {
-    size +=
-      sizeof(attempt) + attempt.server_.Value().size() + attempt.end_.size();
-  }
-  return size + (aOutcome.answer_ ? aOutcome.answer_->body_.size() : 0);
-}
-
 } // namespace
 
 struct LedgerClient::Attempt
@@ -46,17 +27,6 @@
   bool isDone_ = false;
 };
 
-template<typename Function>
-auto
-LedgerClient::Guard(Function aFunction)
-{
-  return [isAlive = isAlive_, aFunction](auto&&... aArguments) {
-    if (*isAlive) {
-      aFunction(std::forward<decltype(aArguments)>(aArguments)...);
-    }
-  };
-}
-
 LedgerClient::LedgerClient(EventLoop& aLoop,
                            Membership& aMembership,
                            PeerNetwork& aPeers,
@@ -271,143 +241,6 @@
   }
 }
 
-// Outcomes.
-
-bool
-LedgerClient::HasRoom() const
-{
-  return bufferedBytes_ < options_.maxBuffer_.Value();
-}
-
-void
-LedgerClient::Record(const Outcome& aOutcome, std::function<void()> aOnDurable)
-{
-  active_.erase(aOutcome.request_);
-  const auto inserted = buffer_.emplace(aOutcome.request_, Buffered());
-  Buffered& buffered = inserted.first->second;
-  if (aOnDurable) {
-    buffered.onDurable_.push_back(std::move(aOnDurable));
-  }
-  if (!inserted.second) {
-    return;
-  }
-  buffered.outcome_ = aOutcome;
-  buffered.bytes_ = SizeOf(aOutcome);
-  bufferedBytes_ += buffered.bytes_;
-  unsent_.push_back(aOutcome.request_);
-  ScheduleSend(kBatchWait);
-}
-
-void
-LedgerClient::ScheduleSend(Duration aWait)
-{
-  if (std::exchange(isSendScheduled_, true)) {
-    return;
-  }
-  loop_.CallAfter(aWait, Guard([this] {
-                    isSendScheduled_ = false;
-                    SendUnsent();
-                  }));
-}
-
-void
-LedgerClient::SendUnsent()
-{
-  struct Group
-  {
-    std::vector<RequestId> requests_;
-    std::uint64_t bytes_ = 0;
-  };
-  std::map<LedgerPartition, Group> groups;
-  std::deque<RequestId> left;
-  for (const RequestId& request : unsent_) {
-    Group& group = groups[ParsePartition(request)];
-    const std::uint64_t bytes = buffer_.at(request).bytes_;
-    if (!group.requests_.empty() && group.bytes_ + bytes > kMaxMessageBytes) {
-      left.push_back(request);
-      continue;
-    }
-    group.requests_.push_back(request);
-    group.bytes_ += bytes;
-  }
-  unsent_ = std::move(left);
-  for (const auto& group : groups) {
-    const auto registrar = FindRegistrar(group.second.requests_.front());
-    if (registrar) {
-      SendRecord(*registrar, group.second.requests_);
-    } else {
-      OnRecorded(group.second.requests_, {});
-    }
-  }
-  if (!unsent_.empty()) {
-    ScheduleSend(kBatchWait);
-  }
-}
-
-void
-LedgerClient::SendRecord(const PeerIdentity& aRegistrar,
-                         const std::vector<RequestId>& aRequests)
-{
-  sycamoreward::Record record;
-  for (const RequestId& request : aRequests) {
-    record.outcomes_.push_back(buffer_.at(request).outcome_);
-  }
-  if (IsLocal(aRegistrar)) {
-    local_->ServeRecord(
-      record.outcomes_,
-      Guard([this, aRequests](const std::vector<RequestId>& aDurable) {
-        loop_.Post(Guard(
-          [this, aRequests, aDurable] { OnRecorded(aRequests, aDurable); }));
-      }));
-    return;
-  }
-  peers_.Call(aRegistrar,
-              std::move(record),
-              options_.recordTimeout_,
-              Guard([this, aRequests](const PeerReply& aReply) {
-                const auto* recorded =
-                  aReply.message_ ? std::get_if<Recorded>(&*aReply.message_)
-                                  : nullptr;
-                OnRecorded(aRequests,
-                           recorded != nullptr ? recorded->requests_
-                                               : std::vector<RequestId>());
-              }));
-}
-
-void
-LedgerClient::OnRecorded(const std::vector<RequestId>& aSent,
-                         const std::vector<RequestId>& aDurable)
-{
-  const std::set<RequestId> durable(aDurable.begin(), aDurable.end());
-  std::vector<std::function<void()>> callbacks;
-  bool hasFailed = false;
-  for (const RequestId& request : aSent) {
-    const auto found = buffer_.find(request);
-    if (found == buffer_.end()) {
-      continue;
-    }
-    if (durable.count(request) == 0) {
-      unsent_.push_back(request);
-      hasFailed = true;
-      continue;
-    }
-    bufferedBytes_ -= found->second.bytes_;
-    for (auto& callback : found->second.onDurable_) {
-      callbacks.push_back(std::move(callback));
-    }
-    buffer_.erase(found);
-  }
-  if (hasFailed) {
-    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kLongestBackoff);
-    ScheduleSend(backoff_);
-  } else {
-    backoff_ = Duration(0);
-  }
-  for (const auto& callback : callbacks) {
-    callback();
-  }
-}
-
 void
 LedgerClient::Lookup(const RequestId& aRequest,
                      std::function<void(LookupReply)> aOnReply)
--- a/src/ledger/LedgerClient.h
+++ b/src/ledger/LedgerClient.h
@@ -87,7 +87,14 @@
                   const std::vector<RequestId>& aDurable);
   Incarnation OwnIncarnation() const;
   template<typename Function>
-  auto Guard(Function aFunction);
+  auto Guard(Function aFunction)
+  {
+    return [isAlive = isAlive_, aFunction](auto&&... aArguments) {
+      if (*isAlive) {
+        aFunction(std::forward<decltype(aArguments)>(aArguments)...);
+      }
+    };
+  }
 
   EventLoop& loop_;
   Membership& membership_;
--- a/src/ledger/LogRow.cpp
+++ b/src/ledger/LogRow.cpp
@@ -5,6 +5,7 @@
 #include "ledger/OutcomeJson.h"
 #include "store/ResolveInsert.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace sycamoreward {
@@ -54,10 +55,34 @@
   } else {
     entry.kind_ = EntryKind::Outcome;
     entry.outcome_ = OutcomeFromJson(aJson.at("outcome"));
+    entry.isClaimed_ = aJson.value("claimed", false);
   }
   return entry;
 }
 
+bool
+IsNeededLater(const LogEntry& aEntry)
+{
+  return aEntry.kind_ == EntryKind::Claim || aEntry.isClaimed_ ||
+         aEntry.outcome_.kind_ == OutcomeKind::NotRun;
+}
+
+std::string
+ClaimsOf(const LogRow& aRow)
+{
+  std::string text = "[";
+  for (LogEntry& entry : ParseEntries(aRow)) {
+    if (IsNeededLater(entry)) {
+      entry.outcome_.answer_.reset();
+      entry.outcome_.attempts_.clear();
+      const std::string entryText = EntryToText(entry);
+      text += (text.size() > 1 ? "," : "") +
+              (entry.isClaimed_ ? MarkClaimed(entryText) : entryText);
+    }
+  }
+  return text + "]";
+}
+
 const std::string&
 ValueOf(const Row& aRow, const std::string& aName)
 {
@@ -80,6 +105,46 @@
                                           : aEntry.outcome_.request_;
 }
 
+void
+LimitSize(Outcome& aOutcome)
+{
+  constexpr std::size_t kMaxText = 1024;
+  constexpr std::size_t kMaxAttempts = 32;
+  if (aOutcome.answer_ && aOutcome.answer_->body_.size() > kMaxKeptAnswer) {
+    aOutcome.answer_.reset();
+  }
+  if (aOutcome.evidence_.size() > kMaxText) {
+    aOutcome.evidence_.resize(kMaxText);
+  }
+  if (aOutcome.attempts_.size() > kMaxAttempts) {
+    aOutcome.attempts_.erase(aOutcome.attempts_.begin(),
+                             aOutcome.attempts_.end() - kMaxAttempts);
+  }
+  for (AttemptRecord& attempt : aOutcome.attempts_) {
+    attempt.end_.resize(std::min(attempt.end_.size(), kMaxText));
+  }
+}
+
+std::string
+MarkClaimed(const std::string& aEntryText)
+{
+  return "{\"claimed\":true," + aEntryText.substr(1);
+}
+
+std::vector<LogRow>
+ExtractClaims(const std::vector<LogRow>& aRows)
+{
+  std::vector<LogRow> result;
+  for (const LogRow& row : aRows) {
+    LogRow claims = row;
+    claims.entries_ = ClaimsOf(row);
+    if (claims.entries_ != "[]" || &row == &aRows.back()) {
+      result.push_back(std::move(claims));
+    }
+  }
+  return result;
+}
+
 std::string
 EntryToText(const LogEntry& aEntry)
 {
--- a/src/ledger/LogRow.h
+++ b/src/ledger/LogRow.h
@@ -38,8 +38,19 @@
   EntryKind kind_ = EntryKind::Claim;
   Claim claim_;
   Outcome outcome_;
+  // An outcome of a request whose claim took effect.
+  bool isClaimed_ = false;
 };
 
+// Answers above this size are not kept in the ledger.
+constexpr std::size_t kMaxKeptAnswer = 64 * 1024;
+
+// Brings an outcome to a size that fits into a row: drops an answer above
+// kMaxKeptAnswer and cuts long texts and lists of attempts. An entry that the
+// table refused would hold up its partition for good.
+void
+LimitSize(Outcome& aOutcome);
+
 // The request that an entry is about.
 const RequestId&
 RequestOf(const LogEntry& aEntry);
@@ -59,10 +70,20 @@
 std::string
 EntryToText(const LogEntry& aEntry);
 
+// Adds isClaimed_ to the text of an outcome.
+std::string
+MarkClaimed(const std::string& aEntryText);
+
 // Throws InternalError when the text is malformed.
 std::vector<LogEntry>
 ParseEntries(const LogRow& aRow);
 
+// The part of aRows that the next registrar needs for longer than the rows are
+// in the table: claims, their outcomes without answers, and withdrawals. Rows
+// without such entries are left out, but for the last.
+std::vector<LogRow>
+ExtractClaims(const std::vector<LogRow>& aRows);
+
 // SHA-256 over all fields of a row.
 std::string
 RowDigest(const LogRow& aRow);
--- a/src/ledger/OutcomeJson.cpp
+++ b/src/ledger/OutcomeJson.cpp
@@ -20,12 +20,12 @@
   return WallTime(Duration(aValue.get<std::int64_t>()));
 }
 
+// Escaped control characters take six bytes each, hexadecimal ones two.
 bool
-IsUtf8(const std::string& aText)
+IsPlainText(const std::string& aText)
 {
   try {
-    static_cast<void>(Json(aText).dump());
-    return true;
+    return Json(aText).dump().size() <= aText.size() * 2 + 2;
   } catch (const Json::exception&) {
     return false;
   }
@@ -59,7 +59,7 @@
 {
   Json json = { { "status", aAnswer.status_ },
                 { "contentType", aAnswer.contentType_ } };
-  if (IsUtf8(aAnswer.body_)) {
+  if (IsPlainText(aAnswer.body_)) {
     json["body"] = aAnswer.body_;
   } else {
     json["bodyHex"] = ToHex(aAnswer.body_);
--- a/src/ledger/OutcomeJson.h
+++ b/src/ledger/OutcomeJson.h
@@ -9,7 +9,8 @@
 
 namespace sycamoreward {
 
-// An answer body that is not valid UTF-8 is written in hexadecimal.
+// An answer body that is not valid UTF-8, or mostly control characters, is
+// written in hexadecimal.
 nlohmann::json
 OutcomeToJson(const Outcome& aOutcome);
 
--- a/src/ledger/PartitionLog.cpp
+++ b/src/ledger/PartitionLog.cpp
@@ -131,14 +131,41 @@
 
 // A claim without outcome is kept whatever its age.
 void
-ForgetBefore(PartitionLog& aLog, WallTime aTime)
+ForgetOld(PartitionLog& aLog, WallTime aNow)
 {
-  while (!aLog.ages_.empty() && aLog.ages_.front().first < aTime) {
-    const RequestId request = aLog.ages_.front().second;
+  while (!aLog.ages_.empty() &&
+         aLog.ages_.front().first < aNow - kFullRecordTime) {
+    const auto age = aLog.ages_.front();
     aLog.ages_.pop_front();
-    const RequestRecord* record = FindRecord(aLog, request);
-    if (record != nullptr && record->outcome_) {
-      Forget(aLog, request);
+    const auto found = aLog.requests_.find(age.second);
+    if (found == aLog.requests_.end() || !found->second.outcome_) {
+      continue;
+    }
+    RequestRecord& record = found->second;
+    if (record.claim_ || IsWithdrawn(record)) {
+      record.outcome_->answer_.reset();
+      record.outcome_->attempts_.clear();
+      aLog.oldAges_.push_back(age);
+    } else {
+      Forget(aLog, age.second);
+    }
+  }
+  while (!aLog.oldAges_.empty() &&
+         aLog.oldAges_.front().first < aNow - kKeyLifetime) {
+    const RequestId request = aLog.oldAges_.front().second;
+    aLog.oldAges_.pop_front();
+    Forget(aLog, request);
+  }
+}
+
+void
+ApplyEntries(PartitionLog& aLog, const LogRow& aRow)
+{
+  for (const LogEntry& entry : ParseEntries(aRow)) {
+    if (entry.kind_ == EntryKind::Claim) {
+      ApplyClaim(aLog, entry.claim_, aRow.written_);
+    } else {
+      ApplyOutcome(aLog, entry.outcome_, aRow.written_);
     }
   }
 }
@@ -195,17 +222,18 @@
                           " does not continue row " +
                           std::to_string(aLog.applied_.Value()) + ".");
   }
-  for (const LogEntry& entry : ParseEntries(aRow)) {
-    if (entry.kind_ == EntryKind::Claim) {
-      ApplyClaim(aLog, entry.claim_, aRow.written_);
-    } else {
-      ApplyOutcome(aLog, entry.outcome_, aRow.written_);
-    }
-  }
+  ApplyEntries(aLog, aRow);
   aLog.applied_ = aRow.sequence_;
   aLog.lastToken_ = aRow.writeToken_;
   aLog.lastDigest_ = RowDigest(aRow);
-  ForgetBefore(aLog, aRow.written_ - kKeyLifetime);
+  ForgetOld(aLog, aRow.written_);
+}
+
+void
+ApplyOldClaims(PartitionLog& aLog, const LogRow& aRow)
+{
+  ApplyEntries(aLog, aRow);
+  ForgetOld(aLog, aRow.written_);
 }
 
 std::optional<RegisterReply>
@@ -258,7 +286,9 @@
   if (IsSettled(aLog, aEntry) || aLog.pendingNames_.count(name) != 0) {
     return true;
   }
-  PendingEntry pending{ aEntry, EntryToText(aEntry) };
+  PendingEntry pending{ aEntry, "" };
+  LimitSize(pending.entry_.outcome_);
+  pending.text_ = EntryToText(pending.entry_);
   if (aLog.pendingBytes_ + pending.text_.size() > kMaxPendingBytes) {
     return false;
   }
@@ -288,7 +318,11 @@
         row.entries_.size() + pending.text_.size() > kMaxRowBytes) {
       break;
     }
-    row.entries_ += (row.entries_.empty() ? "[" : ",") + pending.text_;
+    const RequestRecord* record = FindRecord(aLog, RequestOf(pending.entry_));
+    const bool isClaimed = pending.entry_.kind_ == EntryKind::Outcome &&
+                           record != nullptr && record->claim_;
+    row.entries_ += (row.entries_.empty() ? "[" : ",") +
+                    (isClaimed ? MarkClaimed(pending.text_) : pending.text_);
   }
   row.entries_ += "]";
   aLog.inFlight_ = row;
@@ -328,6 +362,7 @@
   aLog.keys_.clear();
   aLog.running_.clear();
   aLog.ages_.clear();
+  aLog.oldAges_.clear();
 }
 
 } // namespace sycamoreward
--- a/src/ledger/PartitionLog.h
+++ b/src/ledger/PartitionLog.h
@@ -47,8 +47,10 @@
   std::unordered_map<std::string, RequestId> keys_;
   // Claims without outcome.
   std::unordered_set<RequestId> running_;
-  // Requests in the order of their rows, to forget the old ones.
+  // Requests in the order of their rows, to forget the old ones: those younger
+  // than kFullRecordTime, and the claimed ones after it.
   std::deque<std::pair<WallTime, RequestId>> ages_;
+  std::deque<std::pair<WallTime, RequestId>> oldAges_;
 
   // Entries to append, oldest first. Those of a row in flight stay until the
   // row is applied.
@@ -64,9 +66,13 @@
 constexpr std::size_t kMaxRowBytes = 256 * 1024;
 // Bound on the entries that wait for the table.
 constexpr std::size_t kMaxPendingBytes = 32 * 1024 * 1024;
-// Keys and outcomes are forgotten this long after their row was written, as
-// counted at the newest row. Idempotency keys are valid for this time.
+// Claimed keys and withdrawals are forgotten this long after their row was
+// written, as counted at the newest row. The idempotency keys of unrepeatable
+// requests are valid for this time.
 constexpr Duration kKeyLifetime = std::chrono::hours(24);
+// Outcomes without claim are forgotten after this time, and kept answers are
+// dropped from memory; lookups then read the rows.
+constexpr Duration kFullRecordTime = std::chrono::hours(1);
 
 // Applies the row after the last one. A first row of any sequence is accepted,
 // because older ones may be in the object store. Throws InternalError when the
@@ -74,6 +80,11 @@
 void
 ApplyRow(PartitionLog& aLog, const LogRow& aRow);
 
+// Applies what ExtractClaims kept of a row that was moved to the object store.
+// To be called on a log without rows, before the first ApplyRow.
+void
+ApplyOldClaims(PartitionLog& aLog, const LogRow& aRow);
+
 // The reply to a registration, or empty when a claim has to be appended first
 // (durable) or the key is free (not durable).
 std::optional<RegisterReply>
--- a/src/ledger/PartitionTask.cpp
+++ b/src/ledger/PartitionTask.cpp
@@ -10,15 +10,10 @@
 
 namespace {
 
-constexpr unsigned kPage = 100;
 constexpr std::size_t kMaxWaiters = 8192;
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
-constexpr Duration kLongestBackoff = std::chrono::seconds(5);
 // Callers of Register have shorter limits of their own; this bounds what is
 // kept for callers that have gone.
 constexpr Duration kWaiterLimit = std::chrono::seconds(30);
-// A batch of this size does not wait for its age.
-constexpr std::size_t kBatchBytes = 64 * 1024;
 
 Outcome
 SettledOutcome(const Claim& aClaim, OutcomeKind aKind, WallTime aNow)
@@ -35,6 +30,14 @@
   return outcome;
 }
 
+// Whether memory may lack an answer that the rows have.
+bool
+IsAnswerDropped(const Outcome& aOutcome)
+{
+  return !aOutcome.answer_ && aOutcome.kind_ == OutcomeKind::Completed &&
+         aOutcome.answerLength_.Value() <= kMaxKeptAnswer;
+}
+
 // "Not run" is a fact only when the owner can't send the request any more. A
 // paused owner could, after the server was asked.
 Outcome
@@ -62,17 +65,6 @@
 
 } // namespace
 
-template<typename Function>
-auto
-PartitionTask::Guard(Function aFunction)
-{
-  return [isAlive = isAlive_, aFunction](auto&&... aArguments) {
-    if (*isAlive) {
-      aFunction(std::forward<decltype(aArguments)>(aArguments)...);
-    }
-  };
-}
-
 PartitionTask::PartitionTask(PartitionContext aContext,
                              const LedgerPartition& aPartition)
   : context_(std::move(aContext))
@@ -118,185 +110,6 @@
   return HexOf(context_.random_()) + HexOf(context_.random_());
 }
 
-// Reading the log.
-
-void
-PartitionTask::RetryLater(std::function<void()> aAction)
-{
-  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kLongestBackoff);
-  context_.loop_.CallAfter(backoff_, Guard(std::move(aAction)));
-}
-
-void
-PartitionTask::ReadTail()
-{
-  context_.table_.Query(
-    PartitionName(log_.partition_),
-    SortKey(Sequence(log_.applied_.Value() + 1)),
-    kPage,
-    Guard([this](const ReadReply& aReply) { OnTail(aReply); }));
-}
-
-void
-PartitionTask::OnTail(const ReadReply& aReply)
-{
-  if (!aReply.isOk_) {
-    RetryLater([this] { ReadTail(); });
-    return;
-  }
-  backoff_ = Duration(0);
-  try {
-    if (!ApplyTail(aReply)) {
-      return;
-    }
-  } catch (const Error& error) {
-    LogFor("ledger")->error("{}", error.what());
-    RetryLater([this] { Reload(); });
-    return;
-  }
-  // A page may hold fewer rows than were asked for; only an empty one is the
-  // last.
-  if (aReply.rows_.empty()) {
-    FinishLoading();
-  } else {
-    context_.loop_.Post(Guard([this] { ReadTail(); }));
-  }
-}
-
-// False when another reading was started instead.
-bool
-PartitionTask::ApplyTail(const ReadReply& aReply)
-{
-  for (const Row& tableRow : aReply.rows_) {
-    if (log_.applied_ == Sequence(0) && !hasSegments_ &&
-        context_.journal_ != nullptr &&
-        tableRow.key_.sort_ != SortKey(Sequence(1))) {
-      ReadSegments();
-      return false;
-    }
-    if (IsMovedMarker(tableRow)) {
-      if (aReply.rows_.size() == 1) {
-        throw InternalError(
-          "load ledger", "", "The newest row was moved out of the table.");
-      }
-      continue;
-    }
-    const LogRow row = FromTableRow(tableRow);
-    // Rows were moved while this registrar was paused.
-    if (log_.applied_ != Sequence(0) &&
-        row.sequence_.Value() != log_.applied_.Value() + 1) {
-      RetryLater([this] { Reload(); });
-      return false;
-    }
-    ApplyRow(log_, row);
-  }
-  return true;
-}
-
-void
-PartitionTask::Reload()
-{
-  ResetRows(log_);
-  hasSegments_ = false;
-  ReadTail();
-}
-
-void
-PartitionTask::ReadSegments()
-{
-  const WallTime since = context_.loop_.GetClock().Wall() - kKeyLifetime;
-  context_.journal_->LoadSegments(
-    log_.partition_, since, Guard([this](const Journal::RowsReply& aReply) {
-      if (!aReply.isOk_) {
-        RetryLater([this] { Reload(); });
-        return;
-      }
-      try {
-        for (const LogRow& row : aReply.rows_) {
-          ApplyRow(log_, row);
-        }
-      } catch (const Error& error) {
-        LogFor("ledger")->error("{}", error.what());
-        RetryLater([this] { Reload(); });
-        return;
-      }
-      hasSegments_ = true;
-      ReadTail();
-    }));
-}
-
-void
-PartitionTask::FinishLoading()
-{
-  isLoading_ = false;
-  hasState_ = isServing_;
-  Answer();
-  ScheduleFlush();
-}
-
-// Appending.
-
-void
-PartitionTask::ScheduleFlush()
-{
-  if (isFlushScheduled_ || isLoading_ || log_.inFlight_ ||
-      log_.pending_.empty()) {
-    return;
-  }
-  isFlushScheduled_ = true;
-  const MonotonicTime now = context_.loop_.GetClock().Now();
-  const Duration age =
-    log_.pendingBytes_ >= kBatchBytes ? Duration(0) : kBatchAge;
-  const Duration wait = std::max({ age, nextAppend_ - now, backoff_ });
-  context_.loop_.CallAfter(wait, Guard([this] {
-                             isFlushScheduled_ = false;
-                             Flush();
-                           }));
-}
-
-void
-PartitionTask::Flush()
-{
-  if (isLoading_) {
-    return;
-  }
-  const auto row =
-    StartAppend(log_, NewToken(), context_.loop_.GetClock().Wall());
-  if (!row) {
-    return;
-  }
-  nextAppend_ = context_.loop_.GetClock().Now() + kBatchAge;
-  context_.table_.Write(
-    AppendWrites(log_.partition_, *row, log_.lastToken_),
-    row->writeToken_,
-    Guard([this](WriteResult aResult) { OnAppended(aResult); }));
-}
-
-void
-PartitionTask::OnAppended(WriteResult aResult)
-{
-  if (aResult == WriteResult::Committed) {
-    backoff_ = Duration(0);
-    AfterCommitted(log_);
-    hasState_ = isServing_;
-    Answer();
-    ScheduleFlush();
-    return;
-  }
-  AfterNotCommitted(log_);
-  if (aResult == WriteResult::Refused) {
-    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kLongestBackoff);
-    if (hasState_ || !isServing_) {
-      ScheduleFlush();
-      return;
-    }
-  }
-  // Another registrar's row, or perhaps this one's after a lost reply: the rows
-  // tell.
-  isLoading_ = true;
-  ReadTail();
-}
-
 // Registrations.
 
 std::optional<RegisterReply>
@@ -340,6 +153,30 @@
   return reply;
 }
 
+void
+PartitionTask::Reply(const RegisterReply& aReply, const OnRegistered& aOnReply)
+{
+  const auto record = log_.requests_.find(aReply.request_);
+  const bool isClaimed =
+    record != log_.requests_.end() && record->second.claim_.has_value();
+  if (!isClaimed || !aReply.outcome_ || !IsAnswerDropped(*aReply.outcome_) ||
+      context_.journal_ == nullptr) {
+    aOnReply(aReply);
+    return;
+  }
+  context_.journal_->Find(
+    aReply.request_,
+    Guard([aReply, aOnReply](const Ledger::LookupReply& aFound) {
+      RegisterReply reply = aReply;
+      if (!aFound.error_.empty()) {
+        reply = {};
+      } else if (aFound.outcome_) {
+        reply.outcome_ = aFound.outcome_;
+      }
+      aOnReply(reply);
+    }));
+}
+
 void
 PartitionTask::Register(const RegisterRequest& aRequest,
                         Incarnation aOwnerIncarnation,
@@ -368,7 +205,7 @@
   for (Waiter& waiter : std::exchange(waiters_, {})) {
     const auto reply = Decide(waiter);
     if (reply) {
-      waiter.onReply_(*reply);
+      Reply(*reply, waiter.onReply_);
       continue;
     }
     LogEntry entry;
@@ -453,6 +290,7 @@
     aOnReply({ std::nullopt, "The ledger of the request can't be read now." });
     return;
   }
+  // Memory has no answers of old outcomes.
   const auto record = log_.requests_.find(aRequest);
   if (record != log_.requests_.end() || context_.journal_ == nullptr) {
     aOnReply(
--- a/src/ledger/PartitionTask.h
+++ b/src/ledger/PartitionTask.h
@@ -120,12 +120,14 @@
 
   std::optional<RegisterReply> Decide(const Waiter& aWaiter);
   std::optional<RegisterReply> DecideActive(const Waiter& aWaiter);
+  // Adds the kept answer of an old outcome before it replies.
+  void Reply(const RegisterReply& aReply, const OnRegistered& aOnReply);
   void Answer();
   void AnswerRecords();
   void ReadTail();
   void OnTail(const ReadReply& aReply);
   bool ApplyTail(const ReadReply& aReply);
-  void ReadSegments();
+  void ReadOldClaims();
   void Reload();
   void FinishLoading();
   void RetryLater(std::function<void()> aAction);
@@ -136,7 +138,14 @@
   std::string NewToken();
   // Wraps a callback so that it has no effect after the task has ended.
   template<typename Function>
-  auto Guard(Function aFunction);
+  auto Guard(Function aFunction)
+  {
+    return [isAlive = isAlive_, aFunction](auto&&... aArguments) {
+      if (*isAlive) {
+        aFunction(std::forward<decltype(aArguments)>(aArguments)...);
+      }
+    };
+  }
 
   PartitionContext context_;
   PartitionLog log_;
@@ -146,7 +155,9 @@
   bool hasState_ = false;
   // Rows are being read; no append starts.
   bool isLoading_ = false;
-  bool hasSegments_ = false;
+  bool hasOldClaims_ = false;
+  // Last row whose claims were read from the object store.
+  Sequence lastMoved_;
   bool isMoving_ = false;
   bool isFlushScheduled_ = false;
   MonotonicTime nextAppend_{};
