--- a/test/error/CtlTest.cpp
+++ b/test/error/CtlTest.cpp
@@ -68,6 +68,7 @@
     aArguments.push_back("--server=" + ToString(server_.BoundAddress()));
     aArguments.push_back("--callers=" + ToString(server_.BoundAddress()));
     std::vector<char*> words;
+    words.reserve(aArguments.size() + 1);
     for (std::string& word : aArguments) {
       words.push_back(word.data());
     }
--- a/tools/sycamorewardctl/Options.cpp
+++ b/tools/sycamorewardctl/Options.cpp
@@ -73,6 +73,7 @@
     }
   }
   std::vector<Address> addresses;
+  addresses.reserve(texts.size());
   for (const std::string& text : texts) {
     addresses.push_back(ParseAddress(text));
   }
--- a/tools/sycamorewardctl/SpecDiff.cpp
+++ b/tools/sycamorewardctl/SpecDiff.cpp
@@ -27,7 +27,9 @@
   for (const std::string& key : keys) {
     const Json before = aBefore.value(key, Json());
     const Json after = aAfter.value(key, Json());
-    for (FieldChange& change : DiffSpecs(before, after, aPath + "." + key)) {
+    std::string path = aPath;
+    path.append(".").append(key);
+    for (FieldChange& change : DiffSpecs(before, after, path)) {
       changes.push_back(std::move(change));
     }
   }
