Add the configuration store, its feed and the server feed

One transaction advances the head, writes the resource on condition of the version that the operator read, and inserts the row of the log with a write token. After an unknown result the row of the log is read; while it is absent the same write is sent again with the same token, which decides it without a second effect. Only a race on the head is tried again with a new revision.

--- /dev/null
+++ b/src/configuration/ConfigurationStore.cpp
@@ -0,0 +1,402 @@
+#include "configuration/ConfigurationStore.h"
+
+#include "base/Error.h"
+#include "runtime/EventLoop.h"
+#include "telemetry/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace sycamoreward {
+
+namespace {
+
+const char* const kHeadPartition = "config";
+const char* const kHeadSort = "head";
+const char* const kLogPartition = "config/log";
+const char* const kResourcePartition = "config/resource";
+const char* const kRevisionValue = "revision";
+const char* const kVersionValue = "resourceVersion";
+const char* const kChangeValue = "change";
+const char* const kTokenValue = "writeToken";
+
+// Steps of one commit that may be repeated, for races and unknown results.
+constexpr unsigned kMaxRepeats = 10;
+constexpr Duration kFirstWait = std::chrono::milliseconds(20);
+constexpr Duration kLongestWait = std::chrono::seconds(2);
+constexpr unsigned kPageSize = 200;
+constexpr unsigned kMaxPages = 500;
+
+// Sort keys order as text, so revisions are written with a fixed width.
+std::string
+LogSort(Revision aRevision)
+{
+  const std::string digits = std::to_string(aRevision.Value());
+  return std::string(20 - digits.size(), '0') + digits;
+}
+
+std::string
+ResourceSort(ResourceKind aKind, const std::string& aName)
+{
+  return std::string(ToString(aKind)) + "/" + aName;
+}
+
+std::string
+ValueOf(const ReadReply& aReply, const std::string& aName)
+{
+  if (aReply.rows_.empty()) {
+    return "";
+  }
+  const auto& values = aReply.rows_.front().values_;
+  const auto found = values.find(aName);
+  return found == values.end() ? "" : found->second;
+}
+
+Revision
+RevisionIn(const ReadReply& aReply, const std::string& aName)
+{
+  const std::string text = ValueOf(aReply, aName);
+  return Revision(text.empty() ? 0 : std::stoull(text));
+}
+
+RowWrite
+PutRow(const RowKey& aKey, std::map<std::string, std::string> aValues)
+{
+  RowWrite write;
+  write.row_ = Row{ aKey, std::move(aValues) };
+  return write;
+}
+
+// The row must carry aExpected, or not exist when that is 0.
+void
+RequireRevision(RowWrite& aWrite, const char* aName, Revision aExpected)
+{
+  if (aExpected.Value() == 0) {
+    aWrite.condition_ = RowCondition::Absent;
+    return;
+  }
+  aWrite.condition_ = RowCondition::ValueEquals;
+  aWrite.conditionName_ = aName;
+  aWrite.conditionValue_ = std::to_string(aExpected.Value());
+}
+
+std::vector<RowWrite>
+WritesOf(const ConfigChange& aChange,
+         Revision aExpected,
+         const std::string& aToken)
+{
+  const std::string revision = std::to_string(aChange.revision_.Value());
+  const std::string text = FormatConfigChange(aChange);
+  RowWrite head =
+    PutRow({ kHeadPartition, kHeadSort }, { { kRevisionValue, revision } });
+  RequireRevision(
+    head, kRevisionValue, Revision(aChange.revision_.Value() - 1));
+  RowWrite resource =
+    PutRow({ kResourcePartition, ResourceSort(aChange.kind_, aChange.name_) },
+           { { kVersionValue, revision }, { kChangeValue, text } });
+  if (!aChange.resource_.has_value()) {
+    resource.operation_ = RowOperation::Delete;
+  }
+  RequireRevision(resource, kVersionValue, aExpected);
+  RowWrite log = PutRow({ kLogPartition, LogSort(aChange.revision_) },
+                        { { kChangeValue, text }, { kTokenValue, aToken } });
+  log.condition_ = RowCondition::Absent;
+  return { head, resource, log };
+}
+
+} // namespace
+
+struct ConfigurationStore::Commitment
+{
+  CommitRequest request_;
+  std::function<void(CommitResult)> onResult_;
+  ConfigChange change_;
+  std::string token_;
+  unsigned repeats_ = 0;
+  // Whether a write of the current token may still take effect.
+  bool isInDoubt_ = false;
+};
+
+struct ConfigurationStore::FullRead
+{
+  std::function<void(std::optional<Configuration>)> onRead_;
+  Revision from_;
+  std::vector<ConfigChange> resources_;
+  unsigned pages_ = 0;
+};
+
+template<typename F>
+auto
+ConfigurationStore::Guard(F aCallback)
+{
+  return [weak = std::weak_ptr<bool>(alive_),
+          callback = std::move(aCallback)](auto&&... aArguments) {
+    if (!weak.expired()) {
+      callback(std::forward<decltype(aArguments)>(aArguments)...);
+    }
+  };
+}
+
+ConfigurationStore::ConfigurationStore(EventLoop& aLoop,
+                                       Table& aTable,
+                                       std::function<std::string()> aMakeToken)
+  : loop_(aLoop)
+  , table_(aTable)
+  , makeToken_(std::move(aMakeToken))
+{
+}
+
+ConfigurationStore::~ConfigurationStore() = default;
+
+void
+ConfigurationStore::Commit(const CommitRequest& aRequest,
+                           std::function<void(CommitResult)> aOnResult)
+{
+  auto commitment = std::make_shared<Commitment>();
+  commitment->request_ = aRequest;
+  commitment->onResult_ = std::move(aOnResult);
+  Begin(commitment);
+}
+
+// Every attempt starts from the head that it reads, with a token of its own.
+void
+ConfigurationStore::Begin(const CommitmentRef& aCommitment)
+{
+  ReadHead(Guard([this, aCommitment](std::optional<Revision> aHead) {
+    if (!aHead.has_value()) {
+      End(aCommitment, CommitStatus::Unavailable);
+      return;
+    }
+    const Revision next(aHead->Value() + 1);
+    ConfigChange& change = aCommitment->change_;
+    change.revision_ = next;
+    change.kind_ = aCommitment->request_.kind_;
+    change.name_ = aCommitment->request_.name_;
+    change.resource_.reset();
+    if (aCommitment->request_.resource_.has_value()) {
+      change.resource_ = WithVersion(*aCommitment->request_.resource_, next);
+    }
+    aCommitment->token_ = makeToken_();
+    aCommitment->isInDoubt_ = false;
+    Write(aCommitment);
+  }));
+}
+
+void
+ConfigurationStore::Write(const CommitmentRef& aCommitment)
+{
+  table_.Write(WritesOf(aCommitment->change_,
+                        aCommitment->request_.expected_,
+                        aCommitment->token_),
+               aCommitment->token_,
+               Guard([this, aCommitment](WriteResult aResult) {
+                 OnWritten(aCommitment, aResult);
+               }));
+}
+
+void
+ConfigurationStore::OnWritten(const CommitmentRef& aCommitment,
+                              WriteResult aResult)
+{
+  switch (aResult) {
+    case WriteResult::Committed:
+      End(aCommitment, CommitStatus::Committed);
+      return;
+    case WriteResult::Refused:
+      // Earlier writes of this token, if any, are still in doubt.
+      if (!aCommitment->isInDoubt_) {
+        End(aCommitment, CommitStatus::Unavailable);
+        return;
+      }
+      break;
+    case WriteResult::Unknown:
+      aCommitment->isInDoubt_ = true;
+      break;
+    case WriteResult::ConditionFailed:
+      break;
+  }
+  ReadBack(aCommitment, aResult);
+}
+
+// The row of the log tells which write made this revision.
+void
+ConfigurationStore::ReadBack(const CommitmentRef& aCommitment,
+                             WriteResult aResult)
+{
+  table_.Read({ kLogPartition, LogSort(aCommitment->change_.revision_) },
+              Guard([this, aCommitment, aResult](const ReadReply& aReply) {
+                if (!aReply.isOk_) {
+                  Again(aCommitment, &ConfigurationStore::Write);
+                } else if (ValueOf(aReply, kTokenValue) ==
+                           aCommitment->token_) {
+                  End(aCommitment, CommitStatus::Committed);
+                } else if (!aReply.rows_.empty() ||
+                           aResult == WriteResult::ConditionFailed) {
+                  // Another change has this revision, so that the write can
+                  // never take effect; or a condition failed while the head is
+                  // still where it was, and then it is the one on the resource.
+                  CheckResource(aCommitment);
+                } else {
+                  // The write may take effect later. The same write with the
+                  // same token decides it and has no second effect.
+                  Again(aCommitment, &ConfigurationStore::Write);
+                }
+              }));
+}
+
+void
+ConfigurationStore::CheckResource(const CommitmentRef& aCommitment)
+{
+  const CommitRequest& request = aCommitment->request_;
+  table_.Read(
+    { kResourcePartition, ResourceSort(request.kind_, request.name_) },
+    Guard([this, aCommitment](const ReadReply& aReply) {
+      if (!aReply.isOk_) {
+        Again(aCommitment, &ConfigurationStore::CheckResource);
+      } else if (RevisionIn(aReply, kVersionValue) !=
+                 aCommitment->request_.expected_) {
+        End(aCommitment, CommitStatus::Conflict);
+      } else {
+        aCommitment->isInDoubt_ = false;
+        Again(aCommitment, &ConfigurationStore::Begin);
+      }
+    }));
+}
+
+void
+ConfigurationStore::Again(
+  const CommitmentRef& aCommitment,
+  void (ConfigurationStore::*aStep)(const CommitmentRef&))
+{
+  if (++aCommitment->repeats_ > kMaxRepeats) {
+    End(aCommitment,
+        aCommitment->isInDoubt_ ? CommitStatus::Unknown
+                                : CommitStatus::Unavailable);
+    return;
+  }
+  const Duration wait =
+    std::min(kLongestWait, kFirstWait * (1 << aCommitment->repeats_));
+  loop_.CallAfter(
+    wait, Guard([this, aCommitment, aStep] { (this->*aStep)(aCommitment); }));
+}
+
+void
+ConfigurationStore::End(const CommitmentRef& aCommitment, CommitStatus aStatus)
+{
+  const auto onResult = std::move(aCommitment->onResult_);
+  onResult(CommitResult{ aStatus, aCommitment->change_ });
+}
+
+void
+ConfigurationStore::ReadHead(
+  std::function<void(std::optional<Revision>)> aOnRevision)
+{
+  table_.Read(
+    { kHeadPartition, kHeadSort },
+    Guard([onRevision = std::move(aOnRevision)](const ReadReply& aReply) {
+      onRevision(aReply.isOk_
+                   ? std::optional(RevisionIn(aReply, kRevisionValue))
+                   : std::nullopt);
+    }));
+}
+
+void
+ConfigurationStore::ReadChanges(Revision aAfter,
+                                unsigned aLimit,
+                                OnChanges aOnChanges)
+{
+  table_.Query(
+    kLogPartition,
+    LogSort(Revision(aAfter.Value() + 1)),
+    aLimit,
+    Guard([onChanges = std::move(aOnChanges)](const ReadReply& aReply) {
+      if (!aReply.isOk_) {
+        onChanges(std::nullopt);
+        return;
+      }
+      std::vector<ConfigChange> changes;
+      try {
+        for (const Row& row : aReply.rows_) {
+          changes.push_back(ParseConfigChange(row.values_.at(kChangeValue)));
+        }
+      } catch (const std::exception& error) {
+        // The rows before it are good; the order forbids to skip it.
+        LogFor("configuration")->error("{}", error.what());
+      }
+      onChanges(std::move(changes));
+    }));
+}
+
+// Resources that change while they are read come out right, because all changes
+// since the head that was read first are applied on top.
+void
+ConfigurationStore::ReadAll(
+  std::function<void(std::optional<Configuration>)> aOnRead)
+{
+  auto read = std::make_shared<FullRead>();
+  read->onRead_ = std::move(aOnRead);
+  ReadHead(Guard([this, read](std::optional<Revision> aHead) {
+    if (!aHead.has_value()) {
+      read->onRead_(std::nullopt);
+      return;
+    }
+    read->from_ = *aHead;
+    ReadResources(read, "");
+  }));
+}
+
+void
+ConfigurationStore::ReadResources(const FullReadRef& aRead,
+                                  const std::string& aFrom)
+{
+  table_.Query(kResourcePartition,
+               aFrom,
+               kPageSize,
+               Guard([this, aRead](const ReadReply& aReply) {
+                 if (!aReply.isOk_ || ++aRead->pages_ > kMaxPages) {
+                   aRead->onRead_(std::nullopt);
+                   return;
+                 }
+                 try {
+                   for (const Row& row : aReply.rows_) {
+                     aRead->resources_.push_back(
+                       ParseConfigChange(row.values_.at(kChangeValue)));
+                   }
+                 } catch (const std::exception& error) {
+                   LogFor("configuration")->error("{}", error.what());
+                   aRead->onRead_(std::nullopt);
+                   return;
+                 }
+                 if (aReply.rows_.size() == kPageSize) {
+                   // The smallest key above the last one.
+                   ReadResources(aRead,
+                                 aReply.rows_.back().key_.sort_ + '\x01');
+                 } else {
+                   CatchUp(aRead);
+                 }
+               }));
+}
+
+void
+ConfigurationStore::CatchUp(const FullReadRef& aRead)
+{
+  ReadChanges(
+    aRead->from_,
+    kPageSize,
+    Guard([aRead](const std::optional<std::vector<ConfigChange>>& aChanges) {
+      if (!aChanges.has_value() || aChanges->size() == kPageSize) {
+        aRead->onRead_(std::nullopt);
+        return;
+      }
+      ConfigState state;
+      state.ApplySnapshot(
+        MakeConfiguration(aRead->from_, std::move(aRead->resources_)));
+      state.ApplyChanges(*aChanges);
+      aRead->onRead_(*state.Current());
+    }));
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/configuration/ConfigurationTask.cpp
@@ -0,0 +1,383 @@
+#include "configuration/ConfigurationTask.h"
+
+#include "base/Error.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr Duration kInterval = std::chrono::seconds(1);
+constexpr Duration kPullTimeout = std::chrono::seconds(2);
+// Ticks between two rounds of asking the seeds while not ready.
+constexpr std::uint64_t kSeedInterval = 3;
+constexpr unsigned kPageSize = 200;
+// Changes in one delta; the receiver asks again for the rest.
+constexpr std::size_t kMaxDeltaItems = 1000;
+// A peer's statement about revisions counts for this time.
+constexpr Duration kStatementAge = std::chrono::seconds(8);
+// Beats that carry inForce_ after it changed, and the interval of beats that
+// carry it otherwise: it is larger than the rest of a heartbeat.
+constexpr std::uint64_t kBeatsAfterChange = 24;
+constexpr std::uint64_t kBeatsBetween = 32;
+
+const char* const kDuty = "config-reader";
+
+} // namespace
+
+bool
+IsReaderOf(const MemberList& aMembers,
+           const std::string& aDuty,
+           const FailureDomainId& aDomain)
+{
+  MemberList domain;
+  std::copy_if(aMembers.members_.begin(),
+               aMembers.members_.end(),
+               std::back_inserter(domain.members_),
+               [&](const Member& aMember) {
+                 return aMember.identity_.failureDomain_ == aDomain;
+               });
+  const auto ranked = RankForDuty(domain, aDuty + "/" + aDomain.Value(), {});
+  const auto place = std::find(ranked.begin(), ranked.end(), aMembers.self_);
+  return place != ranked.end() && place - ranked.begin() < 2;
+}
+
+bool
+IsEnoughToStart(const StartAnswers& aAnswers)
+{
+  return aAnswers.open_ == 0 &&
+         (aAnswers.fromOwnDomain_ >= 1 || aAnswers.fromOthers_ >= 2);
+}
+
+ConfigurationTask::ConfigurationTask(EventLoop& aLoop,
+                                     ConfigurationStore& aStore,
+                                     FeedExchange& aFeeds,
+                                     MembershipTask& aMembership)
+  : loop_(aLoop)
+  , store_(aStore)
+  , feeds_(aFeeds)
+  , membership_(aMembership)
+{
+  const std::weak_ptr<bool> weak = alive_;
+  feeds_.SetSource(FeedName::Configuration, [this, weak](std::uint64_t aAfter) {
+    return weak.expired() ? std::nullopt : DeltaAfter(aAfter);
+  });
+  membership_.AddToBeats(
+    [this, weak](Beat& aBeat) {
+      if (!weak.expired()) {
+        FillBeat(aBeat);
+      }
+    },
+    [this, weak](const PeerIdentity& aFrom, const Beat& aBeat) {
+      if (!weak.expired()) {
+        ReadBeat(aFrom, aBeat);
+      }
+    });
+}
+
+ConfigurationTask::~ConfigurationTask()
+{
+  loop_.CancelTimer(timer_);
+}
+
+void
+ConfigurationTask::Start(std::vector<PeerIdentity> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  seeds_.erase(std::remove_if(seeds_.begin(),
+                              seeds_.end(),
+                              [&](const PeerIdentity& aSeed) {
+                                return aSeed.instance_ ==
+                                       membership_.Self().instance_;
+                              }),
+               seeds_.end());
+  Tick();
+}
+
+std::shared_ptr<const Configuration>
+ConfigurationTask::Current() const
+{
+  return state_.Current();
+}
+
+void
+ConfigurationTask::OnChange(std::function<void()> aObserver)
+{
+  observers_.push_back(std::move(aObserver));
+}
+
+void
+ConfigurationTask::Tick()
+{
+  timer_ = loop_.CallAfter(kInterval, [this] { Tick(); });
+  const bool isReader =
+    IsReaderOf(membership_.Members(), kDuty, membership_.Self().failureDomain_);
+  if (isReader || !isReady_) {
+    ReadTable();
+  }
+  if (!isReady_ && ticks_ % kSeedInterval == 0 && answers_.open_ == 0) {
+    AskSeeds();
+  }
+  ++ticks_;
+}
+
+void
+ConfigurationTask::AskSeeds()
+{
+  answers_ = {};
+  answers_.open_ = unsigned(seeds_.size());
+  for (const PeerIdentity& seed : seeds_) {
+    feeds_.Pull(FeedName::Configuration,
+                seed,
+                0,
+                kPullTimeout,
+                [this, seed, weak = std::weak_ptr<bool>(alive_)](
+                  const std::optional<FeedDelta>& aDelta) {
+                  if (weak.expired()) {
+                    return;
+                  }
+                  --answers_.open_;
+                  if (aDelta.has_value()) {
+                    const bool isOwn =
+                      seed.failureDomain_ == membership_.Self().failureDomain_;
+                    ++(isOwn ? answers_.fromOwnDomain_ : answers_.fromOthers_);
+                    if (Apply(*aDelta)) {
+                      Changed();
+                    }
+                  }
+                  if (!isReady_ && IsEnoughToStart(answers_)) {
+                    isReady_ = true;
+                    Changed();
+                  }
+                });
+  }
+}
+
+void
+ConfigurationTask::ReadTable()
+{
+  if (isReading_) {
+    return;
+  }
+  isReading_ = true;
+  store_.ReadHead([this, weak = std::weak_ptr<bool>(alive_)](
+                    const std::optional<Revision>& aHead) {
+    if (weak.expired()) {
+      return;
+    }
+    isReading_ = false;
+    if (!aHead.has_value()) {
+      return;
+    }
+    const Revision known = state_.CurrentRevision();
+    if (*aHead <= known) {
+      if (!isReady_) {
+        isReady_ = true;
+        Changed();
+      }
+    } else if (known.Value() == 0 ||
+               aHead->Value() - known.Value() > kPageSize) {
+      LoadAll();
+    } else {
+      LoadChanges();
+    }
+  });
+}
+
+void
+ConfigurationTask::LoadAll()
+{
+  isReading_ = true;
+  store_.ReadAll([this, weak = std::weak_ptr<bool>(alive_)](
+                   std::optional<Configuration> aConfiguration) {
+    if (weak.expired()) {
+      return;
+    }
+    isReading_ = false;
+    if (aConfiguration.has_value()) {
+      state_.ApplySnapshot(std::move(*aConfiguration));
+      isReady_ = true;
+      Changed();
+    }
+  });
+}
+
+void
+ConfigurationTask::LoadChanges()
+{
+  isReading_ = true;
+  store_.ReadChanges(
+    state_.CurrentRevision(),
+    kPageSize,
+    [this, weak = std::weak_ptr<bool>(alive_)](
+      const std::optional<std::vector<ConfigChange>>& aChanges) {
+      if (weak.expired()) {
+        return;
+      }
+      isReading_ = false;
+      if (aChanges.has_value()) {
+        const bool isChanged = state_.ApplyChanges(*aChanges);
+        if (isChanged || !isReady_) {
+          isReady_ = true;
+          Changed();
+        }
+      }
+    });
+}
+
+void
+ConfigurationTask::PullFrom(const PeerIdentity& aPeer)
+{
+  if (isPulling_) {
+    return;
+  }
+  isPulling_ = true;
+  feeds_.Pull(FeedName::Configuration,
+              aPeer,
+              state_.CurrentRevision().Value(),
+              kPullTimeout,
+              [this, weak = std::weak_ptr<bool>(alive_)](
+                const std::optional<FeedDelta>& aDelta) {
+                if (weak.expired()) {
+                  return;
+                }
+                isPulling_ = false;
+                if (aDelta.has_value() && Apply(*aDelta)) {
+                  Changed();
+                }
+              });
+}
+
+bool
+ConfigurationTask::Apply(const FeedDelta& aDelta)
+{
+  try {
+    std::vector<ConfigChange> changes;
+    for (const std::string& item : aDelta.items_) {
+      changes.push_back(ParseConfigChange(item));
+    }
+    return aDelta.isSnapshot_ ? state_.ApplySnapshot(MakeConfiguration(
+                                  Revision(aDelta.version_), changes))
+                              : state_.ApplyChanges(changes);
+  } catch (const UserError& error) {
+    LogFor("configuration")->error("{}", error.what());
+    return false;
+  }
+}
+
+std::optional<FeedDelta>
+ConfigurationTask::DeltaAfter(std::uint64_t aAfter) const
+{
+  if (!isReady_) {
+    return std::nullopt;
+  }
+  FeedDelta delta;
+  delta.feed_ = FeedName::Configuration;
+  delta.version_ = state_.CurrentRevision().Value();
+  // A peer that is ahead needs nothing.
+  delta.after_ = std::min(aAfter, delta.version_);
+  auto changes =
+    aAfter == 0 ? std::nullopt : state_.ChangesAfter(Revision(aAfter));
+  if (!changes.has_value()) {
+    delta.isSnapshot_ = true;
+    delta.after_ = 0;
+    changes = ResourcesOf(*state_.Current());
+  } else if (changes->size() > kMaxDeltaItems) {
+    changes->resize(kMaxDeltaItems);
+    delta.version_ = changes->back().revision_.Value();
+  }
+  for (const ConfigChange& change : *changes) {
+    delta.items_.push_back(FormatConfigChange(change));
+  }
+  return delta;
+}
+
+void
+ConfigurationTask::FillBeat(Beat& aBeat)
+{
+  aBeat.configuration_ = state_.CurrentRevision();
+  auto inForce = InForce();
+  if (inForce != sentInForce_) {
+    sentInForce_ = inForce;
+    beatsSinceChange_ = 0;
+  }
+  if (++beatsSinceChange_ < kBeatsAfterChange ||
+      beatsSinceChange_ % kBeatsBetween == 0) {
+    aBeat.inForce_ = std::move(inForce);
+  }
+}
+
+void
+ConfigurationTask::ReadBeat(const PeerIdentity& aFrom, const Beat& aBeat)
+{
+  PeerRevision& peer = peers_[aFrom.instance_];
+  if (!aFrom.failureDomain_.Value().empty()) {
+    peer.failureDomain_ = aFrom.failureDomain_;
+  }
+  peer.revision_ = aBeat.configuration_;
+  peer.heard_ = loop_.GetClock().Now();
+  if (!aBeat.inForce_.empty()) {
+    peer.inForce_ = aBeat.inForce_;
+  }
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const bool isOld = peer.heard_ - it->second.heard_ > kStatementAge;
+    it = isOld ? peers_.erase(it) : std::next(it);
+  }
+  if (aBeat.configuration_ > state_.CurrentRevision()) {
+    PullFrom(aFrom);
+  }
+}
+
+std::map<std::string, std::uint64_t>
+ConfigurationTask::InForce() const
+{
+  const std::string own = membership_.Self().failureDomain_.Value();
+  std::map<std::string, std::uint64_t> direct;
+  std::map<std::string, std::uint64_t> relayed;
+  direct[own] = state_.CurrentRevision().Value();
+  const auto lower = [&](const std::string& aDomain, std::uint64_t aRevision) {
+    const auto place = direct.emplace(aDomain, aRevision).first;
+    place->second = std::min(place->second, aRevision);
+  };
+  for (const auto& [instance, peer] : peers_) {
+    const std::string& domain = peer.failureDomain_.Value();
+    lower(domain, peer.revision_.Value());
+    for (const auto& [name, revision] : peer.inForce_) {
+      // Only a member of a domain speaks for it; what others relay would keep
+      // an old minimum alive for ever.
+      if (name == domain && name != own) {
+        lower(name, revision);
+      } else if (name != domain) {
+        relayed[name] = std::max(relayed[name], revision);
+      }
+    }
+  }
+  // Domains that no heartbeat of this instance reaches.
+  direct.insert(relayed.begin(), relayed.end());
+  return direct;
+}
+
+void
+ConfigurationTask::Committed(const ConfigChange& aChange)
+{
+  if (state_.ApplyChanges({ aChange })) {
+    Changed();
+  } else if (aChange.revision_ > state_.CurrentRevision()) {
+    // Changes before it are not known here yet.
+    ReadTable();
+  }
+}
+
+void
+ConfigurationTask::Changed()
+{
+  membership_.BeatNow();
+  for (const auto& observer : observers_) {
+    observer();
+  }
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/configuration/ConfigurationTask.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// Keeps the configuration of this instance up to date: from the table when it
+// is one of its failure domain's readers, from peers otherwise.
+
+#include "configuration/ConfigState.h"
+#include "configuration/ConfigurationSource.h"
+#include "configuration/ConfigurationStore.h"
+#include "configuration/FeedExchange.h"
+#include "membership/MembershipTask.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+// Whether this instance is one of the first two by rank for aDuty among the
+// members of its failure domain.
+bool
+IsReaderOf(const MemberList& aMembers,
+           const std::string& aDuty,
+           const FailureDomainId& aDomain);
+
+// What an instance that starts has heard from its seed peers.
+struct StartAnswers
+{
+  unsigned fromOwnDomain_ = 0;
+  unsigned fromOthers_ = 0;
+  // Seeds that have neither answered nor timed out yet.
+  unsigned open_ = 0;
+};
+
+// Whether an instance that starts without the table may trust the highest
+// revision among the answers: each seed has answered or timed out, and there is
+// an answer of its own failure domain or two of others.
+bool
+IsEnoughToStart(const StartAnswers& aAnswers);
+
+class ConfigurationTask final : public ConfigurationSource
+{
+public:
+  ConfigurationTask(EventLoop& aLoop,
+                    ConfigurationStore& aStore,
+                    FeedExchange& aFeeds,
+                    MembershipTask& aMembership);
+  ~ConfigurationTask() override;
+  ConfigurationTask(const ConfigurationTask&) = delete;
+  ConfigurationTask& operator=(const ConfigurationTask&) = delete;
+
+  // Begins to read the table and to ask aSeeds, the other entry instances of
+  // the platform's list.
+  void Start(std::vector<PeerIdentity> aSeeds);
+
+  // False until the configuration has been read from the table or from enough
+  // peers.
+  bool IsReady() const { return isReady_; }
+
+  std::shared_ptr<const Configuration> Current() const override;
+  void OnChange(std::function<void()> aObserver) override;
+
+  const ConfigState& State() const { return state_; }
+
+  // A change that this instance has committed.
+  void Committed(const ConfigChange& aChange);
+
+  // Lowest revision in force by failure domain, over the members that this
+  // instance and its neighbours exchange heartbeats with.
+  std::map<std::string, std::uint64_t> InForce() const;
+
+private:
+  struct PeerRevision
+  {
+    FailureDomainId failureDomain_;
+    Revision revision_;
+    std::map<std::string, std::uint64_t> inForce_;
+    MonotonicTime heard_;
+  };
+
+  void Tick();
+  void AskSeeds();
+  void ReadTable();
+  void LoadAll();
+  void LoadChanges();
+  void PullFrom(const PeerIdentity& aPeer);
+  bool Apply(const FeedDelta& aDelta);
+  std::optional<FeedDelta> DeltaAfter(std::uint64_t aAfter) const;
+  void FillBeat(Beat& aBeat);
+  void ReadBeat(const PeerIdentity& aFrom, const Beat& aBeat);
+  void Changed();
+
+  EventLoop& loop_;
+  ConfigurationStore& store_;
+  FeedExchange& feeds_;
+  MembershipTask& membership_;
+  ConfigState state_;
+  bool isReady_ = false;
+  bool isReading_ = false;
+  bool isPulling_ = false;
+  std::vector<PeerIdentity> seeds_;
+  StartAnswers answers_;
+  std::uint64_t ticks_ = 0;
+  std::map<InstanceId, PeerRevision> peers_;
+  // What was last sent as inForce_, and beats since its last change.
+  std::map<std::string, std::uint64_t> sentInForce_;
+  std::uint64_t beatsSinceChange_ = 0;
+  std::vector<std::function<void()>> observers_;
+  EventLoop::TimerId timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/configuration/ServerFeed.h
@@ -0,0 +1,76 @@
+#pragma once
+
+// Keeps the list of servers of this instance up to date: from the platform when
+// it is one of its failure domain's readers, from peers otherwise. Servers that
+// say that they leave are spread with heartbeats, ahead of the list.
+
+#include "configuration/ConfigurationSource.h"
+#include "configuration/FeedExchange.h"
+#include "configuration/ServerListState.h"
+#include "membership/MembershipTask.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamoreward {
+
+class ServerFeed final : public ServerList
+{
+public:
+  // Asks the platform for what changed after a version; aOnText is called once
+  // with the answer, or with nothing when there is none.
+  using FetchList = std::function<void(
+    std::uint64_t aSince,
+    std::function<void(std::optional<std::string>)> aOnText)>;
+
+  ServerFeed(EventLoop& aLoop,
+             FetchList aFetch,
+             FeedExchange& aFeeds,
+             MembershipTask& aMembership);
+  ~ServerFeed() override;
+  ServerFeed(const ServerFeed&) = delete;
+  ServerFeed& operator=(const ServerFeed&) = delete;
+
+  // Begins to read; also asks aSeeds while no list is known.
+  void Start(std::vector<PeerIdentity> aSeeds);
+
+  // Whether a list is known.
+  bool IsReady() const { return state_.Version() > 0; }
+
+  std::vector<Server> Servers() const override;
+  void OnChange(std::function<void()> aObserver) override;
+  void ReportLeaving(const ServerId& aServer) override;
+
+  // The entry instances on the list, for MembershipTask::SetSeeds.
+  std::vector<PeerIdentity> Entries() const { return state_.Entries(); }
+
+private:
+  void Tick();
+  void Fetch();
+  void PullFrom(const PeerIdentity& aPeer);
+  FeedDelta DeltaAfter(std::uint64_t aAfter) const;
+  void FillBeat(Beat& aBeat);
+  void ReadBeat(const PeerIdentity& aFrom, const Beat& aBeat);
+  void Changed();
+
+  EventLoop& loop_;
+  FetchList fetch_;
+  FeedExchange& feeds_;
+  MembershipTask& membership_;
+  ServerListState state_;
+  std::vector<PeerIdentity> seeds_;
+  std::size_t nextSeed_ = 0;
+  bool isFetching_ = false;
+  bool isPulling_ = false;
+  // Leaving servers to pass on, with the number of beats that carried them.
+  std::map<ServerId, unsigned> unsent_;
+  std::vector<std::function<void()>> observers_;
+  EventLoop::TimerId timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sycamoreward
