--- a/src/requests/Attempt.cpp
+++ b/src/requests/Attempt.cpp
@@ -23,15 +23,15 @@
   HttpCallbacks callbacks;
   callbacks.onHead_ = [self = shared_from_this()](int aStatus,
                                                   const HttpHeaders& aHeaders) {
-    const auto running = self;
+    const auto running = self->shared_from_this();
     running->HandleHead(aStatus, aHeaders);
   };
   callbacks.onData_ = [self = shared_from_this()](std::string_view aData) {
-    const auto running = self;
+    const auto running = self->shared_from_this();
     running->HandleData(aData);
   };
   callbacks.onEnd_ = [self = shared_from_this()](HttpEnd aEnd) {
-    const auto running = self;
+    const auto running = self->shared_from_this();
     running->HandleEnd(aEnd);
   };
   call_ = client_.Start(request_, std::move(callbacks));
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -47,7 +47,7 @@
 RequestTable::Run(AcceptedRequest aRequest)
 {
   const auto task = Add(std::move(aRequest));
-  const auto log = task->Log();
+  auto log = task->Log();
   task->Start();
   return log;
 }
@@ -174,7 +174,7 @@
 RequestTable::KeepFinished(const RequestTask& aTask)
 {
   const AcceptedRequest& request = aTask.Request();
-  const auto log = aTask.Log();
+  const auto& log = aTask.Log();
   if (!request.isKeyed_ || !request.isRepeatable_ ||
       log->GetState() != AnswerLog::State::Whole ||
       finishedById_.count(request.id_) != 0) {
