Add sycamoreward-load with bench, mix and check

bench runs an in-process stream source and compares a direct connection with an entry instance; mix starts open-loop load of four classes; check compares each answer with the engine stand-in's text where the build has it.

--- /dev/null
+++ b/tools/sycamoreward-load/Bench.cpp
@@ -0,0 +1,157 @@
+#include "Bench.h"
+
+#include "Caller.h"
+#include "Stats.h"
+#include "StreamSource.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace sycamoreward::load {
+
+namespace {
+
+struct Figures
+{
+  Samples firstByte_;
+  Samples whole_;
+  std::uint64_t tokens_ = 0;
+  unsigned completed_ = 0;
+  unsigned other_ = 0;
+  Duration length_{ 0 };
+};
+
+// Starts calls at an even pace on a loop of its own.
+Figures
+RunCalls(const BenchOptions& aOptions, const Address& aAddress, unsigned aPart)
+{
+  SystemClock clock;
+  EventLoop loop(clock);
+  Caller caller(loop, { aAddress });
+  CallSpec spec;
+  spec.token_ = aOptions.token_;
+  spec.body_ = nlohmann::json{
+    { "model", aOptions.model_ },
+    { "prompt", "benchmark" },
+    { "max_tokens", aOptions.tokens_ },
+    { "stream", true }
+  }.dump();
+  Figures figures;
+  const auto calls = std::uint64_t(
+    aOptions.rate_ * double(aOptions.length_.count()) / aOptions.threads_);
+  const Duration pace(std::int64_t(1e6 * aOptions.threads_ / aOptions.rate_));
+  const MonotonicTime start = clock.Now();
+  std::uint64_t ended = 0;
+  for (std::uint64_t call = 0; call < calls; ++call) {
+    const Duration offset = pace * std::int64_t(call) +
+                            pace * std::int64_t(aPart) / aOptions.threads_;
+    loop.CallAfter(offset, [&] {
+      caller.Start(spec, [&](CallResult aResult) {
+        ++ended;
+        if (aResult.end_ != CallEnd::Completed ||
+            aResult.tokens_ != aOptions.tokens_) {
+          ++figures.other_;
+          return;
+        }
+        ++figures.completed_;
+        figures.tokens_ += aResult.tokens_;
+        figures.firstByte_.Add(aResult.firstByte_);
+        figures.whole_.Add(aResult.whole_);
+      });
+    });
+  }
+  loop.RunUntil([&] { return ended == calls; },
+                aOptions.length_ + std::chrono::seconds(60));
+  figures.length_ = clock.Now() - start;
+  return figures;
+}
+
+Figures
+Measure(const BenchOptions& aOptions, const Address& aAddress)
+{
+  std::vector<Figures> parts(aOptions.threads_);
+  std::vector<std::thread> threads;
+  for (unsigned part = 0; part < aOptions.threads_; ++part) {
+    threads.emplace_back(
+      [&, part] { parts[part] = RunCalls(aOptions, aAddress, part); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  Figures all;
+  for (const Figures& part : parts) {
+    all.firstByte_.Add(part.firstByte_);
+    all.whole_.Add(part.whole_);
+    all.tokens_ += part.tokens_;
+    all.completed_ += part.completed_;
+    all.other_ += part.other_;
+    all.length_ = std::max(all.length_, part.length_);
+  }
+  return all;
+}
+
+std::vector<std::string>
+Row(const char* aName, Figures& aFigures)
+{
+  const double seconds = double(aFigures.length_.count()) / 1e6;
+  return { aName,
+           FormatMilliseconds(aFigures.completed_ / seconds),
+           FormatMilliseconds(double(aFigures.tokens_) / seconds),
+           FormatMilliseconds(aFigures.firstByte_.Percentile(50)),
+           FormatMilliseconds(aFigures.firstByte_.Percentile(99)),
+           FormatMilliseconds(aFigures.whole_.Percentile(50)),
+           FormatMilliseconds(aFigures.whole_.Percentile(99)),
+           std::to_string(aFigures.other_) };
+}
+
+std::vector<std::string>
+AddedRow(Figures& aDirect, Figures& aVia)
+{
+  std::vector<std::string> row{ "added", "", "" };
+  for (const double percent : { 50.0, 99.0 }) {
+    row.push_back(FormatMilliseconds(aVia.firstByte_.Percentile(percent) -
+                                     aDirect.firstByte_.Percentile(percent)));
+  }
+  for (const double percent : { 50.0, 99.0 }) {
+    row.push_back(FormatMilliseconds(aVia.whole_.Percentile(percent) -
+                                     aDirect.whole_.Percentile(percent)));
+  }
+  return row;
+}
+
+} // namespace
+
+int
+RunBench(const BenchOptions& aOptions)
+{
+  const StreamSource source(
+    aOptions.direct_, aOptions.tokens_, aOptions.interval_);
+  std::cout << DescribeMachine() << "settings: rate " << aOptions.rate_
+            << "/s, " << aOptions.tokens_ << " tokens every "
+            << aOptions.interval_.count() << " us, " << aOptions.threads_
+            << " caller threads, " << aOptions.length_.count() << " s, source "
+            << ToString(source.BoundAddress()) << "\n\n";
+  std::vector<std::vector<std::string>> rows{ { "path",
+                                                "requests/s",
+                                                "tokens/s",
+                                                "first p50 ms",
+                                                "first p99 ms",
+                                                "whole p50 ms",
+                                                "whole p99 ms",
+                                                "not whole" } };
+  Figures direct = Measure(aOptions, source.BoundAddress());
+  rows.push_back(Row("direct", direct));
+  unsigned bad = direct.other_;
+  if (aOptions.via_) {
+    Figures via = Measure(aOptions, *aOptions.via_);
+    rows.push_back(Row("via", via));
+    rows.push_back(AddedRow(direct, via));
+    bad += via.other_;
+  }
+  std::cout << FormatTable(rows);
+  return bad == 0 ? 0 : 1;
+}
+
+} // namespace sycamoreward::load
--- /dev/null
+++ b/tools/sycamoreward-load/Caller.cpp
@@ -0,0 +1,246 @@
+#include "Caller.h"
+
+#include "recovery/SseParser.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sycamoreward::load {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+const char*
+ToString(CallEnd aEnd)
+{
+  switch (aEnd) {
+    case CallEnd::Completed:
+      return "completed";
+    case CallEnd::Failed:
+      return "failed";
+    case CallEnd::NotRun:
+      return "not run";
+    case CallEnd::Unknown:
+      return "unknown";
+  }
+  return "";
+}
+
+struct Caller::State
+{
+  State(EventLoop& aLoop, std::vector<Address> aAddresses)
+    : loop_(aLoop)
+    , client_(aLoop)
+    , addresses_(std::move(aAddresses))
+  {
+  }
+
+  EventLoop& loop_;
+  HttpClient client_;
+  std::vector<Address> addresses_;
+  std::size_t next_ = 0;
+};
+
+namespace {
+
+// One call, over all of its tries.
+struct Call : std::enable_shared_from_this<Call>
+{
+  std::shared_ptr<Caller::State> state_;
+  CallSpec spec_;
+  std::function<void(CallResult)> onResult_;
+  CallResult result_;
+  MonotonicTime start_{};
+  MonotonicTime lastToken_{};
+  SseParser parser_;
+  std::string body_;
+  std::string retryAfter_;
+  bool hasEndMark_ = false;
+
+  MonotonicTime Now() const { return state_->loop_.GetClock().Now(); }
+
+  void Try()
+  {
+    ++result_.tries_;
+    result_.text_.clear();
+    result_.tokens_ = 0;
+    result_.gaps_.clear();
+    result_.status_ = 0;
+    parser_ = SseParser();
+    body_.clear();
+    hasEndMark_ = false;
+    HttpClientRequest request;
+    request.address_ =
+      state_->addresses_[state_->next_++ % state_->addresses_.size()];
+    request.method_ = spec_.method_;
+    request.target_ = spec_.target_;
+    request.body_ = spec_.body_;
+    request.silenceTimeout_ = spec_.silence_;
+    request.headers_ = { { "Content-Type", "application/json" },
+                         { "Authorization", "Bearer " + spec_.token_ } };
+    if (!spec_.key_.empty()) {
+      request.headers_.emplace_back("Idempotency-Key", spec_.key_);
+    }
+    state_->client_.Start(request, Callbacks());
+  }
+
+  HttpCallbacks Callbacks()
+  {
+    HttpCallbacks callbacks;
+    callbacks.onHead_ =
+      [self = shared_from_this()](int aStatus, const HttpHeaders& aHeaders) {
+        self->result_.status_ = aStatus;
+        self->retryAfter_ = FindHeader(aHeaders, "Retry-After");
+      };
+    callbacks.onData_ = [self = shared_from_this()](std::string_view aData) {
+      self->TakeData(aData);
+    };
+    callbacks.onEnd_ = [self = shared_from_this()](HttpEnd aEnd) {
+      self->TakeEnd(aEnd);
+    };
+    return callbacks;
+  }
+
+  void TakeData(std::string_view aData)
+  {
+    const MonotonicTime now = Now();
+    if (result_.firstByte_ == Duration(0)) {
+      result_.firstByte_ = now - start_;
+    }
+    if (!spec_.isStream_ || result_.status_ != 200) {
+      body_ += aData;
+      return;
+    }
+    std::vector<std::string> events;
+    parser_.Feed(aData, events);
+    for (const std::string& event : events) {
+      if (event == "[DONE]") {
+        hasEndMark_ = true;
+      } else {
+        TakeEvent(event, now);
+      }
+    }
+  }
+
+  void TakeEvent(const std::string& aEvent, MonotonicTime aNow)
+  {
+    const json body = json::parse(aEvent, nullptr, false);
+    if (!body.is_object() || !body.contains("choices")) {
+      return;
+    }
+    const std::string text = body["choices"][0].value("text", "");
+    if (text.empty()) {
+      return;
+    }
+    if (result_.tokens_ != 0) {
+      result_.gaps_.push_back(aNow - lastToken_);
+    }
+    lastToken_ = aNow;
+    ++result_.tokens_;
+    result_.text_ += text;
+  }
+
+  void TakeEnd(HttpEnd aEnd)
+  {
+    const bool isWhole = aEnd == HttpEnd::Complete && result_.status_ >= 200 &&
+                         result_.status_ < 300 &&
+                         (hasEndMark_ || !spec_.isStream_);
+    if (isWhole) {
+      if (!spec_.isStream_) {
+        result_.text_ = body_;
+      }
+      Finish(CallEnd::Completed);
+      return;
+    }
+    const CallEnd end = ReadEnd(aEnd);
+    const bool mayTryAgain = !spec_.key_.empty() &&
+                             result_.tries_ < spec_.maxTries_ &&
+                             (aEnd != HttpEnd::Complete ||
+                              result_.status_ == 503 || result_.status_ == 429);
+    if (!mayTryAgain) {
+      Finish(end);
+      return;
+    }
+    const Duration pause = retryAfter_.empty()
+                             ? kPause
+                             : Duration(std::chrono::seconds(
+                                 std::max(1, std::atoi(retryAfter_.c_str()))));
+    state_->loop_.CallAfter(pause,
+                            [self = shared_from_this()] { self->Try(); });
+  }
+
+  CallEnd ReadEnd(HttpEnd aEnd) const
+  {
+    if (aEnd == HttpEnd::NotConnected) {
+      return CallEnd::NotRun;
+    }
+    const json body = json::parse(body_, nullptr, false);
+    if (!body.is_object() || !body.contains("error") ||
+        !body["error"].is_object()) {
+      return aEnd == HttpEnd::Complete ? CallEnd::Failed : CallEnd::Unknown;
+    }
+    const std::string ran = body["error"].value("ran", "unknown");
+    if (ran == "not_run") {
+      return CallEnd::NotRun;
+    }
+    return ran == "ran" ? CallEnd::Failed : CallEnd::Unknown;
+  }
+
+  void Finish(CallEnd aEnd)
+  {
+    result_.end_ = aEnd;
+    result_.whole_ = Now() - start_;
+    const auto onResult = std::move(onResult_);
+    onResult(std::move(result_));
+  }
+};
+
+} // namespace
+
+Caller::Caller(EventLoop& aLoop, std::vector<Address> aAddresses)
+  : state_(std::make_shared<State>(aLoop, std::move(aAddresses)))
+{
+}
+
+void
+Caller::Start(CallSpec aSpec, std::function<void(CallResult)> aOnResult)
+{
+  auto call = std::make_shared<Call>();
+  call->state_ = state_;
+  call->spec_ = std::move(aSpec);
+  call->onResult_ = std::move(aOnResult);
+  call->start_ = call->Now();
+  call->Try();
+}
+
+void
+Caller::RefreshAddresses()
+{
+  HttpClientRequest request;
+  request.address_ = state_->addresses_.front();
+  request.target_ = "/v1/addresses";
+  state_->client_.Fetch(
+    request, [weak = std::weak_ptr<State>(state_)](HttpClientReply aReply) {
+      const auto state = weak.lock();
+      const json body = json::parse(aReply.body_, nullptr, false);
+      if (state == nullptr || !body.is_object() ||
+          !body.contains("addresses")) {
+        return;
+      }
+      std::vector<Address> addresses;
+      for (const json& entry : body["addresses"]) {
+        addresses.push_back(ParseAddress(entry.value("address", "")));
+      }
+      if (!addresses.empty()) {
+        state->addresses_ = std::move(addresses);
+      }
+    });
+}
+
+} // namespace sycamoreward::load
