--- a/src/configuration/ConfigState.cpp
+++ b/src/configuration/ConfigState.cpp
@@ -53,7 +53,8 @@
     aChanges.push_back({ resource.metadata_.resourceVersion_,
                          KindOf(resource),
                          name,
-                         Resource(resource) });
+                         Resource(resource),
+                         false });
   }
 }
 
@@ -153,8 +154,10 @@
     if (next == nullptr) {
       next = std::make_shared<Configuration>(*current_);
     }
-    Apply(*next, change);
     changes_.push_back(change);
+    changes_.back().isNew_ =
+      !FindResource(*next, change.kind_, change.name_).has_value();
+    Apply(*next, change);
     if (changes_.size() > maxChanges_) {
       changes_.pop_front();
     }
--- a/src/configuration/ConfigState.h
+++ b/src/configuration/ConfigState.h
@@ -23,6 +23,8 @@
   std::string name_;
   // The resource as changed. Empty: it was deleted.
   std::optional<Resource> resource_;
+  // The resource did not exist before. Set by ConfigState::ApplyChanges.
+  bool isNew_ = false;
 };
 
 // Text form of log rows and of the configuration feed.
