--- a/src/operators/OperatorAccess.cpp
+++ b/src/operators/OperatorAccess.cpp
@@ -19,9 +19,8 @@
   std::optional<OperatorRole> role;
   for (const OperatorSettings& candidate : aOperators) {
     if (candidate.tokenDigest_.size() == digest.size() &&
-        CRYPTO_memcmp(candidate.tokenDigest_.data(),
-                      digest.data(),
-                      digest.size()) == 0) {
+        CRYPTO_memcmp(
+          candidate.tokenDigest_.data(), digest.data(), digest.size()) == 0) {
       role = candidate.role_;
     }
   }
--- a/src/operators/ResourceApi.cpp
+++ b/src/operators/ResourceApi.cpp
@@ -60,8 +60,7 @@
   const auto isOld = [&](const FieldError& aError) {
     return std::any_of(
       before.begin(), before.end(), [&](const FieldError& aOld) {
-        return aOld.field_ == aError.field_ &&
-               aOld.message_ == aError.message_;
+        return aOld.field_ == aError.field_ && aOld.message_ == aError.message_;
       });
   };
   after.erase(std::remove_if(after.begin(), after.end(), isOld), after.end());
@@ -209,8 +208,7 @@
 void
 ResourceApi::Put(const Exchange& aExchange, const Target& aTarget)
 {
-  const Json document =
-    Json::parse(aExchange->Request().body_, nullptr, false);
+  const Json document = Json::parse(aExchange->Request().body_, nullptr, false);
   if (document.is_discarded()) {
     ReplyError(
       aExchange, 400, "invalid_request", "The body is not a JSON document.");
@@ -289,8 +287,8 @@
 void
 ResourceApi::DryRun(const Exchange& aExchange, const CommitRequest& aRequest)
 {
-  const Revision version = VersionInForce(
-    *configuration_.Current(), aRequest.kind_, aRequest.name_);
+  const Revision version =
+    VersionInForce(*configuration_.Current(), aRequest.kind_, aRequest.name_);
   if (version != aRequest.expected_) {
     ReplyConflict(aExchange);
     return;
