Compose the entry instance and run it as a process

Cause: the packages have to serve a request from the caller to the backend server and back as separate processes.

Ruled out: settling a claim as not run when all listed servers deny it, since the server that ran it may have left the list.

--- a/src/configuration/ServerFeed.h
+++ b/src/configuration/ServerFeed.h
@@ -45,6 +45,12 @@
   void OnChange(std::function<void()> aObserver) override;
   void ReportLeaving(const ServerId& aServer) override;
 
+  // Whether the list says that an instance has ended, or does not have it.
+  bool IsGone(const InstanceId& aInstance) const
+  {
+    return state_.IsGone(aInstance);
+  }
+
   // The entry instances on the list, for MembershipTask::SetSeeds.
   std::vector<PeerIdentity> Entries() const { return state_.Entries(); }
 
--- a/src/configuration/ServerListState.cpp
+++ b/src/configuration/ServerListState.cpp
@@ -173,6 +173,16 @@
   return leaving_.size() < kMaxLeaving && leaving_.insert(aServer).second;
 }
 
+bool
+ServerListState::IsGone(const InstanceId& aInstance) const
+{
+  if (version_ == 0) {
+    return false;
+  }
+  const auto found = entries_.find(aInstance.Value());
+  return found == entries_.end() || found->second.instance_.state_ == kGone;
+}
+
 std::vector<Server>
 ServerListState::Servers() const
 {
--- a/src/configuration/ServerListState.h
+++ b/src/configuration/ServerListState.h
@@ -69,6 +69,9 @@
 
   std::vector<Server> Servers() const;
 
+  // Whether a known list says that an instance has ended, or does not have it.
+  bool IsGone(const InstanceId& aInstance) const;
+
   // The entry instances that are not gone, with incarnation 0.
   std::vector<PeerIdentity> Entries() const;
 
--- a/src/entry/ClaimQuery.cpp
+++ b/src/entry/ClaimQuery.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-AskServer
+ServerQuery
 MakeClaimQuery(RequestContext& aContext)
 {
   return [&aContext](const Claim& aClaim,
--- a/src/entry/ClaimQuery.h
+++ b/src/entry/ClaimQuery.h
@@ -14,7 +14,7 @@
 // owner chose. One that says that it ran the request settles the claim. When
 // all say that they did not, the answer is still "can't say": a server that ran
 // it may have left the list since.
-AskServer
+ServerQuery
 MakeClaimQuery(RequestContext& aContext);
 
 } // namespace sycamoreward
--- /dev/null
+++ b/src/entry/EntryInstance.cpp
@@ -0,0 +1,438 @@
+#include "sycamoreward/EntryInstance.h"
+
+#include "configuration/ConfigurationStore.h"
+#include "configuration/ConfigurationTask.h"
+#include "configuration/FeedExchange.h"
+#include "configuration/ServerFeed.h"
+#include "entry/ClaimQuery.h"
+#include "entry/ProcessUsage.h"
+#include "ledger/Journal.h"
+#include "ledger/LedgerClient.h"
+#include "ledger/Registrar.h"
+#include "membership/MembershipTask.h"
+#include "operators/ResourceApi.h"
+#include "peer/WebSocketPeerNetwork.h"
+#include "recovery/NoticeWatch.h"
+#include "requests/CallerApi.h"
+#include "routing/PoolScheduler.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
+#include "runtime/HttpServer.h"
+#include "settings/Settings.h"
+#include "store/DynamoTable.h"
+#include "store/S3ObjectStore.h"
+#include "telemetry/Log.h"
+#include "telemetry/Metrics.h"
+
+#include <random>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr std::chrono::seconds kListTimeout{ 2 };
+// How often a drain looks whether outcomes have become durable.
+constexpr std::chrono::milliseconds kDrainCheck{ 50 };
+
+std::string
+RandomToken(std::mt19937_64& aRandom)
+{
+  char text[33];
+  snprintf(text,
+           sizeof text,
+           "%016llx%016llx",
+           static_cast<unsigned long long>(aRandom()),
+           static_cast<unsigned long long>(aRandom()));
+  return text;
+}
+
+std::mt19937_64
+SeededRandom()
+{
+  std::random_device device;
+  std::seed_seq seed{ device(), device(), device(), device() };
+  return std::mt19937_64(seed);
+}
+
+HttpServerOptions
+ServerOptions(const Address& aListen, const LimitSettings& aLimits)
+{
+  HttpServerOptions options;
+  options.listen_ = aListen;
+  options.maxBodySize_ = aLimits.maxBody_;
+  return options;
+}
+
+PeerNetworkOptions
+NetworkOptions(const ListenSettings& aListen)
+{
+  PeerNetworkOptions options;
+  options.listen_ = aListen.peers_;
+  return options;
+}
+
+StoreOptions
+StoreAt(const Address& aAddress, const std::string& aName)
+{
+  StoreOptions options;
+  options.address_ = aAddress;
+  options.name_ = aName;
+  return options;
+}
+
+std::vector<PeerIdentity>
+SeedIdentities(const std::vector<Address>& aAddresses)
+{
+  std::vector<PeerIdentity> seeds;
+  for (const Address& address : aAddresses) {
+    PeerIdentity seed;
+    seed.peerAddress_ = address;
+    seeds.push_back(seed);
+  }
+  return seeds;
+}
+
+std::vector<InstanceId>
+LiveInstances(const MemberList& aMembers)
+{
+  std::vector<InstanceId> live;
+  for (const Member& member : aMembers.members_) {
+    if (member.state_ == MemberState::Live ||
+        member.state_ == MemberState::Suspect) {
+      live.push_back(member.identity_.instance_);
+    }
+  }
+  return live;
+}
+
+} // namespace
+
+struct EntryInstance::State
+{
+  State(EventLoop& aLoop, const Settings& aSettings);
+
+  void HandleCaller(const std::shared_ptr<HttpExchange>& aExchange);
+  void HandleOperator(const std::shared_ptr<HttpExchange>& aExchange);
+  PeerIdentity MakeIdentity() const;
+  RequestContext MakeRequestContext();
+  void FetchList(std::uint64_t aSince,
+                 std::function<void(std::optional<std::string>)> aOnText);
+  bool IsReady() const;
+  std::string MetricsText();
+  void ConnectParts();
+  void Start();
+  void OnNotice(Duration aLeft);
+  void Leave();
+  void CheckDrained();
+
+  EventLoop& loop_;
+  Settings settings_;
+  std::shared_ptr<spdlog::logger> log_ = LogFor("entry");
+  std::mt19937_64 random_ = SeededRandom();
+  Metrics metrics_;
+  HttpClient client_;
+  HttpServer callerServer_;
+  HttpServer operatorServer_;
+  WebSocketPeerNetwork network_;
+  MembershipTask membership_;
+  DynamoTable table_;
+  S3ObjectStore objects_;
+  FeedExchange feeds_;
+  ConfigurationStore configurationStore_;
+  ConfigurationTask configuration_;
+  ServerFeed servers_;
+  PoolScheduler scheduler_;
+  RequestContext context_;
+  Journal journal_;
+  Registrar registrar_;
+  LedgerClient ledger_;
+  CallerApi callerApi_;
+  ResourceApi resourceApi_;
+  std::unique_ptr<NoticeWatch> noticeWatch_;
+  bool isLeaving_ = false;
+  std::function<void()> onDrained_;
+  EventLoop::TimerId drainTimer_ = 0;
+};
+
+EntryInstance::State::State(EventLoop& aLoop, const Settings& aSettings)
+  : loop_(aLoop)
+  , settings_(aSettings)
+  , client_(aLoop)
+  , callerServer_(aLoop,
+                  ServerOptions(aSettings.listen_.callers_, aSettings.limits_),
+                  [this](std::shared_ptr<HttpExchange> aExchange) {
+                    HandleCaller(aExchange);
+                  })
+  , operatorServer_(
+      aLoop,
+      ServerOptions(aSettings.listen_.operators_, aSettings.limits_),
+      [this](std::shared_ptr<HttpExchange> aExchange) {
+        HandleOperator(aExchange);
+      })
+  , network_(aLoop, NetworkOptions(aSettings.listen_), MakeIdentity())
+  , membership_(aLoop, network_, network_.Self())
+  , table_(client_,
+           StoreAt(aSettings.platform_.table_, aSettings.platform_.tableName_))
+  , objects_(
+      client_,
+      StoreAt(aSettings.platform_.objectStore_, aSettings.platform_.bucket_))
+  , feeds_(network_)
+  , configurationStore_(aLoop, table_, [this] { return RandomToken(random_); })
+  , configuration_(aLoop, configurationStore_, feeds_, membership_)
+  , servers_(
+      aLoop,
+      [this](std::uint64_t aSince,
+             std::function<void(std::optional<std::string>)> aOnText) {
+        FetchList(aSince, std::move(aOnText));
+      },
+      feeds_,
+      membership_)
+  , scheduler_(aLoop,
+               client_,
+               servers_,
+               random_,
+               PoolSchedulerOptions{
+                 aSettings.instance_.id_,
+                 [this] { return LiveInstances(membership_.Members()); } })
+  , context_(MakeRequestContext())
+  , journal_(table_, objects_)
+  , registrar_(RegistrarServices{ aLoop,
+                                  table_,
+                                  &journal_,
+                                  membership_,
+                                  network_,
+                                  [this] { return random_(); },
+                                  MakeClaimQuery(context_),
+                                  [this](const InstanceId& aInstance) {
+                                    return servers_.IsGone(aInstance);
+                                  } },
+               aSettings.instance_.region_)
+  , ledger_(aLoop,
+            membership_,
+            network_,
+            &registrar_,
+            [this] { return random_(); })
+  , callerApi_(context_)
+  , resourceApi_(aLoop,
+                 configuration_,
+                 configurationStore_,
+                 aSettings.operators_)
+{
+  ConnectParts();
+  Start();
+}
+
+PeerIdentity
+EntryInstance::State::MakeIdentity() const
+{
+  PeerIdentity identity;
+  identity.instance_ = settings_.instance_.id_;
+  identity.incarnation_ = Incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      loop_.GetClock().Wall().time_since_epoch())
+      .count()));
+  identity.failureDomain_ = settings_.instance_.failureDomain_;
+  identity.region_ = settings_.instance_.region_;
+  identity.peerAddress_ = settings_.listen_.peers_;
+  identity.callerAddress_ = callerServer_.BoundAddress();
+  return identity;
+}
+
+RequestContext
+EntryInstance::State::MakeRequestContext()
+{
+  return RequestContext{
+    loop_,       client_,        scheduler_,
+    ledger_,     configuration_, servers_,
+    membership_, network_,       [this] {
+                           return random_(); }
+  };
+}
+
+void
+EntryInstance::State::FetchList(
+  std::uint64_t aSince,
+  std::function<void(std::optional<std::string>)> aOnText)
+{
+  HttpClientRequest request;
+  request.address_ = settings_.platform_.instanceList_;
+  request.target_ = "/v1/instances?since=" + std::to_string(aSince);
+  request.connectTimeout_ = kListTimeout;
+  request.silenceTimeout_ = kListTimeout;
+  client_.Fetch(request, [aOnText](HttpClientReply aReply) {
+    const bool isOk = aReply.end_ == HttpEnd::Complete && aReply.status_ == 200;
+    aOnText(isOk ? std::optional<std::string>(std::move(aReply.body_))
+                 : std::nullopt);
+  });
+}
+
+void
+EntryInstance::State::ConnectParts()
+{
+  network_.OnIdentityMismatch(
+    [this](const PeerIdentity& aExpected, const PeerIdentity& aActual) {
+      membership_.IdentityMismatch(aExpected, aActual);
+    });
+  membership_.OnNewIncarnation([this](Incarnation aIncarnation) {
+    network_.SetIncarnation(aIncarnation);
+  });
+  membership_.OnChange([this] { scheduler_.RefreshServers(); });
+  servers_.OnChange([this] {
+    scheduler_.RefreshServers();
+    membership_.SetSeeds(servers_.Entries());
+  });
+}
+
+void
+EntryInstance::State::Start()
+{
+  const auto seeds = SeedIdentities(settings_.seeds_);
+  membership_.SetSeeds(seeds);
+  servers_.Start(seeds);
+  configuration_.Start(seeds);
+  if (settings_.platform_.notices_) {
+    noticeWatch_ = std::make_unique<NoticeWatch>(
+      loop_,
+      client_,
+      *settings_.platform_.notices_,
+      settings_.platform_.noticePath_,
+      [this](Duration aLeft) { OnNotice(aLeft); });
+  }
+  log_->info("Instance {} of failure domain {} serves callers on {}.",
+             settings_.instance_.id_.Value(),
+             settings_.instance_.failureDomain_.Value(),
+             ToString(callerServer_.BoundAddress()));
+}
+
+bool
+EntryInstance::State::IsReady() const
+{
+  return configuration_.IsReady() && servers_.IsReady() && !isLeaving_;
+}
+
+void
+EntryInstance::State::HandleCaller(
+  const std::shared_ptr<HttpExchange>& aExchange)
+{
+  if (!callerApi_.Handle(aExchange)) {
+    aExchange->Reply(404,
+                     { { "Content-Type", "application/json" } },
+                     R"({"error":{"code":"not_found","message":)"
+                     R"("There is no such path.","ran":"not_run"}})");
+  }
+}
+
+void
+EntryInstance::State::HandleOperator(
+  const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string& path = aExchange->Request().path_;
+  if (path == "/healthz") {
+    aExchange->Reply(200, {}, "ok\n");
+  } else if (path == "/readyz") {
+    const bool isReady = IsReady();
+    aExchange->Reply(isReady ? 200 : 503, {}, isReady ? "ok\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    aExchange->Reply(
+      200, { { "Content-Type", "text/plain; version=0.0.4" } }, MetricsText());
+  } else if (ResourceApi::IsApiPath(path)) {
+    resourceApi_.Handle(aExchange);
+  } else {
+    aExchange->Reply(404, {}, "There is no such path.\n");
+  }
+}
+
+std::string
+EntryInstance::State::MetricsText()
+{
+  const PeerNetworkStatistics statistics = network_.Statistics();
+  metrics_.SetPeerTraffic(
+    "sent", statistics.traffic_.bytesSent_, statistics.traffic_.framesSent_);
+  metrics_.SetPeerTraffic("received",
+                          statistics.traffic_.bytesReceived_,
+                          statistics.traffic_.framesReceived_);
+  const ProcessUsage usage = ReadProcessUsage();
+  metrics_.SetProcessorSeconds(usage.processorSeconds_);
+  metrics_.SetResidentBytes(usage.residentBytes_);
+  metrics_.SetConfigurationRevision(configuration_.Current()->revision_);
+  metrics_.SetLiveMembers(LiveInstances(membership_.Members()).size());
+  metrics_.SetRunningRequests(callerApi_.RunningRequests());
+  return metrics_.Text();
+}
+
+void
+EntryInstance::State::OnNotice(Duration aLeft)
+{
+  log_->warn(
+    "The instance will be reclaimed in {} ms.",
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLeft).count());
+  Leave();
+  callerApi_.HandOverAll(loop_.GetClock().Now() + aLeft);
+}
+
+void
+EntryInstance::State::Leave()
+{
+  if (isLeaving_) {
+    return;
+  }
+  isLeaving_ = true;
+  membership_.Leave();
+  callerServer_.StopAccepting();
+}
+
+void
+EntryInstance::State::CheckDrained()
+{
+  if (callerApi_.RunningRequests() == 0 && callerServer_.OpenExchanges() == 0 &&
+      ledger_.BufferedOutcomes() == 0) {
+    const auto onDrained = std::move(onDrained_);
+    onDrained();
+    return;
+  }
+  drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
+}
+
+EntryInstance::EntryInstance(EventLoop& aLoop, const Settings& aSettings)
+  : state_(std::make_unique<State>(aLoop, aSettings))
+{
+}
+
+EntryInstance::~EntryInstance()
+{
+  state_->loop_.CancelTimer(state_->drainTimer_);
+}
+
+std::string
+EntryInstance::CallerAddress() const
+{
+  return ToString(state_->callerServer_.BoundAddress());
+}
+
+std::string
+EntryInstance::OperatorAddress() const
+{
+  return ToString(state_->operatorServer_.BoundAddress());
+}
+
+std::string
+EntryInstance::PeerAddress() const
+{
+  return ToString(state_->network_.BoundAddress());
+}
+
+void
+EntryInstance::Drain(std::function<void()> aOnDone)
+{
+  if (state_->onDrained_) {
+    return;
+  }
+  state_->log_->info("Drains {} requests.",
+                     state_->callerApi_.RunningRequests());
+  state_->onDrained_ = std::move(aOnDone);
+  state_->Leave();
+  state_->callerApi_.StopAccepting();
+  state_->CheckDrained();
+}
+
+} // namespace sycamoreward
--- a/src/ledger/PartitionTask.h
+++ b/src/ledger/PartitionTask.h
@@ -34,7 +34,7 @@
 
 // Asks the server of a claim's service whether the request ran. aOnAnswer is
 // called once, within a time that the function bounds itself.
-using AskServer =
+using ServerQuery =
   std::function<void(const Claim& aClaim,
                      std::function<void(ServerAnswer)> aOnAnswer)>;
 
@@ -54,7 +54,7 @@
   // Null when there is no object store.
   Journal* journal_ = nullptr;
   std::function<std::uint64_t()> random_;
-  AskServer askServer_;
+  ServerQuery askServer_;
   std::function<OwnerState(const InstanceId&, Incarnation)> ownerState_;
 };
 
--- a/src/ledger/Registrar.h
+++ b/src/ledger/Registrar.h
@@ -21,7 +21,7 @@
   Membership& membership_;
   PeerNetwork& peers_;
   std::function<std::uint64_t()> random_;
-  AskServer askServer_;
+  ServerQuery askServer_;
   // Whether the platform says that the instance has ended. Empty means never.
   std::function<bool(const InstanceId&)> isGone_;
 };
--- a/src/operators/OperatorAccess.cpp
+++ b/src/operators/OperatorAccess.cpp
@@ -1,6 +1,6 @@
 #include "operators/OperatorAccess.h"
 
-#include "ledger/Digest.h"
+#include "base/Digest.h"
 
 #include <openssl/crypto.h>
 
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -15,7 +15,7 @@
 
 constexpr int kLimitSeconds = 30;
 constexpr unsigned kFailureDomains = 3;
-constexpr const char* kRegion = "scot-central";
+constexpr const char* kRegion = Deployment::kRegion;
 
 // SHA-256 of kOperatorToken and of kCallerToken.
 constexpr const char* kOperatorDigest =
@@ -59,7 +59,7 @@
                       { "isRepeatable", false },
                       { "statusPath", "/status/{id}" },
                       { "routes",
-                        { { { "method", "GET" },
+                        { { { "method", "get" },
                             { "pathPrefix", "/lookup" },
                             { "isRepeatable", true } } } } }),
            Resource(
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -39,6 +39,8 @@
 class Deployment
 {
 public:
+  static constexpr const char* kRegion = "scot-central";
+
   explicit Deployment(const DeploymentOptions& aOptions);
   ~Deployment();
 
@@ -55,7 +57,13 @@
   Address ServiceAddress(unsigned aIndex) const;
   Address CallerAddress(unsigned aIndex) const;
   Address OperatorAddress(unsigned aIndex) const;
+  unsigned Engines() const { return options_.engines_; }
+  unsigned Services() const { return options_.services_; }
   unsigned Entries() const { return static_cast<unsigned>(entries_.size()); }
+  bool IsEngineRunning(unsigned aIndex) const
+  {
+    return engines_.at(aIndex)->Pid() > 0;
+  }
 
   // Starts another entry instance, or aIndex again after its end, and puts it
   // into the platform's list.
--- /dev/null
+++ b/test/support/DeploymentHistory.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// Collects what callers, servers and the ledger of a deployment saw, and judges
+// it.
+
+#include "support/Deployment.h"
+#include "support/RecordingCaller.h"
+#include "verify/History.h"
+
+namespace sycamoreward {
+
+// Reads the counters of the servers that still run, and the ledger from the
+// platform's table. Waits until the ledger has a record of each answered
+// request, up to a limit.
+History
+CollectHistory(Deployment& aDeployment, const RecordingCaller& aCaller);
+
+// Fails the test when the history has a violation.
+void
+ExpectNoViolations(Deployment& aDeployment, const RecordingCaller& aCaller);
+
+} // namespace sycamoreward
--- /dev/null
+++ b/test/support/RecordingCaller.cpp
@@ -0,0 +1,210 @@
+#include "support/RecordingCaller.h"
+
+#include "engine/Generate.h"
+#include "recovery/SseParser.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr int kFirstErrorStatus = 400;
+constexpr std::chrono::milliseconds kPause{ 200 };
+constexpr std::chrono::seconds kSilence{ 8 };
+
+RanReport
+ReadRan(const std::string& aBody)
+{
+  const auto json = nlohmann::json::parse(aBody, nullptr, false);
+  const std::string ran = json.is_object() && json.contains("error")
+                            ? json["error"].value("ran", std::string("unknown"))
+                            : "unknown";
+  if (ran == "not_run") {
+    return RanReport::NotRun;
+  }
+  return ran == "ran" ? RanReport::Ran : RanReport::Unknown;
+}
+
+std::string
+TextOf(const nlohmann::json& aEvent)
+{
+  const auto& choice = aEvent.at("choices").at(0);
+  if (choice.contains("text")) {
+    return choice.at("text");
+  }
+  return choice.value("delta", nlohmann::json::object())
+    .value("content", std::string());
+}
+
+} // namespace
+
+struct RecordingCaller::Run
+{
+  CallerRequest request_;
+  CallerHistory history_;
+  MonotonicTime start_{};
+  // Of the present try.
+  CallerReply reply_;
+  std::string body_;
+  SseParser events_;
+  bool isStream_ = false;
+  bool hasEndMark_ = false;
+  bool isDone_ = false;
+};
+
+CallerRequest
+CompletionRequest(const std::string& aName,
+                  const std::string& aService,
+                  unsigned aTokens,
+                  const std::vector<Address>& aAddresses)
+{
+  CallerRequest request;
+  request.name_ = aName;
+  request.service_ = ServiceName(aService);
+  request.target_ = "/v1/completions";
+  const std::string prompt = "Sheet of " + aName;
+  request.body_ = nlohmann::json{
+    { "model", aService },
+    { "prompt", prompt },
+    { "max_tokens", aTokens },
+    { "stream", true }
+  }.dump();
+  request.expectedAnswer_ = standin::ExpectedAnswer(prompt, aTokens);
+  request.addresses_ = aAddresses;
+  return request;
+}
+
+CallerRequest
+RecordRequest(const std::string& aName,
+              const std::string& aService,
+              const std::vector<Address>& aAddresses)
+{
+  CallerRequest request;
+  request.name_ = aName;
+  request.service_ = ServiceName(aService);
+  request.target_ = "/services/" + aService + "/records";
+  request.body_ = "Certificate for " + aName;
+  request.isRepeatable_ = false;
+  request.addresses_ = aAddresses;
+  return request;
+}
+
+RecordingCaller::RecordingCaller(EventLoop& aLoop,
+                                 HttpClient& aClient,
+                                 std::string aToken)
+  : loop_(aLoop)
+  , client_(aClient)
+  , token_(std::move(aToken))
+{
+}
+
+void
+RecordingCaller::OnData(std::function<void(const std::string& aName)> aCallback)
+{
+  onData_ = std::move(aCallback);
+}
+
+std::vector<CallerHistory>
+RecordingCaller::Histories() const
+{
+  std::vector<CallerHistory> histories;
+  for (const auto& run : runs_) {
+    histories.push_back(run->history_);
+  }
+  return histories;
+}
+
+void
+RecordingCaller::Start(const CallerRequest& aRequest)
+{
+  auto run = std::make_shared<Run>();
+  run->request_ = aRequest;
+  run->history_.name_ = aRequest.name_;
+  run->history_.service_ = aRequest.service_;
+  run->history_.isRepeatable_ = aRequest.isRepeatable_;
+  run->history_.expectedAnswer_ = aRequest.expectedAnswer_;
+  run->history_.deadline_ = aRequest.deadline_;
+  run->start_ = loop_.GetClock().Now();
+  runs_.push_back(run);
+  ++open_;
+  Ask(run);
+}
+
+void
+RecordingCaller::Ask(const std::shared_ptr<Run>& aRun)
+{
+  const CallerRequest& request = aRun->request_;
+  const std::size_t tries = aRun->history_.replies_.size();
+  HttpClientRequest call;
+  call.address_ = request.addresses_[tries % request.addresses_.size()];
+  call.method_ = request.method_;
+  call.target_ = request.target_;
+  call.headers_ = { { "Authorization", "Bearer " + token_ },
+                    { "Idempotency-Key", request.name_ },
+                    { "Content-Type", "application/json" } };
+  call.body_ = request.body_;
+  call.silenceTimeout_ = kSilence;
+  call.mayReuseConnection_ = false;
+  aRun->reply_ = {};
+  aRun->body_.clear();
+  aRun->events_ = SseParser();
+  aRun->hasEndMark_ = false;
+  HttpCallbacks callbacks;
+  callbacks.onHead_ = [aRun](int aStatus, const HttpHeaders& aHeaders) {
+    aRun->reply_.status_ = aStatus;
+    aRun->reply_.request_ = RequestId(FindHeader(aHeaders, "X-Request-Id"));
+    aRun->isStream_ =
+      FindHeader(aHeaders, "Content-Type").find("text/event-stream") == 0;
+  };
+  callbacks.onData_ = [this, aRun](std::string_view aData) {
+    if (aRun->isStream_) {
+      std::vector<std::string> events;
+      aRun->events_.Feed(aData, events);
+      for (const std::string& event : events) {
+        if (event == "[DONE]") {
+          aRun->hasEndMark_ = true;
+        } else {
+          aRun->reply_.answer_ += TextOf(nlohmann::json::parse(event));
+        }
+      }
+    } else {
+      aRun->body_.append(aData);
+    }
+    if (onData_) {
+      onData_(aRun->request_.name_);
+    }
+  };
+  callbacks.onEnd_ = [this, aRun](HttpEnd aEnd) { OnEnd(aRun, aEnd); };
+  client_.Start(call, std::move(callbacks));
+}
+
+void
+RecordingCaller::OnEnd(const std::shared_ptr<Run>& aRun, HttpEnd aEnd)
+{
+  CallerReply& reply = aRun->reply_;
+  const bool isError = reply.status_ >= kFirstErrorStatus;
+  reply.isWhole_ = aEnd == HttpEnd::Complete &&
+                   (isError || !aRun->isStream_ || aRun->hasEndMark_);
+  reply.elapsed_ = loop_.GetClock().Now() - aRun->start_;
+  if (isError) {
+    reply.ran_ = ReadRan(aRun->body_);
+  } else if (!aRun->isStream_) {
+    reply.answer_ = aRun->body_;
+  }
+  aRun->history_.replies_.push_back(reply);
+  // 503 asks the caller to come back; other errors are final.
+  const bool mayAskAgain =
+    !reply.isWhole_ ||
+    (reply.status_ == 503 && aRun->request_.triesAfterRefusal_);
+  const bool isLate = reply.elapsed_ > aRun->request_.deadline_;
+  if (mayAskAgain && !isLate &&
+      aRun->history_.replies_.size() < aRun->request_.maxTries_) {
+    loop_.CallAfter(kPause, [this, aRun] { Ask(aRun); });
+    return;
+  }
+  aRun->isDone_ = true;
+  --open_;
+}
+
+} // namespace sycamoreward
--- a/test/support/RequestWorld.h
+++ b/test/support/RequestWorld.h
@@ -4,8 +4,8 @@
 // backend servers, on one loop with a paused clock.
 
 #include "base/Clock.h"
-#include "requests/CallerApi.h"
 #include "base/Digest.h"
+#include "requests/CallerApi.h"
 #include "support/FakeLedger.h"
 #include "support/FakeScheduler.h"
 
