Wait in tests until resources are in force everywhere

Cause: a test asked an instance that did not know the workspace yet, got 401, and one test passed in spite of it because a true error is no violation.

Change: deployments wait until all instances have the last resource; tests that expect answers check the status too.

--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -85,7 +85,9 @@
     return logger;
   }
   auto logger = std::make_shared<spdlog::logger>(aComponent, Sink());
-  spdlog::initialize_logger(logger);
+  // initialize_logger would replace the formatter of the shared sink.
+  spdlog::register_logger(logger);
+  logger->set_level(spdlog::get_level());
   return logger;
 }
 
--- a/test/failure/ServeTest.cpp
+++ b/test/failure/ServeTest.cpp
@@ -26,7 +26,7 @@
       RecordRequest("certificate" + suffix, kCertificateService, addresses));
   }
   cr_assert(deployment.WaitFor([&] { return caller.IsDone(); }, 30));
-  ExpectNoViolations(deployment, caller);
+  ExpectAllAnswered(deployment, caller);
 }
 
 // A key that is used twice gives the same answer and one run, at any instance.
@@ -41,10 +41,10 @@
     "certificate", kCertificateService, { deployment.CallerAddress(1) }));
   cr_assert(
     deployment.WaitFor([&] { return first.IsDone() && second.IsDone(); }, 30));
-  ExpectNoViolations(deployment, first);
+  ExpectAllAnswered(deployment, first);
   const auto& one = first.Histories()[0].replies_.back();
   const auto& other = second.Histories()[0].replies_.back();
-  cr_assert_eq(one.status_, 200);
-  cr_assert_eq(other.status_, 200);
+  cr_assert_eq(one.status_, 200, "%d", one.status_);
+  cr_assert_eq(other.status_, 200, "%d", other.status_);
   cr_assert_eq(one.answer_, other.answer_);
 }
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -252,6 +252,27 @@
               resource.dump().c_str(),
               status);
   }
+  WaitUntilInForce("Workspace", "lab");
+}
+
+void
+Deployment::WaitUntilInForce(const std::string& aKind, const std::string& aName)
+{
+  const auto path = "/apis/v1/" + aKind;
+  const auto hasResource = [&](unsigned aEntry) {
+    for (const auto& item : Get(OperatorAddress(aEntry), path).at("items")) {
+      if (item.at("metadata").at("name") == aName) {
+        return true;
+      }
+    }
+    return false;
+  };
+  for (unsigned entry = 0; entry < Entries(); ++entry) {
+    cr_assert(WaitFor([&] { return hasResource(entry); }, kLimitSeconds),
+              "%s is not in force at %s",
+              aName.c_str(),
+              EntryId(entry).c_str());
+  }
 }
 
 HttpClientReply
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -72,6 +72,9 @@
   // Waits until all entry instances that run are ready.
   void WaitUntilReady();
 
+  // Waits until all entry instances have a resource.
+  void WaitUntilInForce(const std::string& aKind, const std::string& aName);
+
   // Blocking helpers; fail the test when there is no whole reply.
   nlohmann::json Get(const Address& aAddress, const std::string& aTarget);
   void Post(const Address& aAddress,
--- a/test/support/DeploymentHistory.cpp
+++ b/test/support/DeploymentHistory.cpp
@@ -108,6 +108,19 @@
   return history;
 }
 
+void
+ExpectAllAnswered(Deployment& aDeployment, const RecordingCaller& aCaller)
+{
+  ExpectNoViolations(aDeployment, aCaller);
+  for (const CallerHistory& caller : aCaller.Histories()) {
+    cr_assert_eq(caller.replies_.back().status_,
+                 200,
+                 "%s ended with status %d",
+                 caller.name_.c_str(),
+                 caller.replies_.back().status_);
+  }
+}
+
 void
 ExpectNoViolations(Deployment& aDeployment, const RecordingCaller& aCaller)
 {
@@ -116,7 +129,8 @@
   for (const CallerHistory& caller : history.callers_) {
     std::string replies;
     for (const CallerReply& reply : caller.replies_) {
-      replies += " " + std::to_string(reply.status_) +
+      replies += " " + std::to_string(reply.status_) + " after " +
+                 std::to_string(reply.elapsed_.count()) + " us" +
                  (reply.isWhole_ ? "" : " broken") + " (" +
                  reply.request_.Value() + ")";
     }
--- a/test/support/DeploymentHistory.h
+++ b/test/support/DeploymentHistory.h
@@ -15,7 +15,12 @@
 History
 CollectHistory(Deployment& aDeployment, const RecordingCaller& aCaller);
 
-// Fails the test when the history has a violation.
+// Fails the test when a caller's last reply is not a success, or when the
+// history has a violation.
+void
+ExpectAllAnswered(Deployment& aDeployment, const RecordingCaller& aCaller);
+
+// Fails the test when the history has a violation. True errors are none.
 void
 ExpectNoViolations(Deployment& aDeployment, const RecordingCaller& aCaller);
 
