--- a/src/ledger/LedgerClient.cpp
+++ b/src/ledger/LedgerClient.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Above this, requests are not registered again with a new registrar.
+constexpr std::size_t kMaxActive = 100000;
 constexpr Duration kRetryWait = std::chrono::milliseconds(25);
 // Longest wait for one registrar, after which the members are looked at again.
 constexpr Duration kTryTimeout = std::chrono::seconds(2);
@@ -104,6 +106,7 @@
                        Duration aLimit,
                        std::function<void(RegisterReply)> aOnReply)
 {
+  CheckRequestId(aRequest);
   auto attempt = std::make_shared<Attempt>();
   attempt->request_ = aRequest;
   attempt->deadline_ = loop_.GetClock().Now() + aLimit;
@@ -174,7 +177,7 @@
   const RegisterRequest& request = aAttempt->request_;
   if (request.isDurable_) {
     WithdrawStray(*aAttempt, aReply);
-  } else if (!request.keyDigest_.empty() &&
+  } else if (!request.keyDigest_.empty() && active_.size() < kMaxActive &&
              (aReply.status_ == RegisterStatus::Granted ||
               aReply.status_ == RegisterStatus::Unavailable)) {
     // Without a reply the registrar is not known to have it.
--- a/src/ledger/LedgerClient.h
+++ b/src/ledger/LedgerClient.h
@@ -41,13 +41,15 @@
                           const ServiceName& aService,
                           const std::string& aKeyDigest) override;
 
+  // Throws UserError when the request id is malformed or does not fit the key.
   // After Unavailable for a durable claim, the caller records NotRun, which
   // withdraws the claim whether or not it took effect.
   void Register(const RegisterRequest& aRequest,
                 Duration aLimit,
                 std::function<void(RegisterReply)> aOnReply) override;
 
-  // The first outcome of a request counts; later ones are ignored.
+  // The first outcome of a request counts; later ones are ignored. Throws
+  // UserError when the request id is malformed.
   void Record(const Outcome& aOutcome,
               std::function<void()> aOnDurable) override;
 
--- a/src/ledger/LedgerClientRecords.cpp
+++ b/src/ledger/LedgerClientRecords.cpp
@@ -43,6 +43,7 @@
 void
 LedgerClient::Record(const Outcome& aOutcome, std::function<void()> aOnDurable)
 {
+  static_cast<void>(ParsePartition(aOutcome.request_));
   active_.erase(aOutcome.request_);
   const auto inserted = buffer_.emplace(aOutcome.request_, Buffered());
   Buffered& buffered = inserted.first->second;
--- a/src/ledger/LogRow.cpp
+++ b/src/ledger/LogRow.cpp
@@ -98,6 +98,22 @@
 
 } // namespace
 
+void
+CheckRequestId(const RegisterRequest& aRequest)
+{
+  const LedgerPartition partition = ParsePartition(aRequest.request_);
+  if (!aRequest.keyDigest_.empty() &&
+      !(partition == ChoosePartition(aRequest.region_,
+                                     aRequest.workspace_,
+                                     aRequest.service_,
+                                     aRequest.keyDigest_))) {
+    throw UserError("claim",
+                    aRequest.owner_.Value(),
+                    "The request id " + aRequest.request_.Value() +
+                      " does not name the partition of its key.");
+  }
+}
+
 const RequestId&
 RequestOf(const LogEntry& aEntry)
 {
--- a/src/ledger/LogRow.h
+++ b/src/ledger/LogRow.h
@@ -13,6 +13,11 @@
 
 namespace sycamoreward {
 
+// Throws UserError when the request's id is malformed or names another
+// partition than its key does, which would let the key be claimed twice.
+void
+CheckRequestId(const RegisterRequest& aRequest);
+
 // A claim of a key for one request.
 struct Claim
 {
--- a/src/ledger/Registrar.cpp
+++ b/src/ledger/Registrar.cpp
@@ -168,18 +168,7 @@
                          PartitionTask::OnRegistered aOnReply)
 {
   PartitionTask* task = FindTask(aRequest.request_);
-  // The key decides the partition; a request id of another one would let the
-  // key be claimed twice.
-  if (!aRequest.keyDigest_.empty() && !(ChoosePartition(aRequest.region_,
-                                                        aRequest.workspace_,
-                                                        aRequest.service_,
-                                                        aRequest.keyDigest_) ==
-                                        ParsePartition(aRequest.request_))) {
-    throw UserError("claim",
-                    aRequest.owner_.Value(),
-                    "The request id " + aRequest.request_.Value() +
-                      " does not name the partition of its key.");
-  }
+  CheckRequestId(aRequest);
   if (task == nullptr) {
     aOnReply({});
     return;
--- a/standins/platform/PlatformStandIn.cpp
+++ b/standins/platform/PlatformStandIn.cpp
@@ -76,13 +76,12 @@
     ServePrices(aExchange);
   } else if (path == "/v1/instances" && request.method_ == HttpMethod::Post) {
     ServeStart(aExchange);
-  } else if (StartsWith(path, "/v1/instances/") &&
-             request.method_ == HttpMethod::Post) {
+  } else if (StartsWith(path, "/instances/") ||
+             (StartsWith(path, "/v1/instances/") &&
+              request.method_ == HttpMethod::Post)) {
     ServeNotice(aExchange);
   } else if (StartsWith(path, "/v1/instances")) {
     ServeInstances(aExchange);
-  } else if (StartsWith(path, "/instances/")) {
-    ServeNotice(aExchange);
   } else if (StartsWith(path, "/weights/")) {
     ServeWeights(aExchange);
   } else if (path == "/faults") {
