--- a/test/failure/LedgerTest.cpp
+++ b/test/failure/LedgerTest.cpp
@@ -226,3 +226,25 @@
     cluster.table_.rows_.begin()->second.values_.at("entries").size(),
     64U * 1024);
 }
+
+// Guards against a backlog that takes more than its share of the table's
+// writes: 8 a second for each partition.
+Test(Ledger, LargeBacklogIsAppendedAtTheBoundedRate)
+{
+  LedgerCluster cluster(kNames);
+  constexpr unsigned kOutcomes = 100;
+  unsigned durable = 0;
+  for (unsigned count = 0; count < kOutcomes;) {
+    const auto request = cluster.Request("a", "", false);
+    if (ParsePartition(request.request_).partition_ == PartitionId(0)) {
+      auto outcome = OutcomeOf(request, OutcomeKind::Completed);
+      outcome.answer_ = KeptAnswer{ 200, "", std::string(kMaxKeptAnswer, 'x') };
+      cluster.Client("a").Record(outcome, [&] { ++durable; });
+      ++count;
+    }
+  }
+  cluster.Run(std::chrono::seconds(1));
+  cr_assert_leq(cluster.table_.writes_, 9U);
+  cluster.Run(std::chrono::seconds(9));
+  cr_assert_eq(durable, kOutcomes);
+}
