Test the ledger against the table stand-in with lost replies

Cause: the ledger must grant an unrepeatable request once whatever happens to replies of the table and to registrars. Change: end-to-end tests over the DynamoDB protocol, besides those over a table in memory. Ruled out: a conditional insert of the next sequence alone. A registrar that slept while rows were moved to the object store could insert an old sequence again, so each append also checks the token of the row before, and the newest row stays in the table.

--- a/test/failure/LedgerTest.cpp
+++ b/test/failure/LedgerTest.cpp
@@ -1,6 +1,9 @@
 // The ledger end to end: registrars and clients of three instances over one
 // table.
 
+#include "platform/PlatformStandIn.h"
+#include "runtime/HttpClient.h"
+#include "store/DynamoTable.h"
 #include "support/LedgerCluster.h"
 
 #include <criterion/criterion.h>
@@ -248,3 +251,45 @@
   cluster.Run(std::chrono::seconds(9));
   cr_assert_eq(durable, kOutcomes);
 }
+
+// Guards against a claim that took effect, and whose reply was lost, being
+// granted to a second owner or to nobody.
+Test(Ledger, LostRepliesOfTheTableAreReadBack)
+{
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<platform::PlatformStandIn> platform;
+  LedgerCluster cluster(kNames, [&](EventLoop& aLoop) {
+    client = std::make_unique<HttpClient>(aLoop);
+    platform = std::make_unique<platform::PlatformStandIn>(
+      aLoop, platform::PlatformOptions{}, Address{ "127.0.0.1", 0 });
+    StoreOptions options;
+    options.address_ = platform->BoundAddress();
+    return std::make_unique<DynamoTable>(*client, options);
+  });
+  const Duration limit = std::chrono::seconds(2);
+  platform->Faults().loseWriteReplies_ = 1;
+  const auto first = RemoteRequest(cluster, true);
+  const std::string owner = first.owner_.Value();
+  cr_assert_eq(cluster.Register(first, limit).status_, RegisterStatus::Granted);
+  cr_assert_eq(platform->Counters().tableWrites_, 1U);
+  const auto second = cluster.Request(NextName(owner), "key", true);
+  cr_assert_eq(cluster.Register(second, limit).status_,
+               RegisterStatus::Running);
+  platform->Faults().isStoreDown_ = true;
+  bool isDurable = false;
+  cluster.Client(owner).Record(OutcomeOf(first, OutcomeKind::Completed),
+                               [&] { isDurable = true; });
+  cluster.Run(std::chrono::seconds(2));
+  cr_assert(!isDurable);
+  platform->Faults().isStoreDown_ = false;
+  platform->Faults().loseWriteReplies_ = 1;
+  cluster.Run(std::chrono::seconds(8));
+  cr_assert(isDurable);
+  cluster.Kill(RegistrarOf(cluster, first.request_));
+  cluster.Run(std::chrono::seconds(2));
+  const auto third = cluster.Request(owner, "key", true);
+  cr_assert_eq(cluster.Register(third, limit).status_,
+               RegisterStatus::Finished);
+  client.reset();
+  platform.reset();
+}
--- a/test/support/LedgerCluster.h
+++ b/test/support/LedgerCluster.h
@@ -102,8 +102,16 @@
   std::map<std::string, Node> nodes_;
   std::uint64_t random_ = 1;
 
-  explicit LedgerCluster(const std::vector<std::string>& aNames)
+  // A table over HTTP, used instead of table_ and without a journal.
+  std::unique_ptr<Table> remote_;
+
+  using MakeTable = std::function<std::unique_ptr<Table>(EventLoop&)>;
+  explicit LedgerCluster(const std::vector<std::string>& aNames,
+                         const MakeTable& aMakeTable = {})
   {
+    if (aMakeTable) {
+      remote_ = aMakeTable(loop_);
+    }
     for (const std::string& name : aNames) {
       AddNode(name, aNames);
     }
@@ -126,9 +134,14 @@
     }
     node.membership_.list_.self_ = InstanceId(aName);
     const auto random = [this] { return random_++; };
-    RegistrarServices services{
-      loop_, table_, &journal_, node.membership_, *node.peers_, random, {}, {}
-    };
+    RegistrarServices services{ loop_,
+                                remote_ ? *remote_ : table_,
+                                remote_ ? nullptr : &journal_,
+                                node.membership_,
+                                *node.peers_,
+                                random,
+                                {},
+                                {} };
     services.askServer_ = [this](const Claim&, auto aOnAnswer) {
       ++asked_;
       aOnAnswer(serverAnswer_);
@@ -148,6 +161,9 @@
       for (unsigned round = 0; round < kRounds; ++round) {
         loop_.RunReady();
       }
+      if (remote_) {
+        loop_.RunUntil([] { return false; }, std::chrono::milliseconds(1));
+      }
       clock_.Advance(kStep);
     }
   }
