--- a/test/property/RoutingPropertyTest.cpp
+++ b/test/property/RoutingPropertyTest.cpp
@@ -200,6 +200,7 @@
     servers[number].id_ = ServerId("server-" + std::to_string(number));
   }
   std::vector<InstanceId> instances;
+  instances.reserve(60);
   for (int number = 0; number < 60; ++number) {
     instances.emplace_back("instance-" + std::to_string(number));
   }
