Report malformed replies of the operators' API as errors

Cause: a reply of another form ended as a message of the JSON library without its reason. Change: sycamorewardctl says that the reply has another form; a test plays five such replies.

--- a/test/error/CtlTest.cpp
+++ b/test/error/CtlTest.cpp
@@ -399,6 +399,19 @@
   ExpectPart(run.out_, "evidence: no status path");
 }
 
+// A reply of another form must not end the program by an exception.
+Test(Ctl, MalformedRepliesAreErrors)
+{
+  Fixture fixture;
+  for (const char* reply :
+       { "", "[]", "{}", "{\"items\": [1]}", "{\"items\":" }) {
+    fixture.canned_["/apis/v1/Service"] = { 200, reply };
+    const Run run = fixture.Ctl({ "diff", "-f", kExamples + "nadi" });
+    cr_assert_eq(run.exit_, 2, "%s: %s", reply, run.out_.c_str());
+    ExpectPart(run.err_, "error: The reply of");
+  }
+}
+
 Test(Ctl, WrongCommandLinesAreRefused)
 {
   Fixture fixture;
--- a/tools/sycamorewardctl/Commands.cpp
+++ b/tools/sycamorewardctl/Commands.cpp
@@ -313,6 +313,10 @@
     for (const FieldError& detail : error.Details()) {
       aErr << "  " << detail.field_ << ": " << detail.message_ << "\n";
     }
+  } catch (const Json::exception& error) {
+    aErr << "error: The reply of the server does not have the form of this "
+            "program's API version: "
+         << error.what() << "\n";
   } catch (const std::exception& error) {
     aErr << "error: " << error.what() << "\n";
   }
