--- a/test/error/CtlTest.cpp
+++ b/test/error/CtlTest.cpp
@@ -190,6 +190,12 @@
     const bool isDry = request.query_.count("dryRun") > 0;
     if (request.method_ == HttpMethod::Delete) {
       const bool isThere = resources_.count(aKey) > 0;
+      const auto asked = request.query_.find("resourceVersion");
+      if (isThere && asked != request.query_.end() &&
+          resources_[aKey]["metadata"]["resourceVersion"] != asked->second) {
+        Reply(aExchange, 409, { { "error", { { "code", "conflict" } } } });
+        return;
+      }
       if (!isDry && isThere) {
         resources_.erase(aKey);
         ++revision_;
@@ -305,6 +311,21 @@
   cr_assert_eq(fixture.resources_.count("Service/keep"), 1);
 }
 
+// Guards against deleting what another operator changed since it was listed.
+Test(Ctl, PruneDoesNotDeleteWhatHasChanged)
+{
+  Fixture fixture;
+  const std::string file = fixture.Write("w.yaml", kWorkspace);
+  const Json old = { { "kind", "Workspace" },
+                     { "metadata", { { "name", "old" } } } };
+  fixture.Store("Workspace/old", old);
+  fixture.onWrite_ = [&] { fixture.Store("Workspace/old", old); };
+  const Run run = fixture.Ctl({ "apply", "--prune", "-f", file });
+  cr_assert_eq(run.exit_, 2);
+  ExpectPart(run.err_, "Workspace/old: The resource was changed by another");
+  cr_assert_eq(fixture.resources_.count("Workspace/old"), 1);
+}
+
 // Guards against overwriting the change of another operator.
 Test(Ctl, LostRaceIsSaidAndNothingIsOverwritten)
 {
--- a/tools/sycamorewardctl/Apply.cpp
+++ b/tools/sycamorewardctl/Apply.cpp
@@ -96,8 +96,15 @@
   void Send(const Change& aChange)
   {
     const bool isDelete = aChange.action_ == ChangeAction::Delete;
-    const std::string target = ResourceTarget(aChange.kind_, aChange.name_) +
-                               (options_.isDryRun_ ? "?dryRun=true" : "");
+    std::string target = ResourceTarget(aChange.kind_, aChange.name_);
+    if (options_.isDryRun_) {
+      target += "?dryRun=true";
+    }
+    // A deletion by --prune is on condition of the version that was listed.
+    if (isDelete && aChange.version_ != "0") {
+      target += options_.isDryRun_ ? "&" : "?";
+      target += "resourceVersion=" + aChange.version_;
+    }
     std::string body;
     if (!isDelete) {
       Json document = ToJson(aChange.declared_->resource_);
