--- /dev/null
+++ b/test/correctness/MemberNetworkTest.cpp
@@ -0,0 +1,115 @@
+// Membership over the real network on loopback.
+
+#include "base/Clock.h"
+#include "membership/MembershipTask.h"
+#include "peer/WebSocketPeerNetwork.h"
+#include "runtime/EventLoop.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr std::chrono::seconds kLimit{ 20 };
+
+struct Node
+{
+  Node(EventLoop& aLoop,
+       const std::string& aName,
+       std::uint64_t aIncarnation,
+       std::uint16_t aPort)
+    : network_(aLoop, OptionsFor(aPort), IdentityOf(aName, aIncarnation))
+    , task_(aLoop, network_, network_.Self())
+  {
+    network_.OnIdentityMismatch(
+      [this](const PeerIdentity& aExpected, const PeerIdentity& aActual) {
+        task_.IdentityMismatch(aExpected, aActual);
+      });
+    task_.OnNewIncarnation(
+      [this](Incarnation aRaised) { network_.SetIncarnation(aRaised); });
+  }
+
+  static PeerNetworkOptions OptionsFor(std::uint16_t aPort)
+  {
+    PeerNetworkOptions options;
+    options.listen_.port_ = aPort;
+    return options;
+  }
+
+  static PeerIdentity IdentityOf(const std::string& aName,
+                                 std::uint64_t aIncarnation)
+  {
+    PeerIdentity identity;
+    identity.instance_ = InstanceId(aName);
+    identity.incarnation_ = Incarnation(aIncarnation);
+    identity.failureDomain_ = FailureDomainId("fd");
+    return identity;
+  }
+
+  // Incarnation of aName here while it is thought live, or 0.
+  std::uint64_t Sees(const std::string& aName) const
+  {
+    for (const Member& member : task_.Members().members_) {
+      if (member.identity_.instance_.Value() == aName &&
+          member.state_ == MemberState::Live) {
+        return member.identity_.incarnation_.Value();
+      }
+    }
+    return 0;
+  }
+
+  WebSocketPeerNetwork network_;
+  MembershipTask task_;
+};
+
+} // namespace
+
+// Guards against instances that don't find each other through seeds whose
+// incarnation is not known, and against one that is not taken in again after a
+// restart at its address.
+Test(MemberNetwork, InstancesJoinAndAreTakenInAgainAfterARestart)
+{
+  SystemClock clock;
+  EventLoop loop(clock);
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<PeerIdentity> seeds;
+  const auto start =
+    [&](std::size_t aIndex, std::uint64_t aIncarnation, std::uint16_t aPort) {
+      auto node = std::make_unique<Node>(
+        loop, "i" + std::to_string(aIndex), aIncarnation, aPort);
+      node->task_.SetSeeds(seeds);
+      PeerIdentity self = node->network_.Self();
+      self.incarnation_ = Incarnation(0);
+      seeds.push_back(self);
+      return node;
+    };
+  for (std::size_t index = 0; index < 6; ++index) {
+    nodes.push_back(start(index, 10, 0));
+  }
+  const auto allSee = [&](std::size_t aOf, std::uint64_t aIncarnation) {
+    const std::string name = "i" + std::to_string(aOf);
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return aNode->Sees(name) == aIncarnation;
+    });
+  };
+  cr_assert(loop.RunUntil(
+    [&] {
+      for (std::size_t index = 0; index < 6; ++index) {
+        if (!allSee(index, 10)) {
+          return false;
+        }
+      }
+      return true;
+    },
+    kLimit));
+  const std::uint16_t port = nodes[3]->network_.BoundAddress().port_;
+  nodes[3].reset();
+  nodes[3] = start(3, 20, port);
+  cr_assert(loop.RunUntil([&] { return allSee(3, 20); }, kLimit));
+  nodes[5]->task_.Leave();
+  cr_assert(loop.RunUntil([&] { return allSee(5, 0); }, kLimit));
+}
