Keep a configuration write in doubt under its token until it is decided

After a failed condition with no row in the log, an earlier write of the same token could still take effect; a new token would have reported a conflict for a change that was committed.

--- a/src/configuration/ConfigurationStore.cpp
+++ b/src/configuration/ConfigurationStore.cpp
@@ -226,25 +226,26 @@
 ConfigurationStore::ReadBack(const CommitmentRef& aCommitment,
                              WriteResult aResult)
 {
-  table_.Read({ kLogPartition, LogSort(aCommitment->change_.revision_) },
-              Guard([this, aCommitment, aResult](const ReadReply& aReply) {
-                if (!aReply.isOk_) {
-                  Again(aCommitment, &ConfigurationStore::Write);
-                } else if (ValueOf(aReply, kTokenValue) ==
-                           aCommitment->token_) {
-                  End(aCommitment, CommitStatus::Committed);
-                } else if (!aReply.rows_.empty() ||
-                           aResult == WriteResult::ConditionFailed) {
-                  // Another change has this revision, so that the write can
-                  // never take effect; or a condition failed while the head is
-                  // still where it was, and then it is the one on the resource.
-                  CheckResource(aCommitment);
-                } else {
-                  // The write may take effect later. The same write with the
-                  // same token decides it and has no second effect.
-                  Again(aCommitment, &ConfigurationStore::Write);
-                }
-              }));
+  table_.Read(
+    { kLogPartition, LogSort(aCommitment->change_.revision_) },
+    Guard([this, aCommitment, aResult](const ReadReply& aReply) {
+      const bool isOurs = ValueOf(aReply, kTokenValue) == aCommitment->token_;
+      const bool isFailed = aResult == WriteResult::ConditionFailed;
+      if (aReply.isOk_ && isOurs) {
+        End(aCommitment, CommitStatus::Committed);
+      } else if (aReply.isOk_ && (!aReply.rows_.empty() || isFailed)) {
+        // Another change has this revision, so that the write can never take
+        // effect; or a condition failed while the head is still where it was,
+        // and then it is the one on the resource.
+        aCommitment->isInDoubt_ =
+          aCommitment->isInDoubt_ && aReply.rows_.empty();
+        CheckResource(aCommitment);
+      } else {
+        // The write may take effect later. The same write with the same token
+        // decides it and has no second effect.
+        Again(aCommitment, &ConfigurationStore::Write);
+      }
+    }));
 }
 
 void
@@ -260,8 +261,11 @@
                  aCommitment->request_.expected_) {
         End(aCommitment, CommitStatus::Conflict);
       } else {
-        aCommitment->isInDoubt_ = false;
-        Again(aCommitment, &ConfigurationStore::Begin);
+        // While an earlier write may still take effect, a new token would make
+        // it look like another operator's.
+        Again(aCommitment,
+              aCommitment->isInDoubt_ ? &ConfigurationStore::Write
+                                      : &ConfigurationStore::Begin);
       }
     }));
 }
@@ -392,8 +396,7 @@
         return;
       }
       ConfigState state;
-      state.ApplySnapshot(
-        MakeConfiguration(aRead->from_, std::move(aRead->resources_)));
+      state.ApplySnapshot(MakeConfiguration(aRead->from_, aRead->resources_));
       state.ApplyChanges(*aChanges);
       aRead->onRead_(*state.Current());
     }));
