--- a/src/peer/PeerNetworkState.cpp
+++ b/src/peer/PeerNetworkState.cpp
@@ -237,7 +237,7 @@
   if (found == peers_.end()) {
     return Open(aTo, true);
   }
-  const auto peer = found->second;
+  auto peer = found->second;
   const Incarnation known = peer->Identity().incarnation_;
   if (aTo.incarnation_.Value() == 0 || known == aTo.incarnation_) {
     return peer;
