--- a/test/failure/RequestStreamTest.cpp
+++ b/test/failure/RequestStreamTest.cpp
@@ -83,7 +83,7 @@
     if (fault_ == Fault::Silent) {
       held_.push_back(aExchange);
     } else if (fault_ == Fault::Break) {
-      aExchange->OnDrained([this, aExchange] { aExchange->Abort(); });
+      aExchange->OnDrained([aExchange] { aExchange->Abort(); });
     } else {
       aExchange->EndReply();
     }
--- a/test/property/RecoverySseTest.cpp
+++ b/test/property/RecoverySseTest.cpp
@@ -18,7 +18,8 @@
       *rc::gen::element(std::string("\n"), std::string("\r\n"));
     std::string stream;
     for (const std::string& event : data) {
-      stream += ": comment" + newline + "data: " + event + newline + newline;
+      stream.append(": comment").append(newline);
+      stream.append("data: ").append(event).append(newline).append(newline);
     }
     SseParser parser;
     std::vector<std::string> events;
