Reply 503 with Retry-After when all servers refuse a request

A last refused attempt ended in 502, which callers don't retry. The new test fails with the status set back to 502.

--- a/src/requests/TaskErrors.cpp
+++ b/src/requests/TaskErrors.cpp
@@ -113,8 +113,10 @@
 {
   const bool isCallersFault = aReply.end_ == HttpEnd::Complete &&
                               aReply.status_ >= 400 && aReply.status_ < 500;
+  // A request that no server took can be sent again later.
+  const int otherStatus = aRan == Ran::NotRun ? 503 : 502;
   CallerError error = MakeError(
-    isCallersFault ? aReply.status_ : 502,
+    isCallersFault ? aReply.status_ : otherStatus,
     aReply.end_ == HttpEnd::Complete ? "server_error" : "server_unreachable",
     "stream",
     aRan,
--- a/test/failure/RequestOnceTest.cpp
+++ b/test/failure/RequestOnceTest.cpp
@@ -142,6 +142,20 @@
   test.Check(OutcomeKind::Completed, 1, 1);
 }
 
+// A refusal everywhere must not look like a request that ran.
+Test(RequestOnce, ACallThatAllServersRefuseIsNotRun)
+{
+  Case test;
+  test.Build();
+  test.first_.mode_ = Desk::Mode::Refuse;
+  test.second_.mode_ = Desk::Mode::Refuse;
+  const auto reply = test.Issue();
+  cr_assert_eq(reply.status_, 503);
+  cr_assert_eq(RanOf(reply), "not_run");
+  cr_assert_not(FindHeader(reply.headers_, "Retry-After").empty());
+  test.Check(OutcomeKind::NotRun, 1, 1);
+}
+
 Test(RequestOnce, ABrokenCallThatRanGivesTheStoredReply)
 {
   Case test;
--- a/test/support/FakeDecisions.cpp
+++ b/test/support/FakeDecisions.cpp
@@ -47,7 +47,8 @@
     return RetryAction::GiveUp;
   }
   if (aQuestion.class_ == FailureClass::Overloaded) {
-    return RetryAction::RetryAfterBackoff;
+    return aQuestion.attempts_ == 1 ? RetryAction::RetryAfterBackoff
+                                    : RetryAction::GiveUp;
   }
   return aQuestion.class_ == FailureClass::Transport && !aQuestion.isRepeatable_
            ? RetryAction::AskServer
