--- a/test/correctness/OperatorsApiTest.cpp
+++ b/test/correctness/OperatorsApiTest.cpp
@@ -1,8 +1,8 @@
 // The operators' API over HTTP, on one instance with a table in memory.
 
 #include "base/Clock.h"
+#include "base/Digest.h"
 #include "configuration/ConfigurationTask.h"
-#include "ledger/Digest.h"
 #include "operators/ResourceApi.h"
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
