Fix the wait for resources in deployment tests

Cause: the wait iterated over a list inside a temporary JSON value that was gone after the loop began, and so never found the resource.

Change: the list is kept for the length of the loop.

Ruled out: slow spread of the configuration.

--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -260,7 +260,8 @@
 {
   const auto path = "/apis/v1/" + aKind;
   const auto hasResource = [&](unsigned aEntry) {
-    for (const auto& item : Get(OperatorAddress(aEntry), path).at("items")) {
+    const auto list = Get(OperatorAddress(aEntry), path);
+    for (const auto& item : list.at("items")) {
       if (item.at("metadata").at("name") == aName) {
         return true;
       }
