--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 export RC_PARAMS ?= seed=20261204 max_success=200
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
-.PHONY: all configure test lint format format-check tidy bench demo clean install
+.PHONY: all configure test lint format format-check tidy bench capacity soak \
+  demo clean install
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -18,28 +19,41 @@
 
 test: all
 	@for kind in $(TEST_KINDS); do \
-	  if [ -x $(BUILD)/bin/test-$$kind ]; then \
-	    echo "== $$kind"; \
-	    $(BUILD)/bin/test-$$kind -j4 --timeout 120 || exit 1; \
-	  fi; \
+	  echo "== $$kind"; \
+	  $(BUILD)/bin/test-$$kind -j4 --timeout 120 || exit 1; \
 	done
 
 format:
 	clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 tidy: configure
-	@git ls-files '*.cpp' | xargs -P $(shell nproc) -n 1 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+	@git ls-files '*.cpp' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 lint: format-check tidy
 
 bench: all
-	$(BUILD)/bin/sycamoreward-load bench
+	examples/bench/run.sh $(BUILD)/bin
+
+capacity: all
+	$(BUILD)/bin/test-performance -j1 --timeout 600 --filter 'Capacity/*'
+
+# Property and failure tests with SEEDS fresh seeds; prints each seed.
+SEEDS ?= 10
+soak: all
+	@for round in $$(seq $(SEEDS)); do \
+	  seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); \
+	  echo "== seed $$seed"; \
+	  RC_PARAMS="seed=$$seed max_success=1000" $(BUILD)/bin/test-property -j4 --timeout 600 || exit 1; \
+	  MATRIX_SEED=$$seed $(BUILD)/bin/test-failure -j4 --timeout 600 || exit 1; \
+	done
 
-demo: all
-	$(BUILD)/bin/demo
+demo:
+	bash .ci/install-packages
+	$(MAKE) all
+	examples/demo/run.sh $(BUILD)/bin
 
 install: all
 	cmake --install $(BUILD)
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -207,7 +207,7 @@
 Deployment::WriteSettings(unsigned aIndex)
 {
   const std::string platform = ToString(options_.platformLink_);
-  const std::string path = directory_ + "/" + EntryId(aIndex) + ".yaml";
+  std::string path = directory_ + "/" + EntryId(aIndex) + ".yaml";
   std::ofstream file(path);
   file << "instance:\n  id: " << EntryId(aIndex)
        << "\n  failureDomain: " << FailureDomain(aIndex)
