--- a/test/support/RecordingCaller.cpp
+++ b/standins/caller/RecordingCaller.cpp
@@ -1,4 +1,4 @@
-#include "support/RecordingCaller.h"
+#include "caller/RecordingCaller.h"
 
 #include "engine/Generate.h"
 #include "recovery/SseParser.h"
--- /dev/null
+++ b/tools/sycamoreward-verify/Main.cpp
@@ -0,0 +1,130 @@
+// sycamoreward-verify: asks a running deployment and judges the answers.
+
+#include "Verify.h"
+
+#include "base/Error.h"
+#include "sycamoreward/Version.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace sycamoreward;
+
+namespace {
+
+std::vector<Address>
+ReadAddresses(const cxxopts::ParseResult& aRead, const char* aName)
+{
+  std::vector<Address> addresses;
+  if (aRead.count(aName) != 0) {
+    for (const auto& text : aRead[aName].as<std::vector<std::string>>()) {
+      addresses.push_back(ParseAddress(text));
+    }
+  }
+  return addresses;
+}
+
+std::optional<Violation>
+ReadFalsify(const std::string& aName)
+{
+  if (aName.empty()) {
+    return std::nullopt;
+  }
+  for (const auto violation :
+       { Violation::Lost, Violation::Cut, Violation::Doubled }) {
+    if (aName == ToString(violation)) {
+      return violation;
+    }
+  }
+  throw UserError("options",
+                  "",
+                  "--falsify takes lost, cut or doubled, not \"" + aName +
+                    "\".");
+}
+
+cxxopts::Options
+MakeOptions()
+{
+  cxxopts::Options options(
+    "sycamoreward-verify",
+    "Asks a running deployment and judges the answers. Exit codes: 0 all "
+    "answered and no violation, 1 otherwise, 2 wrong arguments.");
+  const auto addresses = [] {
+    return cxxopts::value<std::vector<std::string>>();
+  };
+  const auto text = [](const char* aDefault) {
+    return cxxopts::value<std::string>()->default_value(aDefault);
+  };
+  const auto number = [](const char* aDefault) {
+    return cxxopts::value<unsigned>()->default_value(aDefault);
+  };
+  auto add = options.add_options();
+  add(
+    "entry", "Callers' addresses of entry instances, IP:PORT,...", addresses());
+  add("engine", "Engine stand-ins, whose counters are read", addresses());
+  add("service", "Plain-service stand-ins", addresses());
+  add("completion-token", "Token for completions", text(""));
+  add("record-token", "Token for records", text(""));
+  add("query-service", "Service of queries", text("resistance-query"));
+  add("review-service", "Service of reviews", text("sheet-review"));
+  add("record-service", "Service of records", text("certificate-issue"));
+  add("queries", "Number of queries", number("30"));
+  add("reviews", "Number of reviews", number("9"));
+  add("records", "Number of records", number("9"));
+  add("review-tokens", "Length of a review", number("300"));
+  add("spread-ms", "Time over which requests start", number("3000"));
+  add("falsify",
+      "Falsify the history before judging it: lost, cut or doubled",
+      text(""));
+  add("version", "Print the version");
+  add("help", "Print this text");
+  return options;
+}
+
+int
+RunProgram(int aCount, char** aArguments)
+{
+  auto options = MakeOptions();
+  const auto read = options.parse(aCount, aArguments);
+  if (read.count("help") != 0) {
+    std::cout << options.help() << std::endl;
+    return 0;
+  }
+  if (read.count("version") != 0) {
+    std::cout << "sycamoreward-verify " << kVersion << std::endl;
+    return 0;
+  }
+  VerifyOptions verify;
+  verify.entries_ = ReadAddresses(read, "entry");
+  if (verify.entries_.empty()) {
+    throw UserError("options", "", "--entry IP:PORT is missing.");
+  }
+  verify.engines_ = ReadAddresses(read, "engine");
+  verify.services_ = ReadAddresses(read, "service");
+  verify.completionToken_ = read["completion-token"].as<std::string>();
+  verify.recordToken_ = read["record-token"].as<std::string>();
+  verify.queryService_ = read["query-service"].as<std::string>();
+  verify.reviewService_ = read["review-service"].as<std::string>();
+  verify.recordService_ = read["record-service"].as<std::string>();
+  verify.queries_ = read["queries"].as<unsigned>();
+  verify.reviews_ = read["reviews"].as<unsigned>();
+  verify.records_ = read["records"].as<unsigned>();
+  verify.reviewTokens_ = read["review-tokens"].as<unsigned>();
+  verify.spread_ = std::chrono::milliseconds(read["spread-ms"].as<unsigned>());
+  verify.falsify_ = ReadFalsify(read["falsify"].as<std::string>());
+  return RunVerify(verify);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return RunProgram(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "sycamoreward-verify: " << error.what() << std::endl;
+    return 2;
+  }
+}
