Answer a key that is used again before its record is durable

Cause: a key used again right after its answer got 503 owner_unreachable. The registrar still said that the request runs at its owner, and the owner kept answers of repeatable requests only.

Change: the owner keeps whole answers of all keyed requests in its bounded cache.

Ruled out: letting the registrar answer from an outcome that is not durable yet; it could be lost with the registrar.

Measured: the new test fails before (told to wait at the first try) and passes after, at the owner and at two other instances; 33 request tests pass.

Conclusion: no window is left between reply and record while the owner lives.

--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -175,8 +175,7 @@
 {
   const AcceptedRequest& request = aTask.Request();
   const auto& log = aTask.Log();
-  if (!request.isKeyed_ || !request.isRepeatable_ ||
-      log->GetState() != AnswerLog::State::Whole ||
+  if (!request.isKeyed_ || log->GetState() != AnswerLog::State::Whole ||
       finishedById_.count(request.id_) != 0) {
     return;
   }
--- a/src/requests/RequestTable.h
+++ b/src/requests/RequestTable.h
@@ -1,7 +1,9 @@
 #pragma once
 
-// The requests that this instance owns: running ones, and finished answers of
-// repeatable requests in a bounded cache, by request id and by key.
+// The requests that this instance owns: running ones, and finished answers in a
+// bounded cache, by request id and by key. The cache has answers of
+// unrepeatable requests too, since their record becomes durable only after the
+// reply.
 
 #include "requests/AcceptedRequest.h"
 #include "requests/AnswerLog.h"
--- a/test/failure/ServeTest.cpp
+++ b/test/failure/ServeTest.cpp
@@ -48,3 +48,26 @@
   cr_assert_eq(other.status_, 200, "%d", other.status_);
   cr_assert_eq(one.answer_, other.answer_);
 }
+
+// The record of an answer becomes durable after the reply. A key that is used
+// again before that must get the answer and not be told to wait.
+Test(Serve, KeyUsedAgainAtOnceGetsTheAnswer)
+{
+  Deployment deployment({});
+  RecordingCaller first(deployment.Loop(), deployment.Client(), kCallerToken);
+  RecordingCaller again(deployment.Loop(), deployment.Client(), kCallerToken);
+  first.Start(RecordRequest(
+    "certificate", kCertificateService, { deployment.CallerAddress(0) }));
+  cr_assert(deployment.WaitFor([&] { return first.IsDone(); }, 30));
+  for (unsigned entry = 0; entry < deployment.Entries(); ++entry) {
+    again.Start(RecordRequest(
+      "certificate", kCertificateService, { deployment.CallerAddress(entry) }));
+  }
+  cr_assert(deployment.WaitFor([&] { return again.IsDone(); }, 30));
+  const std::string answer = first.Histories()[0].replies_.back().answer_;
+  for (const CallerHistory& caller : again.Histories()) {
+    cr_assert_eq(caller.replies_.size(), 1U, "the caller was told to wait");
+    cr_assert_eq(caller.replies_[0].status_, 200);
+    cr_assert_eq(caller.replies_[0].answer_, answer);
+  }
+}
