Give requests without a key one that fits their partition

Cause: an unrepeatable request without Idempotency-Key was refused in 4 of 6 tries with "does not name the partition of its key". Its key was derived from the request id, whose partition had been drawn before. The exception also left the request among the running ones, so that a drain never ended.

Change: the key is generated first and decides on the partition; it is sent back as Idempotency-Key; a request whose start throws is removed.

Ruled out: accepting the request id as key; its partition is not that of its digest, so another instance would not find the claim and run it again.

Conclusion: the promise of one run holds for callers without a key too.

--- a/src/requests/AcceptedRequest.cpp
+++ b/src/requests/AcceptedRequest.cpp
@@ -1,6 +1,7 @@
 #include "requests/AcceptedRequest.h"
 
 #include "base/Digest.h"
+#include "ledger/Partition.h"
 #include "requests/Access.h"
 #include "requests/CallerError.h"
 
@@ -102,20 +103,20 @@
              "\" may not call the service \"" + request.Name().Value() + "\".");
   }
   request.isKeyed_ = !aInput.idempotencyKey_.empty();
-  if (request.isKeyed_) {
-    request.keyDigest_ = Sha256Hex({ request.workspace_.Value(),
-                                     request.Name().Value(),
-                                     aInput.idempotencyKey_ });
+  if (!request.isKeyed_) {
+    request.generatedKey_ =
+      HexOf(aContext.random_()) + HexOf(aContext.random_());
   }
+  // The key decides on the partition of the ledger, so it must be known before
+  // the request id is made.
+  request.keyDigest_ = Sha256Hex(
+    { request.workspace_.Value(),
+      request.Name().Value(),
+      request.isKeyed_ ? aInput.idempotencyKey_ : request.generatedKey_ });
   request.id_ = aContext.ledger_.MakeRequestId(request.service_.region_,
                                                request.workspace_,
                                                request.Name(),
                                                request.keyDigest_);
-  if (!request.isKeyed_) {
-    request.keyDigest_ = Sha256Hex({ request.workspace_.Value(),
-                                     request.Name().Value(),
-                                     request.id_.Value() });
-  }
   request.bodyDigest_ =
     Sha256Hex({ ToString(request.method_), request.target_, request.body_ });
   request.trace_ = ReadTraceParent(aInput.traceParent_, aContext.random_);
@@ -158,6 +159,7 @@
 FormOf(const AcceptedRequest& aRequest)
 {
   ReplyForm form;
+  form.generatedKey_ = aRequest.generatedKey_;
   if (!aRequest.model_) {
     return form;
   }
--- a/src/requests/AcceptedRequest.h
+++ b/src/requests/AcceptedRequest.h
@@ -28,6 +28,9 @@
   bool isRepeatable_ = true;
   // The caller gave an Idempotency-Key.
   bool isKeyed_ = false;
+  // The key that stands for one that the caller did not give. It is sent back,
+  // so that the caller can ask again with it.
+  std::string generatedKey_;
   std::string keyDigest_;
   std::string bodyDigest_;
   HttpMethod method_ = HttpMethod::Post;
--- a/src/requests/CallerConnection.cpp
+++ b/src/requests/CallerConnection.cpp
@@ -130,7 +130,8 @@
 CallerConnection::ReplyError()
 {
   HttpHeaders headers = HeadersOf(log_->Error());
-  headers.emplace_back("X-Request-Id", log_->Request().Value());
+  const HttpHeaders names = BaseHeaders("");
+  headers.insert(headers.end(), names.begin(), names.end());
   exchange_->Reply(log_->Error().status_, headers, BodyOf(log_->Error()));
   Finish();
 }
@@ -152,6 +153,9 @@
 CallerConnection::BaseHeaders(const std::string& aContentType) const
 {
   HttpHeaders headers{ { "X-Request-Id", log_->Request().Value() } };
+  if (!form_.generatedKey_.empty()) {
+    headers.emplace_back("Idempotency-Key", form_.generatedKey_);
+  }
   if (!aContentType.empty()) {
     headers.emplace_back("Content-Type", aContentType);
   }
--- a/src/requests/ReplyForm.h
+++ b/src/requests/ReplyForm.h
@@ -23,6 +23,8 @@
 struct ReplyForm
 {
   ReplyKind kind_ = ReplyKind::Raw;
+  // Sent as Idempotency-Key when it is not empty.
+  std::string generatedKey_;
   bool isChat_ = false;
   std::string model_;
   Tokens promptTokens_;
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -48,7 +48,12 @@
 {
   const auto task = Add(std::move(aRequest));
   auto log = task->Log();
-  task->Start();
+  try {
+    task->Start();
+  } catch (...) {
+    Remove(task->Request().id_);
+    throw;
+  }
   return log;
 }
 
@@ -175,7 +180,8 @@
 {
   const AcceptedRequest& request = aTask.Request();
   const auto& log = aTask.Log();
-  if (!request.isKeyed_ || log->GetState() != AnswerLog::State::Whole ||
+  const bool canAskAgain = request.isKeyed_ || !request.isRepeatable_;
+  if (!canAskAgain || log->GetState() != AnswerLog::State::Whole ||
       finishedById_.count(request.id_) != 0) {
     return;
   }
--- a/test/failure/ServeTest.cpp
+++ b/test/failure/ServeTest.cpp
@@ -71,3 +71,29 @@
     cr_assert_eq(caller.replies_[0].answer_, answer);
   }
 }
+
+// Guards against claims that don't fit the partition of a key that the system
+// made, and against a second run when the caller comes back with that key.
+Test(Serve, RequestWithoutKeyRunsOnceAndNamesItsKey)
+{
+  Deployment deployment({});
+  // Eight partitions: a misfit of key and partition shows in most of them.
+  for (int number = 0; number < 8; ++number) {
+    HttpClientRequest request;
+    request.address_ = deployment.CallerAddress(0);
+    request.method_ = HttpMethod::Post;
+    request.target_ = "/services/certificate-issue/records";
+    request.headers_ = { { "Authorization",
+                           std::string("Bearer ") + kCallerToken } };
+    request.body_ = "rod bank";
+    const HttpClientReply first = deployment.Fetch(request);
+    cr_assert_eq(first.status_, 200, "%s", first.body_.c_str());
+    const std::string key = FindHeader(first.headers_, "Idempotency-Key");
+    cr_assert(!key.empty());
+    request.address_ = deployment.CallerAddress(1);
+    request.headers_.emplace_back("Idempotency-Key", key);
+    const HttpClientReply again = deployment.Fetch(request);
+    cr_assert_eq(again.status_, 200, "%s", again.body_.c_str());
+    cr_assert_eq(again.body_, first.body_);
+  }
+}
