Name servers in claims and move claims to successors

A claim did not say where its owner could send the request, so a claim of an ended owner was never settled as not run. The claim of a handed-over request stayed with its old owner, and its registrar settled it while the successor ran it.

Claims name at most 16 servers, and the scheduler gives unrepeatable requests no other. A successor takes the claim over through the log before it acts; a settlement counts only for the holder that it was concluded from. Answers above 64 KiB are kept in the object store. Rows without the new fields are read as before.

The service stand-in reports requests in progress, and a request that it denied or that was given up while it was frozen does not run later. One query in ServiceStandInTest asks about another id now, because a denied id is refused from then on; a test of its own covers the denial.

--- a/src/entry/ClaimQuery.cpp
+++ b/src/entry/ClaimQuery.cpp
@@ -2,6 +2,7 @@
 
 #include "requests/StatusQuery.h"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -9,10 +10,13 @@
 
 namespace {
 
-// Answers of the servers of one pool about one request.
+// Answers of servers about one request.
 struct PoolAnswers
 {
   std::size_t open_ = 0;
+  // Every server that may have got the request is asked and says that it did
+  // not run.
+  bool areAllDenials_ = false;
   bool isDone_ = false;
   std::function<void(ServerAnswer)> onAnswer_;
 };
@@ -24,21 +28,31 @@
   if (aAnswers.isDone_) {
     return;
   }
+  aAnswers.areAllDenials_ &= aAnswer.ran_ == Ran::NotRun;
   if (aAnswer.ran_ == Ran::Ran) {
     aAnswers.isDone_ = true;
     aAnswers.onAnswer_(ServerAnswer{ ServerWord::Ran, aAnswer.reply_ });
   } else if (aAnswers.open_ == 0) {
     aAnswers.isDone_ = true;
-    aAnswers.onAnswer_(ServerAnswer{});
+    const ServerWord word =
+      aAnswers.areAllDenials_ ? ServerWord::NotRun : ServerWord::CantSay;
+    aAnswers.onAnswer_(ServerAnswer{ word, std::nullopt });
   }
 }
 
+// The servers of the list that may have got the request: those that the claim
+// names, or the whole pool when it names none.
 std::vector<Server>
-ServersOf(const RequestContext& aContext, const PoolName& aPool)
+ServersOf(const RequestContext& aContext,
+          const PoolName& aPool,
+          const Claim& aClaim)
 {
   std::vector<Server> servers;
   for (const Server& server : aContext.servers_.Servers()) {
-    if (server.pool_ == aPool) {
+    const bool isNamed =
+      std::find(aClaim.servers_.begin(), aClaim.servers_.end(), server.id_) !=
+      aClaim.servers_.end();
+    if (isNamed || (aClaim.servers_.empty() && server.pool_ == aPool)) {
       servers.push_back(server);
     }
   }
@@ -56,14 +70,18 @@
     const auto service = configuration->services_.find(aClaim.service_.Value());
     const bool canAsk = service != configuration->services_.end() &&
                         !service->second.statusPath_.empty();
-    const auto servers = canAsk ? ServersOf(aContext, service->second.pool_)
-                                : std::vector<Server>();
+    const auto servers = canAsk
+                           ? ServersOf(aContext, service->second.pool_, aClaim)
+                           : std::vector<Server>();
     if (servers.empty()) {
       aContext.loop_.Post([aOnAnswer] { aOnAnswer(ServerAnswer{}); });
       return;
     }
     auto answers = std::make_shared<PoolAnswers>();
     answers->open_ = servers.size();
+    // A server that left the list may have run the request.
+    answers->areAllDenials_ =
+      !aClaim.servers_.empty() && servers.size() == aClaim.servers_.size();
     answers->onAnswer_ = std::move(aOnAnswer);
     const std::string target =
       StatusTarget(service->second.statusPath_, aClaim.request_);
--- a/src/entry/ClaimQuery.h
+++ b/src/entry/ClaimQuery.h
@@ -10,10 +10,10 @@
 
 namespace sycamoreward {
 
-// Asks each server of the pool, since a claim does not name the server that its
-// owner chose. One that says that it ran the request settles the claim. When
-// all say that they did not, the answer is still "can't say": a server that ran
-// it may have left the list since.
+// Asks each server that the claim names. One that says that it ran the request
+// settles the claim. When all say that they did not, it did not run. The answer
+// is "can't say" when a named server has left the list, for it may have run the
+// request, and for a claim without names, of which the whole pool is asked.
 ServerQuery
 MakeClaimQuery(RequestContext& aContext);
 
--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -80,6 +80,14 @@
   return options;
 }
 
+LedgerClientOptions
+LedgerOptions(ObjectStore& aObjects)
+{
+  LedgerClientOptions options;
+  options.answers_ = &aObjects;
+  return options;
+}
+
 std::vector<PeerIdentity>
 SeedIdentities(const std::vector<Address>& aAddresses)
 {
@@ -207,11 +215,13 @@
                                     return servers_.IsGone(aInstance);
                                   } },
                aSettings.instance_.region_)
-  , ledger_(aLoop,
-            membership_,
-            network_,
-            &registrar_,
-            [this] { return random_(); })
+  , ledger_(
+      aLoop,
+      membership_,
+      network_,
+      &registrar_,
+      [this] { return random_(); },
+      LedgerOptions(objects_))
   , callerApi_(context_)
   , resourceApi_(aLoop,
                  configuration_,
--- a/src/ledger/Ledger.h
+++ b/src/ledger/Ledger.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace sycamoreward {
 
@@ -23,6 +24,12 @@
   bool isDurable_ = false;
   // Where the request runs.
   InstanceId owner_;
+  // Of a durable claim: the only servers that the owner may send the request
+  // to. Empty when it can't say.
+  std::vector<ServerId> servers_;
+  // Of a request that was handed over: its owners so far. A claim that one of
+  // them holds becomes owner_'s.
+  std::vector<InstanceId> previousOwners_;
 };
 
 enum class RegisterStatus
--- a/src/ledger/LedgerClient.cpp
+++ b/src/ledger/LedgerClient.cpp
@@ -186,7 +186,11 @@
                                   isKnown ? aAttempt->registrar_
                                           : InstanceId() };
   }
-  aAttempt->onReply_(std::move(aReply));
+  if (NeedsAnswer(request, aReply)) {
+    FetchAnswer(std::move(aReply), std::move(aAttempt->onReply_));
+  } else {
+    aAttempt->onReply_(std::move(aReply));
+  }
 }
 
 // A claim that was sent to several registrars can take effect late, when the
--- a/src/ledger/LedgerClient.h
+++ b/src/ledger/LedgerClient.h
@@ -20,6 +20,8 @@
   // again.
   Duration recordTimeout_ = std::chrono::seconds(30);
   Duration lookupTimeout_ = std::chrono::seconds(5);
+  // Keeps answers above kMaxKeptAnswer. When null, they are not kept.
+  ObjectStore* answers_ = nullptr;
 };
 
 class LedgerClient final : public Ledger
@@ -48,6 +50,8 @@
                 Duration aLimit,
                 std::function<void(RegisterReply)> aOnReply) override;
 
+  // An answer above kMaxKeptAnswer is stored first; when that fails, the
+  // outcome is recorded without it.
   // The first outcome of a request counts; later ones are ignored. Throws
   // UserError when the request id is malformed.
   void Record(const Outcome& aOutcome,
@@ -80,6 +84,18 @@
                     const RegisterReply& aReply);
   void Finish(const std::shared_ptr<Attempt>& aAttempt, RegisterReply aReply);
   void WithdrawStray(const Attempt& aAttempt, const RegisterReply& aReply);
+  bool IsStoredApart(const Outcome& aOutcome) const;
+  void StoreAnswer(const RequestId& aRequest, unsigned aTries);
+  void CheckStored(const RequestId& aRequest,
+                   const std::string& aText,
+                   unsigned aTries);
+  void AfterStored(const RequestId& aRequest);
+  bool NeedsAnswer(const RegisterRequest& aRequest,
+                   const RegisterReply& aReply) const;
+  void FetchAnswer(RegisterReply aReply,
+                   std::function<void(RegisterReply)> aOnReply);
+  // Memory that an outcome takes, roughly.
+  static std::uint64_t SizeOf(const Outcome& aOutcome);
   void RegisterAgain();
   void ScheduleSend(Duration aWait);
   void SendUnsent();
--- a/src/ledger/LedgerClientRecords.cpp
+++ b/src/ledger/LedgerClientRecords.cpp
@@ -14,9 +14,12 @@
 constexpr Duration kLongestBackoff = std::chrono::seconds(2);
 constexpr std::uint64_t kMaxMessageBytes = 1024 * 1024;
 
-// Memory that an outcome takes, roughly.
+} // namespace
+
+// Outcomes.
+
 std::uint64_t
-SizeOf(const Outcome& aOutcome)
+LedgerClient::SizeOf(const Outcome& aOutcome)
 {
   constexpr std::uint64_t kFixed = 256;
   std::uint64_t size =
@@ -30,10 +33,6 @@
   return size + (aOutcome.answer_ ? aOutcome.answer_->body_.size() : 0);
 }
 
-} // namespace
-
-// Outcomes.
-
 bool
 LedgerClient::HasRoom() const
 {
@@ -54,9 +53,16 @@
     return;
   }
   buffered.outcome_ = aOutcome;
-  LimitSize(buffered.outcome_);
+  const bool isStoredApart = IsStoredApart(aOutcome);
+  if (!isStoredApart) {
+    LimitSize(buffered.outcome_);
+  }
   buffered.bytes_ = SizeOf(buffered.outcome_);
   bufferedBytes_ += buffered.bytes_;
+  if (isStoredApart) {
+    StoreAnswer(aOutcome.request_, 1);
+    return;
+  }
   unsent_.push_back(aOutcome.request_);
   ScheduleSend(kBatchWait);
 }
--- a/src/ledger/LogRow.cpp
+++ b/src/ledger/LogRow.cpp
@@ -19,16 +19,48 @@
 const char* const kEntries = "entries";
 const char* const kMoved = "moved";
 
+template<typename Id>
+Json
+IdsToJson(const std::vector<Id>& aIds)
+{
+  Json list = Json::array();
+  for (const Id& id : aIds) {
+    list.push_back(id.Value());
+  }
+  return list;
+}
+
+template<typename Id>
+std::vector<Id>
+IdsFromJson(const Json& aObject, const char* aName)
+{
+  std::vector<Id> ids;
+  const auto list = aObject.find(aName);
+  if (list != aObject.end()) {
+    for (const Json& id : *list) {
+      ids.emplace_back(id.get<std::string>());
+    }
+  }
+  return ids;
+}
+
 Json
 ClaimToJson(const Claim& aClaim)
 {
-  return { { "request", aClaim.request_.Value() },
-           { "workspace", aClaim.workspace_.Value() },
-           { "service", aClaim.service_.Value() },
-           { "keyDigest", aClaim.keyDigest_ },
-           { "bodyDigest", aClaim.bodyDigest_ },
-           { "owner", aClaim.owner_.Value() },
-           { "ownerIncarnation", aClaim.ownerIncarnation_.Value() } };
+  Json json{ { "request", aClaim.request_.Value() },
+             { "workspace", aClaim.workspace_.Value() },
+             { "service", aClaim.service_.Value() },
+             { "keyDigest", aClaim.keyDigest_ },
+             { "bodyDigest", aClaim.bodyDigest_ },
+             { "owner", aClaim.owner_.Value() },
+             { "ownerIncarnation", aClaim.ownerIncarnation_.Value() } };
+  if (!aClaim.servers_.empty()) {
+    json["servers"] = IdsToJson(aClaim.servers_);
+  }
+  if (!aClaim.previousOwners_.empty()) {
+    json["previousOwners"] = IdsToJson(aClaim.previousOwners_);
+  }
+  return json;
 }
 
 Claim
@@ -43,6 +75,8 @@
   claim.owner_ = InstanceId(aJson.at("owner").get<std::string>());
   claim.ownerIncarnation_ =
     Incarnation(aJson.value("ownerIncarnation", std::uint64_t{ 0 }));
+  claim.servers_ = IdsFromJson<ServerId>(aJson, "servers");
+  claim.previousOwners_ = IdsFromJson<InstanceId>(aJson, "previousOwners");
   return claim;
 }
 
@@ -56,6 +90,12 @@
     entry.kind_ = EntryKind::Outcome;
     entry.outcome_ = OutcomeFromJson(aJson.at("outcome"));
     entry.isClaimed_ = aJson.value("claimed", false);
+    const auto settles = aJson.find("settles");
+    if (settles != aJson.end()) {
+      entry.settles_ = { InstanceId(settles->at("owner").get<std::string>()),
+                         Incarnation(
+                           settles->at("incarnation").get<std::uint64_t>()) };
+    }
   }
   return entry;
 }
@@ -164,9 +204,14 @@
 std::string
 EntryToText(const LogEntry& aEntry)
 {
-  const Json json = aEntry.kind_ == EntryKind::Claim
-                      ? Json{ { "claim", ClaimToJson(aEntry.claim_) } }
-                      : Json{ { "outcome", OutcomeToJson(aEntry.outcome_) } };
+  Json json = aEntry.kind_ == EntryKind::Claim
+                ? Json{ { "claim", ClaimToJson(aEntry.claim_) } }
+                : Json{ { "outcome", OutcomeToJson(aEntry.outcome_) } };
+  if (aEntry.settles_) {
+    json["settles"] = { { "owner", aEntry.settles_->owner_.Value() },
+                        { "incarnation",
+                          aEntry.settles_->incarnation_.Value() } };
+  }
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/src/ledger/LogRow.h
+++ b/src/ledger/LogRow.h
@@ -8,6 +8,7 @@
 #include "ledger/Partition.h"
 #include "store/Table.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,7 @@
 void
 CheckRequestId(const RegisterRequest& aRequest);
 
-// A claim of a key for one request.
+// A claim of a key for one request, or the transfer of such a claim to owner_.
 struct Claim
 {
   RequestId request_;
@@ -29,6 +30,19 @@
   InstanceId owner_;
   // Of the owner's process when it asked; 0 when not known.
   Incarnation ownerIncarnation_;
+  // The only servers that its owners may have sent the request to. Empty in
+  // rows of versions that did not name them.
+  std::vector<ServerId> servers_;
+  // A claim that one of these holds is transferred. Readers that don't know the
+  // field see a second claim, which has no effect.
+  std::vector<InstanceId> previousOwners_;
+};
+
+// The holder of a claim at the time of a settlement.
+struct ClaimHolder
+{
+  InstanceId owner_;
+  Incarnation incarnation_;
 };
 
 enum class EntryKind
@@ -45,6 +59,9 @@
   Outcome outcome_;
   // An outcome of a request whose claim took effect.
   bool isClaimed_ = false;
+  // Of an outcome that a registrar concluded from the end of the claim's owner:
+  // it counts only while this owner holds the claim.
+  std::optional<ClaimHolder> settles_;
 };
 
 // Answers above this size are not kept in the ledger.
--- a/src/ledger/PartitionLog.cpp
+++ b/src/ledger/PartitionLog.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Error.h"
 
+#include <algorithm>
+#include <set>
+
 namespace sycamoreward {
 
 namespace {
@@ -17,8 +20,13 @@
 std::string
 PendingName(const LogEntry& aEntry)
 {
-  return (aEntry.kind_ == EntryKind::Claim ? "c" : "o") +
-         RequestOf(aEntry).Value();
+  if (aEntry.kind_ == EntryKind::Outcome) {
+    return (aEntry.settles_ ? "s" : "o") + RequestOf(aEntry).Value();
+  }
+  const Claim& claim = aEntry.claim_;
+  return claim.previousOwners_.empty()
+           ? "c" + claim.request_.Value()
+           : "t" + claim.owner_.Value() + "\n" + claim.request_.Value();
 }
 
 // A withdrawn request leaves its key free.
@@ -49,13 +57,24 @@
   return found == aLog.requests_.end() ? nullptr : &found->second;
 }
 
+bool
+IsOwnedByOneOf(const RequestRecord& aRecord,
+               const std::vector<InstanceId>& aOwners)
+{
+  return aRecord.claim_ && !aRecord.outcome_ &&
+         std::find(aOwners.begin(), aOwners.end(), aRecord.claim_->owner_) !=
+           aOwners.end();
+}
+
 // A claim takes effect when its request was not withdrawn or claimed before
-// and no other request holds the key.
+// and no other request holds the key, or when it takes over the claim of an
+// earlier owner.
 bool
 IsClaimPossible(const PartitionLog& aLog, const Claim& aClaim)
 {
-  if (FindRecord(aLog, aClaim.request_) != nullptr) {
-    return false;
+  const RequestRecord* record = FindRecord(aLog, aClaim.request_);
+  if (record != nullptr) {
+    return IsOwnedByOneOf(*record, aClaim.previousOwners_);
   }
   return aClaim.keyDigest_.empty() ||
          FindHolder(
@@ -64,6 +83,15 @@
            nullptr;
 }
 
+// False for a settlement of a claim that another owner holds by now.
+bool
+IsOfHolder(const RequestRecord& aRecord, const LogEntry& aEntry)
+{
+  return !aEntry.settles_ || !aRecord.claim_ ||
+         (aRecord.claim_->owner_ == aEntry.settles_->owner_ &&
+          aRecord.claim_->ownerIncarnation_ == aEntry.settles_->incarnation_);
+}
+
 bool
 IsSettled(const PartitionLog& aLog, const LogEntry& aEntry)
 {
@@ -71,7 +99,22 @@
     return !IsClaimPossible(aLog, aEntry.claim_);
   }
   const RequestRecord* record = FindRecord(aLog, aEntry.outcome_.request_);
-  return record != nullptr && record->outcome_;
+  return record != nullptr &&
+         (record->outcome_ || !IsOfHolder(*record, aEntry));
+}
+
+// Servers that the new owner or an earlier one may have sent to. Empty when one
+// of them did not say.
+std::vector<ServerId>
+JoinServers(const std::vector<ServerId>& aOld,
+            const std::vector<ServerId>& aNew)
+{
+  if (aOld.empty() || aNew.empty()) {
+    return {};
+  }
+  std::set<ServerId> all(aOld.begin(), aOld.end());
+  all.insert(aNew.begin(), aNew.end());
+  return { all.begin(), all.end() };
 }
 
 void
@@ -80,6 +123,14 @@
   if (!IsClaimPossible(aLog, aClaim)) {
     return;
   }
+  const auto transferred = aLog.requests_.find(aClaim.request_);
+  if (transferred != aLog.requests_.end()) {
+    Claim& held = *transferred->second.claim_;
+    held.owner_ = aClaim.owner_;
+    held.ownerIncarnation_ = aClaim.ownerIncarnation_;
+    held.servers_ = JoinServers(held.servers_, aClaim.servers_);
+    return;
+  }
   aLog.requests_[aClaim.request_].claim_ = aClaim;
   aLog.running_.insert(aClaim.request_);
   aLog.ages_.emplace_back(aWritten, aClaim.request_);
@@ -92,24 +143,25 @@
 // Outcomes of repeatable work come without a claim; the latest of them holds
 // the key, because its answer is the one most likely to be kept still.
 void
-ApplyOutcome(PartitionLog& aLog, const Outcome& aOutcome, WallTime aWritten)
+ApplyOutcome(PartitionLog& aLog, const LogEntry& aEntry, WallTime aWritten)
 {
-  RequestRecord& record = aLog.requests_[aOutcome.request_];
-  if (record.outcome_) {
+  const Outcome& outcome = aEntry.outcome_;
+  RequestRecord& record = aLog.requests_[outcome.request_];
+  if (record.outcome_ || !IsOfHolder(record, aEntry)) {
     return;
   }
   const bool isClaimed = record.claim_.has_value();
-  record.outcome_ = aOutcome;
-  aLog.running_.erase(aOutcome.request_);
-  aLog.ages_.emplace_back(aWritten, aOutcome.request_);
-  if (isClaimed || aOutcome.keyDigest_.empty() || IsWithdrawn(record)) {
+  record.outcome_ = outcome;
+  aLog.running_.erase(outcome.request_);
+  aLog.ages_.emplace_back(aWritten, outcome.request_);
+  if (isClaimed || outcome.keyDigest_.empty() || IsWithdrawn(record)) {
     return;
   }
   const std::string name =
-    KeyName(aOutcome.workspace_, aOutcome.service_, aOutcome.keyDigest_);
+    KeyName(outcome.workspace_, outcome.service_, outcome.keyDigest_);
   const RequestRecord* holder = FindHolder(aLog, name);
   if (holder == nullptr || !holder->claim_) {
-    aLog.keys_[name] = aOutcome.request_;
+    aLog.keys_[name] = outcome.request_;
   }
 }
 
@@ -165,7 +217,7 @@
     if (entry.kind_ == EntryKind::Claim) {
       ApplyClaim(aLog, entry.claim_, aRow.written_);
     } else {
-      ApplyOutcome(aLog, entry.outcome_, aRow.written_);
+      ApplyOutcome(aLog, entry, aRow.written_);
     }
   }
 }
@@ -243,6 +295,9 @@
     if (own->outcome_) {
       return ReplyFor(RegisterStatus::Finished, *own);
     }
+    if (IsOwnedByOneOf(*own, aRequest.previousOwners_)) {
+      return std::nullopt;
+    }
     return ReplyFor(own->claim_->owner_ == aRequest.owner_
                       ? RegisterStatus::Granted
                       : RegisterStatus::Running,
@@ -313,7 +368,15 @@
   row.writeToken_ = aWriteToken;
   row.previousDigest_ = aLog.lastDigest_;
   row.written_ = aNow;
+  std::set<RequestId> changed;
   for (const PendingEntry& pending : aLog.pending_) {
+    // One outcome or transfer of a request in a row: what follows it may have
+    // no effect by then and is judged again after the row.
+    const bool isChange = pending.entry_.kind_ == EntryKind::Outcome ||
+                          !pending.entry_.claim_.previousOwners_.empty();
+    if (isChange && !changed.insert(RequestOf(pending.entry_)).second) {
+      continue;
+    }
     if (!row.entries_.empty() &&
         row.entries_.size() + pending.text_.size() > kMaxRowBytes) {
       break;
--- a/src/ledger/PartitionTask.cpp
+++ b/src/ledger/PartitionTask.cpp
@@ -210,9 +210,11 @@
     }
     LogEntry entry;
     const RegisterRequest& request = waiter.request_;
-    entry.claim_ = { request.request_,   request.workspace_,  request.service_,
-                     request.keyDigest_, request.bodyDigest_, request.owner_,
-                     waiter.incarnation_ };
+    entry.claim_ = { request.request_,       request.workspace_,
+                     request.service_,       request.keyDigest_,
+                     request.bodyDigest_,    request.owner_,
+                     waiter.incarnation_,    request.servers_,
+                     request.previousOwners_ };
     if (waiter.expiry_ <= now || !AddPending(log_, entry)) {
       waiter.onReply_({});
     } else {
@@ -343,9 +345,13 @@
       if (isServing_ &&
           context_.ownerState_(aClaim.owner_, aClaim.ownerIncarnation_) !=
             OwnerState::Alive) {
-        Record({ JudgeSettlement(
-                 aClaim, aAnswer, state, context_.loop_.GetClock().Wall()) },
-               [](const std::vector<RequestId>&) {});
+        LogEntry entry;
+        entry.kind_ = EntryKind::Outcome;
+        entry.outcome_ = JudgeSettlement(
+          aClaim, aAnswer, state, context_.loop_.GetClock().Wall());
+        entry.settles_ = { aClaim.owner_, aClaim.ownerIncarnation_ };
+        AddPending(log_, entry);
+        ScheduleFlush();
       }
     }));
 }
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -77,6 +77,8 @@
   aArchive("bodyDigest", aValue.bodyDigest_);
   aArchive("durable", aValue.isDurable_);
   aArchive("owner", aValue.owner_);
+  aArchive("servers", aValue.servers_);
+  aArchive("previousOwners", aValue.previousOwners_);
 }
 
 template<typename A>
@@ -236,6 +238,7 @@
   aArchive("remaining", aValue.remaining_);
   aArchive("attempts", aValue.attempts_);
   aArchive("sent", aValue.isSent_);
+  aArchive("owners", aValue.owners_);
   aArchive("status", aValue.status_);
   aArchive("answerContentType", aValue.answerContentType_);
   aArchive("tokens", aValue.tokens_);
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -158,6 +158,8 @@
   std::vector<AttemptRecord> attempts_;
   // An unrepeatable request whose call was sent; the successor may only ask.
   bool isSent_ = false;
+  // Owners so far, from whom the successor takes a durable claim over.
+  std::vector<InstanceId> owners_;
   // Parts of the answer so far.
   int status_ = 0;
   std::string answerContentType_;
--- a/src/requests/RequestEnding.cpp
+++ b/src/requests/RequestEnding.cpp
@@ -12,6 +12,7 @@
 
 // Size of a handover message besides body and tokens.
 constexpr std::uint64_t kHandoverHead = 512;
+constexpr std::size_t kMaxOwners = 8;
 constexpr const char* kModelAnswerType = "text/plain; charset=utf-8";
 
 } // namespace
@@ -79,7 +80,8 @@
   if (aAnswer) {
     outcome.answerDigest_ = Sha256Hex(aAnswer->body_);
     outcome.answerLength_ = Bytes(aAnswer->body_.size());
-    if (!request_.isRepeatable_ && aAnswer->body_.size() <= kMaxKeptAnswer) {
+    if (!request_.isRepeatable_) {
+      // The ledger keeps a large one outside of the outcome.
       outcome.answer_ = aAnswer;
     }
   }
@@ -198,6 +200,11 @@
   message.remaining_ = Remaining();
   message.attempts_ = attempts_;
   message.isSent_ = !request_.isRepeatable_ && (!running_.empty() || isAsking_);
+  message.owners_ = previousOwners_;
+  message.owners_.push_back(context_.membership_.Members().self_);
+  if (message.owners_.size() > kMaxOwners) {
+    message.owners_.erase(message.owners_.begin());
+  }
   if (request_.isRepeatable_) {
     message.tokens_ = assembler_.Parts();
   }
@@ -235,6 +242,7 @@
 {
   Begin();
   attempts_ = aMessage.attempts_;
+  previousOwners_ = aMessage.owners_;
   hasRun_ = !attempts_.empty();
   assembler_.BeginAttempt(AttemptNumber(0));
   for (const std::string& token : aMessage.tokens_) {
@@ -246,16 +254,44 @@
     Claim();
     return;
   }
-  // The claim is durable already; this tells the registrar who owns it now.
-  RegisterRequest claim;
-  claim.request_ = request_.id_;
-  claim.workspace_ = request_.workspace_;
-  claim.service_ = request_.Name();
-  claim.region_ = request_.service_.region_;
-  claim.keyDigest_ = request_.keyDigest_;
-  claim.bodyDigest_ = request_.bodyDigest_;
-  claim.owner_ = context_.membership_.Members().self_;
-  context_.ledger_.Register(claim, kClaimLimit, [](const RegisterReply&) {});
+  // Keeps the deadline and another handover from treating it as not sent.
+  isAsking_ = true;
+  if (!attempts_.empty()) {
+    excluded_.push_back(attempts_.back().server_);
+  }
+  TakeOver(1);
+}
+
+// Takes the claim over before anything else is done for a request whose call
+// was sent: otherwise its registrar would settle it as that of a dead owner.
+void
+RequestTask::TakeOver(unsigned aTries)
+{
+  context_.ledger_.Register(
+    MakeClaim(),
+    kClaimLimit,
+    [self = shared_from_this(), aTries](RegisterReply aReply) {
+      self->WhenThawed([self, reply = std::move(aReply), aTries] {
+        self->OnTakenOver(reply, aTries);
+      });
+    });
+}
+
+void
+RequestTask::OnTakenOver(const RegisterReply& aReply, unsigned aTries)
+{
+  if (isEnded_) {
+    return;
+  }
+  if (aReply.status_ == RegisterStatus::Unavailable) {
+    // Without the claim nothing may be recorded here; the registrar settles it.
+    aTries < kMaxTakeOvers ? TakeOver(aTries + 1) : Leave();
+    return;
+  }
+  if (aReply.status_ != RegisterStatus::Granted) {
+    Divert(aReply);
+    return;
+  }
   Server server;
   server.id_ = attempts_.empty() ? ServerId() : attempts_.back().server_;
   for (const Server& listed : context_.servers_.Servers()) {
--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -3,6 +3,10 @@
 #include "base/Digest.h"
 #include "requests/BackendCall.h"
 #include "requests/TaskErrors.h"
+#include "routing/Rendezvous.h"
+#include "routing/Subset.h"
+
+#include <algorithm>
 
 namespace sycamoreward {
 
@@ -10,12 +14,16 @@
 
 RequestTraits
 TraitsOf(const AcceptedRequest& aRequest,
-         const std::vector<ServerId>& aExcluded)
+         const std::vector<ServerId>& aExcluded,
+         const std::vector<ServerId>& aClaimed)
 {
   RequestTraits traits;
   traits.request_ = aRequest.id_;
   traits.workspace_ = aRequest.workspace_;
   traits.excluded_ = aExcluded;
+  if (!aRequest.isRepeatable_) {
+    traits.allowed_ = aClaimed;
+  }
   if (aRequest.model_) {
     traits.prefixHashes_ = PrefixHashes(aRequest.model_->prompt_);
     traits.promptTokens_ = EstimateTokens(aRequest.model_->prompt_);
@@ -24,6 +32,39 @@
   return traits;
 }
 
+// The servers of the pool that this instance uses, at most kMaxClaimedServers.
+std::vector<ServerId>
+ServersToClaim(const RequestContext& aContext, const AcceptedRequest& aRequest)
+{
+  std::vector<Server> pool;
+  for (const Server& server : aContext.servers_.Servers()) {
+    if (server.pool_ == aRequest.service_.pool_) {
+      pool.push_back(server);
+    }
+  }
+  const MemberList& members = aContext.membership_.Members();
+  std::vector<InstanceId> instances;
+  for (const Member& member : members.members_) {
+    if (member.state_ == MemberState::Live ||
+        member.state_ == MemberState::Suspect) {
+      instances.push_back(member.identity_.instance_);
+    }
+  }
+  const std::uint64_t key = RendezvousScore(aRequest.id_.Value(), 0);
+  std::vector<std::pair<std::uint64_t, ServerId>> ranked;
+  for (const Server& server : ChooseSubset(members.self_, instances, pool)) {
+    ranked.emplace_back(RendezvousScore(server.id_.Value(), key), server.id_);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), RequestTask::kMaxClaimedServers));
+  std::vector<ServerId> servers;
+  servers.reserve(ranked.size());
+  for (const auto& [score, server] : ranked) {
+    servers.push_back(server);
+  }
+  return servers;
+}
+
 } // namespace
 
 RequestTask::RequestTask(RequestContext& aContext,
@@ -86,6 +127,18 @@
     Choose(false);
     return;
   }
+  context_.ledger_.Register(
+    MakeClaim(),
+    request_.isRepeatable_ ? kRepeatableClaimLimit : kClaimLimit,
+    [self = shared_from_this()](RegisterReply aReply) {
+      self->WhenThawed(
+        [self, reply = std::move(aReply)] { self->OnClaimed(reply); });
+    });
+}
+
+RegisterRequest
+RequestTask::MakeClaim()
+{
   RegisterRequest claim;
   claim.request_ = request_.id_;
   claim.workspace_ = request_.workspace_;
@@ -95,13 +148,15 @@
   claim.bodyDigest_ = request_.bodyDigest_;
   claim.isDurable_ = !request_.isRepeatable_;
   claim.owner_ = context_.membership_.Members().self_;
-  context_.ledger_.Register(
-    claim,
-    request_.isRepeatable_ ? kRepeatableClaimLimit : kClaimLimit,
-    [self = shared_from_this()](RegisterReply aReply) {
-      self->WhenThawed(
-        [self, reply = std::move(aReply)] { self->OnClaimed(reply); });
-    });
+  if (claim.isDurable_) {
+    // The same in each try: one whose reply was lost may have been recorded.
+    if (claimed_.empty()) {
+      claimed_ = ServersToClaim(context_, request_);
+    }
+    claim.servers_ = claimed_;
+    claim.previousOwners_ = previousOwners_;
+  }
+  return claim;
 }
 
 void
@@ -110,9 +165,10 @@
   if (isEnded_) {
     return;
   }
-  const bool isOwn = aReply.status_ == RegisterStatus::Granted ||
-                     (aReply.status_ == RegisterStatus::Running &&
-                      aReply.request_ == request_.id_);
+  const bool isOwn =
+    aReply.status_ == RegisterStatus::Granted ||
+    (aReply.status_ == RegisterStatus::Running &&
+     aReply.request_ == request_.id_ && request_.isRepeatable_);
   const bool isUnavailable = aReply.status_ == RegisterStatus::Unavailable;
   if (isOwn || (isUnavailable && request_.isRepeatable_)) {
     Choose(false);
@@ -120,14 +176,19 @@
     // The claim may still become durable. The outcome withdraws it.
     GiveUp(ClaimError(), "claim not confirmed; not sent");
   } else {
-    isEnded_ = true;
-    StopWork();
-    log_->OnAbandoned(nullptr);
-    log_->OnFlow(nullptr);
-    hooks_.onDiverted_(aReply);
+    Divert(aReply);
   }
 }
 
+void
+RequestTask::Divert(const RegisterReply& aReply)
+{
+  StopWork();
+  log_->OnAbandoned(nullptr);
+  log_->OnFlow(nullptr);
+  hooks_.onDiverted_(aReply);
+}
+
 // Choose.
 
 void
@@ -137,7 +198,7 @@
   *ticket = context_.scheduler_.Submit(
     request_.configuration_,
     request_.service_,
-    TraitsOf(request_, excluded_),
+    TraitsOf(request_, excluded_, claimed_),
     Remaining(),
     [self = shared_from_this(), ticket, aIsHedge](Grant aGrant) {
       self->WhenThawed([self, ticket, aIsHedge, grant = std::move(aGrant)] {
--- a/src/requests/RequestTask.h
+++ b/src/requests/RequestTask.h
@@ -29,8 +29,11 @@
   static constexpr Duration kClaimLimit = std::chrono::seconds(2);
   static constexpr Duration kRepeatableClaimLimit =
     std::chrono::milliseconds(100);
-  // Largest answer that the outcome of an unrepeatable request holds.
-  static constexpr std::uint64_t kMaxKeptAnswer = 64 * 1024;
+  // Servers that a claim names.
+  static constexpr std::size_t kMaxClaimedServers = 16;
+  // Tries to take over the claim of a request whose call was sent, each for
+  // kClaimLimit.
+  static constexpr unsigned kMaxTakeOvers = 15;
   // Largest answer of a model service.
   static constexpr std::uint64_t kMaxAnswer = 4 * 1024 * 1024;
   static constexpr std::size_t kMaxTokens = 1024 * 1024;
@@ -83,7 +86,11 @@
 
   void Begin();
   void Claim();
+  RegisterRequest MakeClaim();
   void OnClaimed(const RegisterReply& aReply);
+  void Divert(const RegisterReply& aReply);
+  void TakeOver(unsigned aTries);
+  void OnTakenOver(const RegisterReply& aReply, unsigned aTries);
   void Choose(bool aIsHedge);
   void OnGranted(Scheduler::Ticket aTicket, const Grant& aGrant, bool aIsHedge);
   void Dispatch(Scheduler::Ticket aTicket, const Server& aServer);
@@ -123,6 +130,10 @@
   std::string finishReason_;
   std::vector<AttemptRecord> attempts_;
   std::vector<ServerId> excluded_;
+  // Servers that the claim of an unrepeatable request names.
+  std::vector<ServerId> claimed_;
+  // Owners before this instance, of a request that was handed over.
+  std::vector<InstanceId> previousOwners_;
   std::map<AttemptNumber, Running> running_;
   std::set<Scheduler::Ticket> waiting_;
   std::vector<EventLoop::TimerId> timers_;
--- a/src/requests/StatusQuery.cpp
+++ b/src/requests/StatusQuery.cpp
@@ -109,10 +109,12 @@
     return answer;
   }
   const json body = json::parse(aReply.body_, nullptr, false);
-  if (!body.is_object() || !body.contains("ran") || !body["ran"].is_boolean()) {
+  if (!body.is_object()) {
     return answer;
   }
-  if (body["ran"].get<bool>()) {
+  const auto ran = body.find("ran");
+  const bool hasRan = ran != body.end() && ran->is_boolean();
+  if (hasRan && ran->get<bool>()) {
     answer.ran_ = Ran::Ran;
     answer.reply_ = ReadStoredReply(body);
     return answer;
@@ -121,7 +123,9 @@
   if (running != body.end() && running->is_boolean() && running->get<bool>()) {
     return std::nullopt;
   }
-  answer.ran_ = Ran::NotRun;
+  if (hasRan) {
+    answer.ran_ = Ran::NotRun;
+  }
   return answer;
 }
 
--- a/src/requests/StatusQuery.h
+++ b/src/requests/StatusQuery.h
@@ -4,7 +4,8 @@
 // of its call was lost.
 //
 // The server answers GET on the service's statusPath with JSON: "ran" (true or
-// false), "running" (true while it works on the request), and "reply" (text of
+// false), "running" (true while it works on the request; "ran" may be absent
+// then), and "reply" (text of
 // the stored reply, with "status" and "contentType") where it has one. With
 // "ran": false and "running" not true the server states that it did not run the
 // request and will not run it later.
--- a/src/routing/ChooseServer.cpp
+++ b/src/routing/ChooseServer.cpp
@@ -70,6 +70,12 @@
                                                                   : first;
 }
 
+bool
+Contains(const std::vector<ServerId>& aServers, const ServerId& aServer)
+{
+  return std::find(aServers.begin(), aServers.end(), aServer) != aServers.end();
+}
+
 std::vector<std::size_t>
 FindCandidates(const std::vector<ServerView>& aViews,
                const RoutingPolicy& aPolicy,
@@ -80,9 +86,8 @@
   for (std::size_t index = 0; index < aViews.size(); ++index) {
     const ServerView& view = aViews[index];
     const bool isExcluded =
-      std::find(aQuestion.excluded_.begin(),
-                aQuestion.excluded_.end(),
-                view.server_.id_) != aQuestion.excluded_.end();
+      Contains(aQuestion.excluded_, view.server_.id_) ||
+      (aQuestion.allowed_ && !Contains(*aQuestion.allowed_, view.server_.id_));
     if (!isExcluded && MayGetWork(view, aNow) &&
         HasRoom(view, aPolicy, aQuestion.isLong_, aQuestion.instances_)) {
       candidates.push_back(index);
--- a/src/routing/ChooseServer.h
+++ b/src/routing/ChooseServer.h
@@ -21,6 +21,8 @@
   bool mayProbe_ = true;
   // Entry instances that share the pool.
   std::size_t instances_ = 1;
+  // When set, the only servers that may be chosen.
+  std::optional<std::vector<ServerId>> allowed_;
 };
 
 // Whether aView has a slot for the request. Slots limit the requests of this
--- a/src/routing/PoolScheduler.cpp
+++ b/src/routing/PoolScheduler.cpp
@@ -73,7 +73,8 @@
                         aTraits.prefixHashes_,
                         aTraits.excluded_,
                         aService.isRepeatable_,
-                        1 };
+                        1,
+                        aTraits.allowed_ };
   pending.workspace_ = aTraits.workspace_;
   pending.cost_ = EstimateCost(aTraits, state.lengths_);
   pending.maxTokens_ = aTraits.maxTokens_;
--- a/src/routing/Scheduler.h
+++ b/src/routing/Scheduler.h
@@ -30,6 +30,8 @@
   Tokens maxTokens_;
   // Servers that earlier attempts failed at.
   std::vector<ServerId> excluded_;
+  // When set, the only servers that may get the request.
+  std::optional<std::vector<ServerId>> allowed_;
 };
 
 enum class Refusal
--- a/standins/service/ServiceStandIn.cpp
+++ b/standins/service/ServiceStandIn.cpp
@@ -52,6 +52,13 @@
   faults_.isRefusing_ = aFaults.value("refuse", faults_.isRefusing_);
   faults_.isFrozen_ = aFaults.value("freeze", faults_.isFrozen_);
   faults_.isLeaving_ = aFaults.value("leaving", faults_.isLeaving_);
+  if (aFaults.value("down", false) && !faults_.isDown_) {
+    ++life_;
+    running_ = 0;
+    register_->working_.clear();
+    frozen_.clear();
+  }
+  faults_.isDown_ = aFaults.value("down", faults_.isDown_);
   faults_.hasNoStatus_ = aFaults.value("noStatus", faults_.hasNoStatus_);
   if (aFaults.value("die", false)) {
     // The server can't be freed inside its own handler.
@@ -65,7 +72,10 @@
     const auto held = std::move(frozen_);
     frozen_.clear();
     for (const auto& exchange : held) {
-      Dispatch(exchange);
+      // A call that was given up before it began is cancelled.
+      if (!exchange->IsCallerGone()) {
+        Dispatch(exchange);
+      }
     }
   }
 }
@@ -90,6 +100,8 @@
     ReplyText(aExchange, 200, "{}");
   } else if (request.path_ == "/counters") {
     HandleCounters(aExchange);
+  } else if (faults_.isDown_) {
+    aExchange->Abort();
   } else if (faults_.isFrozen_) {
     frozen_.push_back(aExchange);
   } else {
@@ -131,13 +143,23 @@
     Refuse(aExchange, "full");
     return;
   }
+  const std::string id =
+    FindHeader(aExchange->Request().headers_, "X-Request-Id");
+  if (denied_.count(id) != 0) {
+    Refuse(aExchange, "denied");
+    return;
+  }
   counters_.lastAccepted_ = loop_.GetClock().Wall();
   ++running_;
+  ++register_->working_[id];
   loop_.CallAfter(options_.workTime_ + faults_.delay_,
-                  [this, aExchange, alive = alive_] {
-                    if (*alive) {
+                  [this, aExchange, id, life = life_, alive = alive_] {
+                    if (*alive && life != life_) {
+                      aExchange->Abort();
+                    } else if (*alive) {
                       --running_;
                       RunWork(aExchange);
+                      EndWork(id);
                     }
                   });
 }
@@ -162,6 +184,15 @@
   ReplyText(aExchange, 200, reply);
 }
 
+void
+ServiceStandIn::EndWork(const std::string& aRequestId)
+{
+  const auto found = register_->working_.find(aRequestId);
+  if (--found->second == 0) {
+    register_->working_.erase(found);
+  }
+}
+
 std::string
 ServiceStandIn::IssueRecord(const std::string& aRequestId,
                             const std::string& aBody)
@@ -188,9 +219,15 @@
   }
   const std::string id = aExchange->Request().path_.substr(kStatus.size());
   const auto found = register_->entries_.find(id);
-  json body{ { "ran", found != register_->entries_.end() } };
+  json body = json::object();
   if (found != register_->entries_.end()) {
-    body["reply"] = found->second.reply_;
+    body = { { "ran", true }, { "reply", found->second.reply_ } };
+  } else if (register_->working_.count(id) != 0) {
+    // Whether it ran is not decided yet.
+    body["running"] = true;
+  } else {
+    body["ran"] = false;
+    denied_.insert(id);
   }
   ReplyText(aExchange, 200, body.dump());
 }
--- a/standins/service/ServiceStandIn.h
+++ b/standins/service/ServiceStandIn.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   std::uint64_t nextNumber_ = 1;
   // By X-Request-Id.
   std::map<std::string, Entry> entries_;
+  // Calls in progress, by X-Request-Id.
+  std::map<std::string, unsigned> working_;
 };
 
 struct ServiceOptions
@@ -51,6 +54,9 @@
   bool isRefusing_ = false;
   bool isFrozen_ = false;
   bool isLeaving_ = false;
+  // As if the process were killed, with its records kept: work in progress is
+  // lost and every connection is cut, but for faults and counters.
+  bool isDown_ = false;
   // Answer 404 to status questions.
   bool hasNoStatus_ = false;
 };
@@ -92,6 +98,7 @@
   void Dispatch(const ExchangePtr& aExchange);
   void AcceptWork(const ExchangePtr& aExchange);
   void RunWork(const ExchangePtr& aExchange);
+  void EndWork(const std::string& aRequestId);
   std::string IssueRecord(const std::string& aRequestId,
                           const std::string& aBody);
   void HandleStatus(const ExchangePtr& aExchange);
@@ -109,7 +116,12 @@
   ServiceCounters counters_;
   std::shared_ptr<Register> register_;
   unsigned running_ = 0;
+  // Work that began in an earlier life of the server does not run.
+  unsigned life_ = 0;
   std::vector<ExchangePtr> frozen_;
+  // Requests that a status answer has denied. A call that arrives later is
+  // refused, or the denial would become false.
+  std::set<std::string> denied_;
   Address address_;
   // Callbacks check this, for they can outlive the stand-in.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/test/correctness/ServiceStandInTest.cpp
+++ b/test/correctness/ServiceStandInTest.cpp
@@ -46,7 +46,7 @@
 {
   Fixture fixture;
   const auto before =
-    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-1").body_);
+    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-0").body_);
   cr_assert_not(before["ran"].get<bool>());
   fixture.service_.SetFaults({ { "cutBeforeReply", true } });
   cr_assert_eq(fixture.Fetch(HttpMethod::Post, "/records").end_,
@@ -74,3 +74,61 @@
   cr_assert_eq(FindHeader(reply.headers_, "Sycamoreward-Ran"), "not_run");
   cr_assert(fixture.service_.Records().entries_.empty());
 }
+
+// A status that denies a request while it is in progress would let the system
+// report "not run" of a request that runs a moment later.
+Test(ServiceStandIn, RequestInProgressIsNotDenied)
+{
+  Fixture fixture;
+  fixture.service_.SetFaults({ { "delayMs", 300 } });
+  HttpClientRequest call;
+  call.address_ = fixture.service_.BoundAddress();
+  call.method_ = HttpMethod::Post;
+  call.target_ = "/records";
+  call.headers_ = { { "X-Request-Id", "id-1" } };
+  std::optional<HttpClientReply> reply;
+  fixture.client_.Fetch(
+    call, [&](HttpClientReply aReply) { reply = std::move(aReply); });
+  fixture.loop_.RunUntil(
+    [&] { return !fixture.service_.Records().working_.empty(); }, kLimit);
+  const auto during =
+    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-1").body_);
+  cr_assert(during.value("running", false));
+  cr_assert_not(during.contains("ran"));
+  fixture.loop_.RunUntil([&] { return reply.has_value(); }, kLimit);
+  const auto after =
+    json::parse(fixture.Fetch(HttpMethod::Get, "/status/id-1").body_);
+  cr_assert(after["ran"].get<bool>());
+}
+
+// A denial has to stay true when the call arrives late.
+Test(ServiceStandIn, DeniedRequestDoesNotRunLater)
+{
+  Fixture fixture;
+  fixture.Fetch(HttpMethod::Get, "/status/id-1");
+  const HttpClientReply reply = fixture.Fetch(HttpMethod::Post, "/records");
+  cr_assert_eq(FindHeader(reply.headers_, "Sycamoreward-Ran"), "not_run");
+  cr_assert(fixture.service_.Records().entries_.empty());
+}
+
+// A call that its caller gave up while the server was frozen must not run when
+// the server goes on.
+Test(ServiceStandIn, CallGivenUpWhileFrozenDoesNotRun)
+{
+  Fixture fixture;
+  fixture.service_.SetFaults({ { "freeze", true } });
+  HttpClientRequest call;
+  call.address_ = fixture.service_.BoundAddress();
+  call.method_ = HttpMethod::Post;
+  call.target_ = "/records";
+  call.silenceTimeout_ = std::chrono::milliseconds(200);
+  std::optional<HttpClientReply> reply;
+  fixture.client_.Fetch(
+    call, [&](HttpClientReply aReply) { reply = std::move(aReply); });
+  fixture.loop_.RunUntil([&] { return reply.has_value(); }, kLimit);
+  // The server sees the end of the connection before it answers this.
+  fixture.Fetch(HttpMethod::Get, "/counters");
+  fixture.service_.SetFaults({ { "freeze", false } });
+  fixture.Fetch(HttpMethod::Get, "/load");
+  cr_assert(fixture.service_.Records().entries_.empty());
+}
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -85,6 +85,10 @@
   platform_ = std::make_unique<ChildProcess>("standin-platform",
                                              std::vector<std::string>());
   platformAddress_ = AddressIn(*platform_, "address");
+  if (options_.hasPlatformLink_) {
+    platformLink_ = std::make_unique<CuttableLink>(loop_, platformAddress_);
+    options_.platformLink_ = platformLink_->ListenAddress();
+  }
   if (options_.platformLink_.port_ == 0) {
     options_.platformLink_ = platformAddress_;
   }
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -8,6 +8,7 @@
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
 #include "support/ChildProcess.h"
+#include "support/CuttableLink.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,6 +26,8 @@
   std::vector<std::string> engineArguments_;
   // Where entry instances reach the platform, when a link stands between.
   Address platformLink_;
+  // Puts a link of the deployment between entry instances and platform.
+  bool hasPlatformLink_ = false;
 };
 
 // Tokens that the settings and resources of a deployment accept.
@@ -47,6 +50,8 @@
   EventLoop& Loop() { return loop_; }
   HttpClient& Client() { return client_; }
 
+  // With hasPlatformLink_.
+  CuttableLink& PlatformLink() { return *platformLink_; }
   ChildProcess& Platform() { return *platform_; }
   ChildProcess& Engine(unsigned aIndex) { return *engines_.at(aIndex); }
   ChildProcess& Service(unsigned aIndex) { return *services_.at(aIndex); }
@@ -113,6 +118,7 @@
   std::string directory_;
   Address platformAddress_;
   std::unique_ptr<ChildProcess> platform_;
+  std::unique_ptr<CuttableLink> platformLink_;
   std::vector<std::unique_ptr<ChildProcess>> engines_;
   std::vector<std::unique_ptr<ChildProcess>> services_;
   std::vector<std::unique_ptr<ChildProcess>> entries_;
