--- a/src/configuration/ConfigurationTask.cpp
+++ b/src/configuration/ConfigurationTask.cpp
@@ -1,6 +1,7 @@
 #include "configuration/ConfigurationTask.h"
 
 #include "base/Error.h"
+#include "configuration/StartSeeds.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -97,6 +98,14 @@
   Tick();
 }
 
+void
+ConfigurationTask::AddSeeds(const std::vector<PeerIdentity>& aListed)
+{
+  if (!isReady_) {
+    MergeSeeds(seeds_, aListed, membership_.Self());
+  }
+}
+
 std::shared_ptr<const Configuration>
 ConfigurationTask::Current() const
 {
--- a/src/configuration/ConfigurationTask.h
+++ b/src/configuration/ConfigurationTask.h
@@ -51,10 +51,13 @@
   ConfigurationTask(const ConfigurationTask&) = delete;
   ConfigurationTask& operator=(const ConfigurationTask&) = delete;
 
-  // Begins to read the table and to ask aSeeds, the other entry instances of
-  // the platform's list.
+  // Begins to read the table and to ask aSeeds, the instances that the settings
+  // name.
   void Start(std::vector<PeerIdentity> aSeeds);
 
+  // Entry instances of the platform's list, to ask too while not ready.
+  void AddSeeds(const std::vector<PeerIdentity>& aListed);
+
   // False until the configuration has been read from the table or from enough
   // peers.
   bool IsReady() const { return isReady_; }
--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -290,6 +290,7 @@
   servers_.OnChange([this] {
     scheduler_.RefreshServers();
     membership_.SetSeeds(servers_.Entries());
+    configuration_.AddSeeds(servers_.Entries());
   });
 }
 
--- /dev/null
+++ b/test/correctness/ClaimQueryTest.cpp
@@ -0,0 +1,78 @@
+// What the servers of a claim say about a request whose owner has ended.
+
+#include "entry/ClaimQuery.h"
+#include "support/RequestWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+struct StatusServer
+{
+  nlohmann::json status_;
+
+  HttpServer::Handler Handler()
+  {
+    return [this](std::shared_ptr<HttpExchange> aExchange) {
+      aExchange->Reply(200, {}, status_.dump());
+    };
+  }
+};
+
+struct Question
+{
+  const char* first_;
+  const char* second_;
+  std::vector<std::string> named_;
+  ServerWord expected_;
+};
+
+} // namespace
+
+// Guards against a request that is reported as not run although a server that
+// may have run it was not heard.
+Test(ClaimQuery, NotRunNeedsTheWordOfEachNamedServer)
+{
+  const char* const denied = R"({"ran":false})";
+  const char* const ran = R"({"ran":true,"reply":"{}"})";
+  const char* const silent = "{}";
+  const Question questions[] = {
+    { denied, denied, { "first", "second" }, ServerWord::NotRun },
+    { denied, silent, { "first", "second" }, ServerWord::CantSay },
+    { denied, ran, { "first", "second" }, ServerWord::Ran },
+    { denied, ran, { "first" }, ServerWord::NotRun },
+    { denied, denied, { "first", "gone" }, ServerWord::CantSay },
+    { denied, denied, {}, ServerWord::CantSay },
+    { denied, ran, {}, ServerWord::Ran }
+  };
+  for (const Question& question : questions) {
+    RequestNet net;
+    StatusServer first{ nlohmann::json::parse(question.first_) };
+    StatusServer second{ nlohmann::json::parse(question.second_) };
+    net.AddBackend("first", first.Handler());
+    net.AddBackend("second", second.Handler());
+    RequestWorld world(net, "entry");
+    Claim claim;
+    claim.request_ = RequestId("r.0.1");
+    claim.service_ = ServiceName("desk");
+    for (const std::string& name : question.named_) {
+      claim.servers_.emplace_back(name);
+    }
+    RequestContext context{
+      net.loop_,         net.client_,          world.scheduler_,
+      net.ledger_,       world.configuration_, world.servers_,
+      world.membership_, world.peers_,         [] { return std::uint64_t(1); }
+    };
+    std::optional<ServerAnswer> answer;
+    MakeClaimQuery(context)(
+      claim, [&](ServerAnswer aAnswer) { answer = std::move(aAnswer); });
+    net.PassTimeUntil([&] { return answer.has_value(); });
+    cr_assert(answer->word_ == question.expected_,
+              "%s, %s, %zu named",
+              question.first_,
+              question.second_,
+              question.named_.size());
+  }
+}
--- a/test/error/CtlTest.cpp
+++ b/test/error/CtlTest.cpp
@@ -407,9 +407,9 @@
   Fixture fixture;
   fixture.canned_["/v1/requests/r%2F1"] = {
     200,
-    R"({"request":"r/1","workspace":"ridge","service":"certificate-issue",
-        "kind":"unknown","acceptedUs":1000000,"endedUs":3500000,
-        "attempts":[{"number":1,"server":"desk-2","sentUs":1250000,
+    R"({"id":"r/1","state":"ended","service":"certificate-issue",
+        "outcome":"unknown","acceptedMs":1000,"endedMs":3500,
+        "attempts":[{"number":1,"server":"desk-2","sentMs":1250,
                      "end":"connection broken"}],
         "answerDigest":"","answerLength":0,"evidence":"no status path"})"
   };
--- /dev/null
+++ b/test/failure/CtlJournalTest.cpp
@@ -0,0 +1,119 @@
+// The commands of sycamorewardctl that read the ledger, against real processes.
+
+#include "ledger/LogRow.h"
+#include "ledger/Partition.h"
+#include "store/DynamoTable.h"
+#include "support/Deployment.h"
+#include "support/DeploymentHistory.h"
+#include "support/RecordingCaller.h"
+
+#include <criterion/criterion.h>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+using namespace sycamoreward;
+
+namespace {
+
+struct Run
+{
+  int exit_ = -1;
+  std::string text_;
+};
+
+// Runs sycamorewardctl while the deployment goes on.
+Run
+Ctl(const std::string& aArguments)
+{
+  const std::string command =
+    std::string(PROGRAM_DIRECTORY) + "/sycamorewardctl " + aArguments + " 2>&1";
+  Run run;
+  FILE* pipe = popen(command.c_str(), "r");
+  char part[512];
+  while (std::fgets(part, sizeof part, pipe) != nullptr) {
+    run.text_ += part;
+  }
+  run.exit_ = WEXITSTATUS(pclose(pipe));
+  return run;
+}
+
+// Changes a row behind the system's back.
+void
+ChangeFirstRow(Deployment& aDeployment, const LedgerPartition& aPartition)
+{
+  StoreOptions options;
+  options.address_ = aDeployment.PlatformAddress();
+  DynamoTable table(aDeployment.Client(), options);
+  std::optional<ReadReply> rows;
+  table.Query(PartitionName(aPartition), "", 1, [&](ReadReply aReply) {
+    rows = std::move(aReply);
+  });
+  aDeployment.WaitFor([&] { return rows.has_value(); }, 10);
+  RowWrite write;
+  write.row_ = rows->rows_.at(0);
+  write.row_.values_["entries"] += " ";
+  std::optional<WriteResult> result;
+  table.Write(
+    { write }, "change", [&](WriteResult aResult) { result = aResult; });
+  aDeployment.WaitFor([&] { return result.has_value(); }, 10);
+  cr_assert(result == WriteResult::Committed);
+}
+
+} // namespace
+
+// Guards against field names that differ between the program and the API, and
+// against a check of the journal that finds nothing.
+Test(CtlJournal, RequestAndJournalAreReadFromARunningSystem)
+{
+  DeploymentOptions options;
+  options.engines_ = 0;
+  Deployment deployment(options);
+  RecordingCaller caller(deployment.Loop(), deployment.Client(), kCallerToken);
+  const CallerRequest request = RecordRequest(
+    "certificate", kCertificateService, { deployment.CallerAddress(0) });
+  caller.Start(request);
+  cr_assert(deployment.WaitFor([&] { return caller.IsDone(); }, 30));
+  ExpectAllAnswered(deployment, caller);
+  const RequestId id = caller.Histories()[0].replies_.back().request_;
+
+  char path[] = "/tmp/sycamoreward-token-XXXXXX";
+  close(mkstemp(path));
+  std::ofstream(path) << kCallerToken << "\n";
+  const Run shown = Ctl("request " + id.Value() + " --token-file " + path +
+                        " --callers " + ToString(deployment.CallerAddress(1)));
+  std::remove(path);
+  cr_assert_eq(shown.exit_, 0, "%s", shown.text_.c_str());
+  for (const std::string& part :
+       { "request " + id.Value() + " to service certificate-issue",
+         std::string("attempt 1 at desk-0: complete"),
+         std::string("outcome completed"),
+         std::string("evidence: reply of desk-0") }) {
+    cr_assert(shown.text_.find(part) != std::string::npos,
+              "%s lacks %s",
+              shown.text_.c_str(),
+              part.c_str());
+  }
+
+  const std::string platform = ToString(deployment.PlatformAddress());
+  const std::string verify = "journal verify --table " + platform +
+                             " --object-store " + platform +
+                             " --bucket journal --region ";
+  const Run whole = Ctl(verify + Deployment::kRegion);
+  cr_assert_eq(whole.exit_, 0, "%s", whole.text_.c_str());
+  cr_assert_eq(Ctl(verify + "elsewhere").exit_, 2);
+  // A second row makes the first one part of the chain.
+  RecordingCaller again(deployment.Loop(), deployment.Client(), kCallerToken);
+  again.Start(request);
+  cr_assert(deployment.WaitFor([&] { return again.IsDone(); }, 30));
+  ChangeFirstRow(deployment, ParsePartition(id));
+  const Run broken = Ctl(verify + Deployment::kRegion);
+  cr_assert_eq(broken.exit_, 1, "%s", broken.text_.c_str());
+  cr_assert(broken.text_.find("broken at row") != std::string::npos);
+  deployment.Post(
+    deployment.PlatformAddress(), "/faults", { { "storeDown", true } });
+  cr_assert_eq(Ctl(verify + Deployment::kRegion).exit_, 2);
+}
--- /dev/null
+++ b/test/failure/LedgerTransferTest.cpp
@@ -0,0 +1,204 @@
+// Claims that move to a successor, and answers that no row can hold.
+
+#include "base/Digest.h"
+#include "support/LedgerCluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+const std::vector<std::string> kNames{ "a", "b", "c" };
+
+// Three roles of the instances, for a request that "owner" has claimed.
+struct Handed
+{
+  LedgerCluster cluster_{ kNames };
+  std::string registrar_;
+  std::string owner_;
+  std::string successor_;
+  RegisterRequest claim_;
+  RegisterRequest transfer_;
+
+  Handed()
+  {
+    const auto probe = cluster_.Request("a", "key", true);
+    const LedgerPartition partition = ParsePartition(probe.request_);
+    registrar_ = RankForDuty(cluster_.nodes_.at("a").membership_.Members(),
+                             PartitionName(partition),
+                             partition.region_)
+                   .front()
+                   .Value();
+    for (const std::string& name : kNames) {
+      if (name != registrar_) {
+        (owner_.empty() ? owner_ : successor_) = name;
+      }
+    }
+    claim_ = cluster_.Request(owner_, "key", true);
+    claim_.servers_ = { ServerId("one") };
+    transfer_ = claim_;
+    transfer_.owner_ = InstanceId(successor_);
+    transfer_.previousOwners_ = { InstanceId(owner_) };
+    cr_assert_eq(cluster_.Register(claim_).status_, RegisterStatus::Granted);
+  }
+  // The owner ends, and its server says that it did not run the request.
+  void EndOwner()
+  {
+    cluster_.serverAnswer_.word_ = ServerWord::NotRun;
+    cluster_.isOwnerGone_ = true;
+    cluster_.Kill(owner_);
+  }
+  unsigned Outcomes()
+  {
+    unsigned count = 0;
+    for (const auto& [key, row] : cluster_.table_.rows_) {
+      for (const LogEntry& entry : ParseEntries(FromTableRow(row))) {
+        count += entry.kind_ == EntryKind::Outcome ? 1 : 0;
+      }
+    }
+    return count;
+  }
+};
+
+} // namespace
+
+// Guards against a successor's request being settled as that of its dead owner.
+Test(LedgerTransfer, ClaimOfTheSuccessorIsNotSettledForItsOldOwner)
+{
+  Handed handed;
+  cr_assert_eq(handed.cluster_.Register(handed.transfer_).status_,
+               RegisterStatus::Granted);
+  handed.EndOwner();
+  handed.cluster_.Run(std::chrono::seconds(10));
+  const auto other = handed.cluster_.Request(handed.registrar_, "key", true);
+  const RegisterReply reply = handed.cluster_.Register(other);
+  cr_assert_eq(reply.status_, RegisterStatus::Running);
+  cr_assert_eq(reply.owner_, InstanceId(handed.successor_));
+  cr_assert_eq(handed.cluster_.asked_, 0U);
+}
+
+// Another instance can't take a claim without naming its holder.
+Test(LedgerTransfer, ClaimMovesOnlyFromItsHolder)
+{
+  Handed handed;
+  RegisterRequest wrong = handed.transfer_;
+  wrong.previousOwners_ = { InstanceId(handed.registrar_) };
+  cr_assert_eq(handed.cluster_.Register(wrong).status_,
+               RegisterStatus::Running);
+}
+
+// Guards against a successor that acts on a request that was settled as not
+// run, and against a settlement of what the successor runs: the table decides.
+Test(LedgerTransfer, TransferAndSettlementEndInOneOutcome)
+{
+  for (const bool isTransferFirst : { false, true }) {
+    Handed handed;
+    LedgerCluster& cluster = handed.cluster_;
+    cluster.table_.isDown_ = true;
+    std::optional<RegisterReply> reply;
+    const auto transfer = [&] {
+      cluster.Client(handed.successor_)
+        .Register(handed.transfer_,
+                  std::chrono::seconds(25),
+                  [&](RegisterReply aReply) { reply = std::move(aReply); });
+      cluster.Run(std::chrono::milliseconds(100));
+    };
+    if (isTransferFirst) {
+      transfer();
+    }
+    handed.EndOwner();
+    cluster.Run(std::chrono::seconds(8));
+    cr_assert_geq(cluster.asked_, 1U);
+    if (!isTransferFirst) {
+      transfer();
+    }
+    cluster.table_.isDown_ = false;
+    cluster.Run(std::chrono::seconds(10));
+    cr_assert(reply.has_value());
+    cr_assert_eq(reply->status_,
+                 isTransferFirst ? RegisterStatus::Granted
+                                 : RegisterStatus::Finished);
+    cr_assert_eq(handed.Outcomes(), isTransferFirst ? 0U : 1U);
+    if (isTransferFirst) {
+      bool isDurable = false;
+      cluster.Client(handed.successor_)
+        .Record(OutcomeOf(handed.transfer_, OutcomeKind::Completed),
+                [&] { isDurable = true; });
+      cluster.Run(std::chrono::seconds(2));
+      cr_assert(isDurable);
+      cr_assert_eq(handed.Outcomes(), 1U);
+    }
+  }
+}
+
+// The servers that any owner may have used decide whether a request ran.
+Test(LedgerTransfer, ClaimNamesTheServersOfAllOwners)
+{
+  PartitionLog log;
+  const auto apply = [&](const Claim& aClaim) {
+    LogEntry entry;
+    entry.claim_ = aClaim;
+    LogRow row;
+    row.sequence_ = Sequence(log.applied_.Value() + 1);
+    row.previousDigest_ = log.lastDigest_;
+    row.entries_ = "[" + EntryToText(entry) + "]";
+    ApplyRow(log, row);
+  };
+  Claim claim;
+  claim.request_ = RequestId("r.0.1");
+  claim.owner_ = InstanceId("a");
+  claim.servers_ = { ServerId("one"), ServerId("two") };
+  apply(claim);
+  claim.owner_ = InstanceId("b");
+  claim.previousOwners_ = { InstanceId("a") };
+  claim.servers_ = { ServerId("three"), ServerId("two") };
+  apply(claim);
+  const Claim& held = *log.requests_.at(claim.request_).claim_;
+  cr_assert_eq(held.owner_, InstanceId("b"));
+  cr_assert_eq(held.servers_.size(), 3U);
+  // A row of a version that named no servers.
+  claim.owner_ = InstanceId("c");
+  claim.previousOwners_ = { InstanceId("b") };
+  claim.servers_.clear();
+  apply(claim);
+  cr_assert(held.servers_.empty());
+}
+
+// Guards against a repeated key that gets no answer, or another one, because
+// the first was too large for a row.
+Test(LedgerTransfer, LargeAnswerIsGivenAgainAtEachInstance)
+{
+  for (const bool isStoreDown : { false, true }) {
+    Handed handed;
+    LedgerCluster& cluster = handed.cluster_;
+    cluster.objects_.isDown_ = isStoreDown;
+    cluster.objects_.loseReply_ = true;
+    Outcome outcome = OutcomeOf(handed.claim_, OutcomeKind::Completed);
+    const std::string body(8 * 1024 * 1024, 'x');
+    outcome.answer_ = KeptAnswer{ 201, "text/plain", body };
+    outcome.answerDigest_ = Sha256Hex(body);
+    outcome.answerLength_ = Bytes(body.size());
+    bool isDurable = false;
+    cluster.Client(handed.owner_).Record(outcome, [&] { isDurable = true; });
+    cluster.Run(std::chrono::seconds(2));
+    cr_assert(isDurable);
+    cr_assert_eq(cluster.objects_.objects_.size(), isStoreDown ? 0U : 1U);
+    for (const std::string& name : kNames) {
+      const RegisterReply reply =
+        cluster.Register(cluster.Request(name, "key", true));
+      if (isStoreDown) {
+        cr_assert_eq(reply.status_, RegisterStatus::Unsettled);
+        continue;
+      }
+      cr_assert_eq(reply.status_, RegisterStatus::Finished);
+      cr_assert(reply.outcome_->answer_->body_ == body);
+      cr_assert_eq(reply.outcome_->answer_->status_, 201);
+    }
+    cluster.objects_.isDown_ = false;
+    const RegisterReply last =
+      cluster.Register(cluster.Request(handed.owner_, "key", true));
+    cr_assert_eq(last.status_, RegisterStatus::Finished);
+    cr_assert_eq(last.outcome_->answer_.has_value(), !isStoreDown);
+  }
+}
--- a/test/property/RoutingPropertyTest.cpp
+++ b/test/property/RoutingPropertyTest.cpp
@@ -51,7 +51,7 @@
 } // namespace
 
 // Guards against new work on a server that leaves, was not heard of for 2.5 s,
-// failed before or has no slot left.
+// failed before, has no slot left or is not named in the request's claim.
 Test(Routing, ChosenServerMayAlwaysGetTheRequest)
 {
   cr_assert(rc::check([] {
@@ -67,6 +67,11 @@
     if (*rc::gen::arbitrary<bool>()) {
       question.prefixHashes_ = { *rc::gen::arbitrary<std::uint64_t>() };
     }
+    // As for an unrepeatable request, whose claim names its servers.
+    const bool isClaimed = *rc::gen::arbitrary<bool>();
+    if (isClaimed) {
+      question.allowed_ = { ServerId("server-2"), ServerId("server-3") };
+    }
     RoutingPolicy policy;
     RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
     const auto chosen = ChooseServer(views, policy, question, kStart, random);
@@ -74,8 +79,8 @@
     for (std::size_t index = 0; index < views.size(); ++index) {
       const ServerView& view = views[index];
       const bool isUsable =
-        index != 0 && index != 3 && view.server_.state_ == ServerState::Live &&
-        view.accepted_ &&
+        index != 0 && index != 3 && (!isClaimed || index == 2) &&
+        view.server_.state_ == ServerState::Live && view.accepted_ &&
         kStart - *view.accepted_ <= std::chrono::milliseconds(2500) &&
         view.fullUntil_ <= kStart && view.inFlight_ < policy.slotsPerServer_ &&
         HasRoom(view, policy, question.isLong_, 1);
--- a/tools/sycamorewardctl/Commands.cpp
+++ b/tools/sycamorewardctl/Commands.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
 #include "Apply.h"
+#include "JournalVerify.h"
 #include "Output.h"
 #include "Watch.h"
 
@@ -290,6 +291,9 @@
   if (command == "request") {
     return ShowRequest(aContext);
   }
+  if (command == "journal") {
+    return VerifyJournal(aContext.options_, aContext.out_);
+  }
   return RunWithServer(aContext);
 }
 
--- /dev/null
+++ b/tools/sycamorewardctl/JournalVerify.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// The command "journal verify".
+
+#include "Options.h"
+
+#include <ostream>
+
+namespace sycamoreward {
+
+// Checks the hash chain of all partitions of a region, in the object store and
+// in the table, and prints a line for each. Returns 0 when all are whole and 1
+// when one is broken. Throws UserError when a store can't be read or the region
+// has no rows.
+int
+VerifyJournal(const CtlOptions& aOptions, std::ostream& aOut);
+
+} // namespace sycamoreward
--- a/tools/sycamorewardctl/Options.cpp
+++ b/tools/sycamorewardctl/Options.cpp
@@ -31,15 +31,18 @@
   "  explain KIND[.FIELD]|settings\n"
   "                              show fields, units, ranges and defaults\n"
   "  request ID                  show the life of a request (--callers)\n"
+  "  journal verify --table IP:PORT --object-store IP:PORT --bucket NAME\n"
+  "                 --region NAME check the hash chain of the ledger\n"
   "  reference                   print the reference page in Markdown\n\n"
-  "Exit codes: 0 done, and for diff: equal; 1 diff found a difference;\n"
-  "2 an error.\n";
+  "Exit codes: 0 done, and for diff: equal; 1 diff found a difference, or\n"
+  "journal verify a broken chain; 2 an error.\n";
 
 // Least and most words after each command.
 const std::map<std::string, std::pair<std::size_t, std::size_t>> kArguments{
   { "validate", { 0, 0 } }, { "diff", { 0, 0 } },    { "apply", { 0, 0 } },
   { "get", { 1, 2 } },      { "watch", { 1, 1 } },   { "delete", { 0, 2 } },
-  { "explain", { 1, 1 } },  { "request", { 1, 1 } }, { "reference", { 0, 0 } }
+  { "explain", { 1, 1 } },  { "request", { 1, 1 } }, { "reference", { 0, 0 } },
+  { "journal", { 1, 1 } }
 };
 
 [[noreturn]] void
@@ -115,6 +118,17 @@
          std::to_string(count) +
          " words after it, which is not its form; --help shows it.");
   }
+  if (aOptions.command_ == "journal") {
+    if (aOptions.arguments_.front() != "verify") {
+      Fail("The command \"journal " + aOptions.arguments_.front() +
+           "\" is unknown; write journal verify.");
+    }
+    if (aOptions.table_.size() != 1 || aOptions.objectStore_.size() != 1 ||
+        aOptions.bucket_.empty() || aOptions.region_.empty()) {
+      Fail("The command \"journal verify\" needs --table, --object-store, "
+           "--bucket and --region, each once.");
+    }
+  }
   if (needsFiles == aOptions.files_.empty()) {
     Fail(needsFiles
            ? "The command \"" + aOptions.command_ +
@@ -142,6 +156,17 @@
   add("callers",
       "IP:PORT of callers' APIs (several; or SYCAMOREWARD_CALLERS)",
       cxxopts::value<Texts>());
+  add("table", "IP:PORT of the platform's table", cxxopts::value<Texts>());
+  add("table-name",
+      "Name of the table",
+      cxxopts::value<std::string>()->default_value("sycamoreward"));
+  add("object-store", "IP:PORT of the object store", cxxopts::value<Texts>());
+  add("bucket",
+      "Bucket of the ledger's segments",
+      cxxopts::value<std::string>()->default_value(""));
+  add("region",
+      "Region of the ledger",
+      cxxopts::value<std::string>()->default_value(""));
   add("token-file", "File with the token", cxxopts::value<std::string>());
   add("dry-run", "Let the server check, but change nothing");
   add("prune", "Delete what no file declares");
@@ -179,6 +204,12 @@
   if (aResult.count("token-file") > 0) {
     options.tokenFile_ = aResult["token-file"].as<std::string>();
   }
+  options.table_ = ReadAddresses(aResult, "table", "SYCAMOREWARD_TABLE");
+  options.tableName_ = aResult["table-name"].as<std::string>();
+  options.objectStore_ =
+    ReadAddresses(aResult, "object-store", "SYCAMOREWARD_OBJECT_STORE");
+  options.bucket_ = aResult["bucket"].as<std::string>();
+  options.region_ = aResult["region"].as<std::string>();
   options.isDryRun_ = aResult.count("dry-run") > 0;
   options.isPrune_ = aResult.count("prune") > 0;
   options.isWait_ = aResult.count("wait") > 0;
--- a/tools/sycamorewardctl/Options.h
+++ b/tools/sycamorewardctl/Options.h
@@ -32,6 +32,12 @@
   // Addresses of the callers' API, for `request`.
   std::vector<Address> callers_;
   std::string tokenFile_;
+  // The platform's stores, for `journal verify`.
+  std::vector<Address> table_;
+  std::string tableName_;
+  std::vector<Address> objectStore_;
+  std::string bucket_;
+  std::string region_;
   bool isDryRun_ = false;
   bool isPrune_ = false;
   bool isWait_ = false;
--- a/tools/sycamorewardctl/Output.cpp
+++ b/tools/sycamorewardctl/Output.cpp
@@ -74,18 +74,18 @@
 }
 
 std::string
-WallText(const Json& aMicroseconds)
+WallText(const Json& aMilliseconds)
 {
-  if (!aMicroseconds.is_number_integer()) {
-    return Text(aMicroseconds);
+  if (!aMilliseconds.is_number_integer()) {
+    return Text(aMilliseconds);
   }
-  const auto us = aMicroseconds.get<std::int64_t>();
-  const std::time_t seconds = us / 1'000'000;
+  const auto ms = aMilliseconds.get<std::int64_t>();
+  const std::time_t seconds = ms / 1000;
   std::tm parts{};
   gmtime_r(&seconds, &parts);
   std::ostringstream out;
   out << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S.") << std::setw(3)
-      << std::setfill('0') << us % 1'000'000 / 1000 << "Z";
+      << std::setfill('0') << ms % 1000 << "Z";
   return out.str();
 }
 
@@ -175,18 +175,21 @@
     aOut << ToYaml(aRecord);
     return;
   }
-  aOut << "request " << At(aRecord, "/request") << " of workspace "
-       << At(aRecord, "/workspace") << " to service " << At(aRecord, "/service")
-       << "\n";
+  aOut << "request " << At(aRecord, "/id") << " to service "
+       << At(aRecord, "/service") << "\n";
+  if (At(aRecord, "/state") == "running") {
+    aOut << "running\n";
+    return;
+  }
   std::vector<std::vector<std::string>> rows{ { "TIME", "WHAT" } };
-  rows.push_back({ WallText(aRecord.value("acceptedUs", Json())), "accepted" });
+  rows.push_back({ WallText(aRecord.value("acceptedMs", Json())), "accepted" });
   for (const Json& attempt : aRecord.value("attempts", Json::array())) {
-    rows.push_back({ WallText(attempt.value("sentUs", Json())),
+    rows.push_back({ WallText(attempt.value("sentMs", Json())),
                      "attempt " + At(attempt, "/number") + " at " +
                        At(attempt, "/server") + ": " + At(attempt, "/end") });
   }
-  rows.push_back({ WallText(aRecord.value("endedUs", Json())),
-                   "outcome " + At(aRecord, "/kind") });
+  rows.push_back({ WallText(aRecord.value("endedMs", Json())),
+                   "outcome " + At(aRecord, "/outcome") });
   PrintTable(rows, aOut);
   aOut << "evidence: " << At(aRecord, "/evidence") << "\n"
        << "answer:   " << At(aRecord, "/answerLength") << " bytes, SHA-256 "
