--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 namespace sycamoreward {
 
 namespace {
@@ -215,8 +217,14 @@
 {
   waiting_.erase(aTicket);
   // A hedge is of use only while no attempt has begun to answer.
+  const bool isAtServer =
+    aGrant.server_ &&
+    std::any_of(running_.begin(), running_.end(), [&](const auto& aEntry) {
+      return aEntry.second.server_.id_ == aGrant.server_->id_;
+    });
   const bool isUnwanted =
-    isEnded_ || (aIsHedge && (running_.empty() || !log_->Parts().empty()));
+    isEnded_ ||
+    (aIsHedge && (running_.empty() || isAtServer || !log_->Parts().empty()));
   if (isUnwanted) {
     if (aGrant.server_) {
       context_.scheduler_.End(aTicket, AttemptEnd::Cancelled);
