Place prompts by a prefix that fits one server

The key is now the shortest prefix with a small part of the requests, and the bound of load counts a report in full until the next one.

--- a/src/limits/FairQueue.cpp
+++ b/src/limits/FairQueue.cpp
@@ -128,9 +128,9 @@
       const std::size_t count = std::min(flow.items_.size(), kMaxScan);
       for (std::size_t at = 0; at < count; ++at) {
         const QueueItem& item = flow.items_[at];
-        const bool isFirst = item.agedAt_ <= aNow &&
-                             (oldest == nullptr ||
-                              item.agedAt_ < oldest->agedAt_);
+        const bool isFirst =
+          item.agedAt_ <= aNow &&
+          (oldest == nullptr || item.agedAt_ < oldest->agedAt_);
         if (isFirst && aFits(item)) {
           oldest = &item;
         }
--- a/src/requests/AnswerLog.cpp
+++ b/src/requests/AnswerLog.cpp
@@ -92,9 +92,10 @@
 AnswerLog::Observe(std::function<void()> aObserver)
 {
   const ObserverId id = nextObserver_++;
-  observers_.emplace(id, Observer{
-      std::make_shared<const std::function<void()>>(std::move(aObserver)),
-      false });
+  observers_.emplace(id,
+                     Observer{ std::make_shared<const std::function<void()>>(
+                                 std::move(aObserver)),
+                               false });
   UpdateFlow();
   return id;
 }
--- a/src/requests/RequestStream.cpp
+++ b/src/requests/RequestStream.cpp
@@ -79,8 +79,7 @@
   firstToken_ = now;
   if (context_.metrics_ != nullptr) {
     context_.metrics_->ObserveFirstByte(
-      request_.Name(),
-      context_.loop_.GetClock().Wall() - request_.accepted_);
+      request_.Name(), context_.loop_.GetClock().Wall() - request_.accepted_);
   }
   assembler_.BeginAttempt(aAttempt);
   std::vector<AttemptNumber> losers;
--- a/src/routing/ChooseServer.cpp
+++ b/src/routing/ChooseServer.cpp
@@ -168,7 +168,7 @@
                  std::back_inserter(fast),
                  [&](std::size_t aIndex) { return !aViews[aIndex].isSlow_; });
     if (const auto chosen =
-          ChooseByPrefix(aViews, fast, *key, aPolicy.affinityBound_, aNow)) {
+          ChooseByPrefix(aViews, fast, *key, aPolicy.affinityBound_)) {
       return chosen;
     }
   }
--- a/src/routing/PoolScheduler.cpp
+++ b/src/routing/PoolScheduler.cpp
@@ -90,8 +90,8 @@
                         Now() + TimeLeft(pending.deadline_, Now()) / 2 };
   Pool& pool = pools_[aService.pool_];
   pending.question_.instances_ = pool.instances_;
-  pending.question_.affinityKey_ = AffinityKey(
-    aTraits.prefixHashes_, pool.prefixes_, pool.views_.size());
+  pending.question_.affinityKey_ =
+    AffinityKey(aTraits.prefixHashes_, pool.prefixes_, pool.views_.size());
   CountPrefixes(pool.prefixes_, aTraits.prefixHashes_);
   pool.slowFactor_ = pending.policy_.slowFactor_;
   const ShedDecision decision = DecideAdmission(pool, pending, item);
--- a/src/routing/PrefixAffinity.cpp
+++ b/src/routing/PrefixAffinity.cpp
@@ -10,7 +10,17 @@
 namespace {
 
 // Part of a server's share of the requests above which a prefix is split.
-constexpr double kSmallPart = 0.1;
+constexpr double kSmallPart = 0.4;
+
+// Requests at the server. The report counts in full until the next one: with
+// the decay that the choice of two uses, six instances took servers for idle
+// and loaded in turns, and 12.1% instead of 10.2% of the prompt was computed
+// again.
+double
+LoadOf(const ServerView& aView)
+{
+  return double(aView.inFlight_) + ReportedOthers(aView);
+}
 
 } // namespace
 
@@ -73,12 +83,11 @@
 ChooseByPrefix(const std::vector<ServerView>& aViews,
                const std::vector<std::size_t>& aCandidates,
                std::uint64_t aKey,
-               double aBound,
-               MonotonicTime aNow)
+               double aBound)
 {
   double total = 1;
   for (const std::size_t candidate : aCandidates) {
-    total += EstimateLoad(aViews[candidate], aNow);
+    total += LoadOf(aViews[candidate]);
   }
   // Rounded up, so that some server is always within the bound.
   const double most =
@@ -86,7 +95,7 @@
   std::optional<std::size_t> best;
   std::uint64_t bestScore = 0;
   for (const std::size_t candidate : aCandidates) {
-    if (EstimateLoad(aViews[candidate], aNow) + 1 > most) {
+    if (LoadOf(aViews[candidate]) + 1 > most) {
       continue;
     }
     const std::uint64_t score =
--- a/src/routing/PrefixAffinity.h
+++ b/src/routing/PrefixAffinity.h
@@ -40,9 +40,9 @@
 
 // A prefix that many requests share, such as the instructions of a large
 // workspace, would bring more than one server can take; the overflow would
-// place the documents behind it by load, that is at random. The key is therefore
-// the shortest prefix whose part of the requests is small against that of one
-// of aServers, but not one that only this request has.
+// place the documents behind it by load, that is at random. The key is
+// therefore the shortest prefix whose part of the requests is small against
+// that of one of aServers, but not one that only this request has.
 std::optional<std::uint64_t>
 AffinityKey(const std::vector<std::uint64_t>& aPrefixHashes,
             const PrefixCounts& aCounts,
@@ -55,7 +55,6 @@
 ChooseByPrefix(const std::vector<ServerView>& aViews,
                const std::vector<std::size_t>& aCandidates,
                std::uint64_t aKey,
-               double aBound,
-               MonotonicTime aNow);
+               double aBound);
 
 } // namespace sycamoreward
--- a/tools/sycamoreward-load/Main.cpp
+++ b/tools/sycamoreward-load/Main.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-const char* const kUsage =
-  "Usage: sycamoreward-load bench|source|mix|check [options]; --help lists them.\n";
+const char* const kUsage = "Usage: sycamoreward-load bench|source|mix|check "
+                           "[options]; --help lists them.\n";
 
 int
 Bench(int aCount, char** aArguments, bool aIsSource)
