--- a/src/routing/ChooseServer.cpp
+++ b/src/routing/ChooseServer.cpp
@@ -163,14 +163,17 @@
       return probe;
     }
   }
-  if (const auto key = AffinityKey(aQuestion.prefixHashes_)) {
+  const auto key = aQuestion.affinityKey_
+                     ? aQuestion.affinityKey_
+                     : AffinityKey(aQuestion.prefixHashes_);
+  if (key) {
     std::vector<std::size_t> fast;
     std::copy_if(candidates.begin(),
                  candidates.end(),
                  std::back_inserter(fast),
                  [&](std::size_t aIndex) { return !aViews[aIndex].isSlow_; });
     if (const auto chosen =
-          ChooseByPrefix(aViews, fast, *key, aPolicy.affinityBound_, aNow)) {
+          ChooseByPrefix(aViews, fast, *key, aPolicy.affinityBound_)) {
       return chosen;
     }
   }
--- a/src/routing/ChooseServer.h
+++ b/src/routing/ChooseServer.h
@@ -22,7 +22,9 @@
   // Entry instances that share the pool.
   std::size_t instances_ = 1;
   // When set, the only servers that may be chosen.
-  std::optional<std::vector<ServerId>> allowed_;
+  std::optional<std::vector<ServerId>> allowed_ = std::nullopt;
+  // Prefix to place the request by; that of prefixHashes_ when empty.
+  std::optional<std::uint64_t> affinityKey_ = std::nullopt;
 };
 
 // Whether aView has a slot for the request. Slots limit the requests of this
--- a/src/routing/PrefixAffinity.cpp
+++ b/src/routing/PrefixAffinity.cpp
@@ -7,6 +7,23 @@
 
 namespace sycamoreward {
 
+namespace {
+
+// Part of a server's share of the requests above which a prefix is split.
+constexpr double kSmallPart = 0.4;
+
+// Requests at the server. The report counts in full until the next one: with
+// the decay that the choice of two uses, six instances took servers for idle
+// and loaded in turns, and 12.1% instead of 10.2% of the prompt was computed
+// again.
+double
+LoadOf(const ServerView& aView)
+{
+  return double(aView.inFlight_) + ReportedOthers(aView);
+}
+
+} // namespace
+
 std::optional<std::uint64_t>
 AffinityKey(const std::vector<std::uint64_t>& aPrefixHashes)
 {
@@ -16,16 +33,61 @@
   return aPrefixHashes[std::min(aPrefixHashes.size(), kAffinityDepth) - 1];
 }
 
+void
+CountPrefixes(PrefixCounts& aCounts,
+              const std::vector<std::uint64_t>& aPrefixHashes)
+{
+  ++aCounts.requests_;
+  for (const std::uint64_t hash : aPrefixHashes) {
+    ++aCounts.counts_[hash];
+  }
+  if (++aCounts.sinceHalving_ < kHalvingRequests &&
+      aCounts.counts_.size() <= kMaxPrefixes) {
+    return;
+  }
+  aCounts.sinceHalving_ = 0;
+  aCounts.requests_ /= 2;
+  for (auto entry = aCounts.counts_.begin(); entry != aCounts.counts_.end();) {
+    entry->second /= 2;
+    entry = entry->second < 1 ? aCounts.counts_.erase(entry) : ++entry;
+  }
+}
+
+std::optional<std::uint64_t>
+AffinityKey(const std::vector<std::uint64_t>& aPrefixHashes,
+            const PrefixCounts& aCounts,
+            std::size_t aServers)
+{
+  if (aPrefixHashes.size() <= kAffinityDepth || aServers == 0) {
+    return AffinityKey(aPrefixHashes);
+  }
+  const double most =
+    kSmallPart * std::max(1.0, aCounts.requests_) / double(aServers);
+  const auto countOf = [&](std::size_t aIndex) {
+    const auto found = aCounts.counts_.find(aPrefixHashes[aIndex]);
+    return found == aCounts.counts_.end() ? 0.0 : found->second;
+  };
+  std::size_t at = kAffinityDepth - 1;
+  while (at + 1 < aPrefixHashes.size() && countOf(at) > most) {
+    ++at;
+  }
+  // The end of a shared prefix: what follows belongs to one request.
+  if (at >= kAffinityDepth && countOf(at) < 1 &&
+      countOf(at - 1) <= most / kSmallPart) {
+    --at;
+  }
+  return aPrefixHashes[at];
+}
+
 std::optional<std::size_t>
 ChooseByPrefix(const std::vector<ServerView>& aViews,
                const std::vector<std::size_t>& aCandidates,
                std::uint64_t aKey,
-               double aBound,
-               MonotonicTime aNow)
+               double aBound)
 {
   double total = 1;
   for (const std::size_t candidate : aCandidates) {
-    total += EstimateLoad(aViews[candidate], aNow);
+    total += LoadOf(aViews[candidate]);
   }
   // Rounded up, so that some server is always within the bound.
   const double most =
@@ -33,7 +95,7 @@
   std::optional<std::size_t> best;
   std::uint64_t bestScore = 0;
   for (const std::size_t candidate : aCandidates) {
-    if (EstimateLoad(aViews[candidate], aNow) + 1 > most) {
+    if (LoadOf(aViews[candidate]) + 1 > most) {
       continue;
     }
     const std::uint64_t score =
