--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export RC_PARAMS ?= seed=20261204 max_success=200
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
-.PHONY: all configure test lint format format-check tidy bench capacity soak \
+.PHONY: all configure test lint format format-check tidy bench capacity soak fuzz \
   demo clean install
 
 all: configure
@@ -34,6 +34,19 @@
 
 lint: format-check tidy
 
+# A fixed number of runs from a fixed seed: the same inputs on each run.
+FUZZ_RUNS ?= 20000
+FUZZ_SEED ?= 20261204
+fuzz:
+	@cmake -S . -B build-fuzz -G Ninja -DFUZZ=ON -DCMAKE_CXX_COMPILER=clang++ > build-fuzz.log 2>&1 || { cat build-fuzz.log; exit 1; }
+	cmake --build build-fuzz -j $(JOBS) --target fuzzers
+	@for source in test/fuzz/*.cpp; do \
+	  name=$$(basename $$source .cpp); echo "== $$name"; \
+	  build-fuzz/bin/$$name -runs=$(FUZZ_RUNS) -seed=$(FUZZ_SEED) -max_len=2048 \
+	    -timeout=10 -rss_limit_mb=1024 -verbosity=0 -print_final_stats=0 \
+	    -dict=test/fuzz/dictionary.txt -artifact_prefix=build-fuzz/ || exit 1; \
+	done
+
 bench: all
 	examples/bench/run.sh $(BUILD)/bin
 
--- a/src/configuration/ConfigState.cpp
+++ b/src/configuration/ConfigState.cpp
@@ -1,5 +1,6 @@
 #include "configuration/ConfigState.h"
 
+#include "base/BoundedJson.h"
 #include "base/Error.h"
 
 #include <nlohmann/json.hpp>
@@ -75,7 +76,7 @@
 ConfigChange
 ParseConfigChange(const std::string& aText)
 {
-  const Json json = Json::parse(aText, nullptr, false);
+  const Json json = ParseBoundedJson(aText);
   if (!json.is_object() || !json.contains("revision") ||
       !json["revision"].is_number_unsigned() || !json.contains("kind") ||
       !json["kind"].is_string() || !json.contains("name") ||
--- a/src/configuration/ServerListState.cpp
+++ b/src/configuration/ServerListState.cpp
@@ -1,5 +1,6 @@
 #include "configuration/ServerListState.h"
 
+#include "base/BoundedJson.h"
 #include "base/Error.h"
 
 #include <nlohmann/json.hpp>
@@ -66,7 +67,7 @@
 ListUpdate
 ParseInstanceList(const std::string& aText, std::uint64_t aSince)
 {
-  const Json json = Json::parse(aText, nullptr, false);
+  const Json json = ParseBoundedJson(aText);
   if (!json.is_object() || !json.contains("version") ||
       !json["version"].is_number_unsigned() || !json.contains("instances") ||
       !json["instances"].is_array()) {
@@ -103,7 +104,7 @@
 ListedInstance
 ParseListedInstance(const std::string& aText)
 {
-  return ReadInstance(Json::parse(aText, nullptr, false));
+  return ReadInstance(ParseBoundedJson(aText));
 }
 
 bool
--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -130,7 +130,13 @@
   std::shared_ptr<spdlog::logger> log_ = LogFor("entry");
   std::mt19937_64 random_ = SeededRandom();
   Metrics metrics_;
+  // For calls to backend servers.
   HttpClient client_;
+  // For load polls, the instance list and notices, so that their bytes are
+  // counted apart.
+  HttpClient controlClient_;
+  // For the table and the object store.
+  HttpClient storeClient_;
   HttpServer callerServer_;
   HttpServer operatorServer_;
   WebSocketPeerNetwork network_;
@@ -158,6 +164,8 @@
   : loop_(aLoop)
   , settings_(aSettings)
   , client_(aLoop)
+  , controlClient_(aLoop)
+  , storeClient_(aLoop)
   , callerServer_(aLoop,
                   ServerOptions(aSettings.listen_.callers_, aSettings.limits_),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -171,10 +179,10 @@
       })
   , network_(aLoop, NetworkOptions(aSettings.listen_), MakeIdentity())
   , membership_(aLoop, network_, network_.Self())
-  , table_(client_,
+  , table_(storeClient_,
            StoreAt(aSettings.platform_.table_, aSettings.platform_.tableName_))
   , objects_(
-      client_,
+      storeClient_,
       StoreAt(aSettings.platform_.objectStore_, aSettings.platform_.bucket_))
   , feeds_(network_)
   , configurationStore_(aLoop, table_, [this] { return RandomToken(random_); })
@@ -188,7 +196,7 @@
       feeds_,
       membership_)
   , scheduler_(aLoop,
-               client_,
+               controlClient_,
                servers_,
                random_,
                PoolSchedulerOptions{
@@ -259,7 +267,7 @@
   request.target_ = "/v1/instances?since=" + std::to_string(aSince);
   request.connectTimeout_ = kListTimeout;
   request.silenceTimeout_ = kListTimeout;
-  client_.Fetch(request, [aOnText](HttpClientReply aReply) {
+  controlClient_.Fetch(request, [aOnText](HttpClientReply aReply) {
     const bool isOk = aReply.end_ == HttpEnd::Complete && aReply.status_ == 200;
     aOnText(isOk ? std::optional<std::string>(std::move(aReply.body_))
                  : std::nullopt);
@@ -293,7 +301,7 @@
   if (settings_.platform_.notices_) {
     noticeWatch_ = std::make_unique<NoticeWatch>(
       loop_,
-      client_,
+      controlClient_,
       *settings_.platform_.notices_,
       settings_.platform_.noticePath_,
       [this](Duration aLeft) { OnNotice(aLeft); });
@@ -351,6 +359,9 @@
   metrics_.SetPeerTraffic("received",
                           statistics.traffic_.bytesReceived_,
                           statistics.traffic_.framesReceived_);
+  metrics_.SetHttpTraffic("control", controlClient_.Traffic());
+  metrics_.SetHttpTraffic("store", storeClient_.Traffic());
+  metrics_.SetPolledServers(scheduler_.ServerCount());
   const ProcessUsage usage = ReadProcessUsage();
   metrics_.SetProcessorSeconds(usage.processorSeconds_);
   metrics_.SetResidentBytes(usage.residentBytes_);
--- a/src/membership/MembershipTask.cpp
+++ b/src/membership/MembershipTask.cpp
@@ -18,6 +18,7 @@
 // Ticks between two tries to reach a seed or a member thought dead.
 constexpr std::uint64_t kContactInterval = 5;
 constexpr std::size_t kMaxEventsPerBeat = 64;
+constexpr std::size_t kSeedsAtATime = 6;
 
 } // namespace
 
@@ -70,11 +71,24 @@
 {
   const bool isFirst = seeds_.empty();
   seeds_ = std::move(aSeeds);
-  if (isFirst) {
-    for (const PeerIdentity& seed : seeds_) {
-      if (seed.instance_ != Self().instance_) {
-        SendBeat(seed, false);
-      }
+  if (isFirst && !seeds_.empty()) {
+    // Instances that start together begin at different places.
+    nextSeed_ =
+      std::hash<std::string>()(Self().instance_.Value()) % seeds_.size();
+    ContactSeeds();
+  }
+}
+
+// Each seed that answers sends its whole table, so only a few are asked at a
+// time: the cost of a start must not grow with the number of instances.
+void
+MembershipTask::ContactSeeds()
+{
+  const std::size_t count = std::min(seeds_.size(), kSeedsAtATime);
+  for (std::size_t contact = 0; contact < count; ++contact) {
+    const PeerIdentity seed = seeds_[nextSeed_++ % seeds_.size()];
+    if (seed.instance_ != Self().instance_) {
+      SendBeat(seed, false);
     }
   }
 }
@@ -120,6 +134,9 @@
     SendBeat(neighbour, isRefresh);
     isRefresh = false;
   }
+  if (Neighbours().empty()) {
+    ContactSeeds();
+  }
   if (++ticks_ % kContactInterval == 0) {
     ContactLost();
   }
--- a/src/membership/MembershipTask.h
+++ b/src/membership/MembershipTask.h
@@ -63,6 +63,7 @@
   void Tick();
   void SendBeat(const PeerIdentity& aTo, bool aIsRefresh);
   void ContactLost();
+  void ContactSeeds();
   Beat MakeBeat();
   void Read(const PeerIdentity& aFrom, const Beat& aBeat);
   void OnBeat(const PeerIdentity& aFrom,
@@ -76,6 +77,7 @@
   MemberTable table_;
   NeighbourMonitor monitor_;
   std::vector<PeerIdentity> seeds_;
+  std::size_t nextSeed_ = 0;
   std::vector<std::function<void()>> observers_;
   std::vector<std::pair<FillBeat, ReadBeat>> extras_;
   std::function<void(Incarnation)> onNewIncarnation_;
--- a/src/operators/ResourceApi.cpp
+++ b/src/operators/ResourceApi.cpp
@@ -1,5 +1,6 @@
 #include "operators/ResourceApi.h"
 
+#include "base/BoundedJson.h"
 #include "operators/ApiReply.h"
 #include "operators/OperatorAccess.h"
 
@@ -208,7 +209,7 @@
 void
 ResourceApi::Put(const Exchange& aExchange, const Target& aTarget)
 {
-  const Json document = Json::parse(aExchange->Request().body_, nullptr, false);
+  const Json document = ParseStrictJson(aExchange->Request().body_);
   if (document.is_discarded()) {
     ReplyError(
       aExchange, 400, "invalid_request", "The body is not a JSON document.");
--- a/src/peer/MessageCodec.cpp
+++ b/src/peer/MessageCodec.cpp
@@ -1,6 +1,7 @@
 #include "peer/MessageCodec.h"
 
 #include "base/Error.h"
+#include "peer/CborCheck.h"
 #include "peer/MessageFields.h"
 
 #include <nlohmann/json.hpp>
@@ -24,9 +25,6 @@
   "Follow",   "AnswerPart", "HandOver", "HandOverReply"
 };
 
-// The parser recurses for each level; deeper input could exhaust the stack.
-constexpr int kMaxDepth = 16;
-
 [[noreturn]] void
 Malformed(const std::string& aMessage)
 {
@@ -234,50 +232,6 @@
   const Json& object_;
 };
 
-// Accepts everything up to kMaxDepth; stops the parser below that.
-class DepthCheck final : public nlohmann::json_sax<Json>
-{
-public:
-  bool null() override { return true; }                             // NOLINT
-  bool boolean(bool) override { return true; }                      // NOLINT
-  bool number_integer(number_integer_t) override { return true; }   // NOLINT
-  bool number_unsigned(number_unsigned_t) override { return true; } // NOLINT
-  bool number_float(number_float_t, const string_t&) override       // NOLINT
-  {
-    return true;
-  }
-  bool string(string_t&) override { return true; } // NOLINT
-  bool binary(binary_t&) override { return true; } // NOLINT
-  bool key(string_t&) override { return true; }    // NOLINT
-  bool start_object(std::size_t) override          // NOLINT
-  {
-    return ++depth_ <= kMaxDepth;
-  }
-  bool start_array(std::size_t) override // NOLINT
-  {
-    return ++depth_ <= kMaxDepth;
-  }
-  bool end_object() override // NOLINT
-  {
-    --depth_;
-    return true;
-  }
-  bool end_array() override // NOLINT
-  {
-    --depth_;
-    return true;
-  }
-  bool parse_error(std::size_t, // NOLINT
-                   const std::string&,
-                   const nlohmann::detail::exception&) override
-  {
-    return false;
-  }
-
-private:
-  int depth_ = 0;
-};
-
 Json
 Parse(std::string_view aBytes)
 {
@@ -285,14 +239,14 @@
     Malformed("A frame of " + std::to_string(aBytes.size()) +
               " bytes exceeds the limit of 16 MiB.");
   }
-  DepthCheck check;
-  if (!Json::sax_parse(aBytes.begin(),
-                       aBytes.end(),
-                       &check,
-                       nlohmann::detail::input_format_t::cbor)) {
-    Malformed("A frame is not CBOR or is nested too deeply.");
+  if (!IsPlainCbor(aBytes)) {
+    Malformed("A frame is not one plain CBOR item or is nested too deeply.");
+  }
+  try {
+    return Json::from_cbor(aBytes.begin(), aBytes.end());
+  } catch (const Json::exception& error) {
+    Malformed("A frame is not CBOR: " + std::string(error.what()));
   }
-  return Json::from_cbor(aBytes.begin(), aBytes.end());
 }
 
 template<std::size_t I>
--- a/src/peer/PeerNetworkState.cpp
+++ b/src/peer/PeerNetworkState.cpp
@@ -73,9 +73,13 @@
   }
   const auto accepted = accepted_;
   for (const auto& peer : accepted) {
-    const Duration limit =
-      peer->isIntroduced_ ? kAcceptedSilenceLimit : options_.connectTimeout_;
-    if (now - peer->link_->LastReceived() > limit) {
+    // Until Hello the limit counts from the accept: one byte a second must not
+    // keep a connection of an unknown peer open.
+    const bool isOverdue =
+      peer->isIntroduced_
+        ? now - peer->link_->LastReceived() > kAcceptedSilenceLimit
+        : now - peer->acceptedAt_ > options_.connectTimeout_;
+    if (isOverdue) {
       Drop(peer);
     }
   }
@@ -89,6 +93,7 @@
     return;
   }
   const auto peer = std::make_shared<InboundPeer>();
+  peer->acceptedAt_ = loop_.GetClock().Now();
   const std::weak_ptr<State> weakState = weak_from_this();
   const std::weak_ptr<InboundPeer> weakPeer = peer;
   PeerLink::Callbacks callbacks;
--- a/src/peer/PeerNetworkState.h
+++ b/src/peer/PeerNetworkState.h
@@ -21,6 +21,7 @@
   std::shared_ptr<PeerLink> link_;
   PeerIdentity identity_;
   bool isIntroduced_ = false;
+  MonotonicTime acceptedAt_;
 };
 
 struct WebSocketPeerNetwork::State
--- a/src/recovery/NoticeWatch.cpp
+++ b/src/recovery/NoticeWatch.cpp
@@ -1,5 +1,7 @@
 #include "recovery/NoticeWatch.h"
 
+#include "base/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -16,7 +18,7 @@
 std::optional<WallTime>
 ParseNotice(const std::string& aBody)
 {
-  const auto json = nlohmann::json::parse(aBody, nullptr, false);
+  const auto json = ParseBoundedJson(aBody);
   if (!json.is_object() || !json.contains("time") ||
       !json["time"].is_string()) {
     return std::nullopt;
--- a/src/requests/AcceptedRequest.cpp
+++ b/src/requests/AcceptedRequest.cpp
@@ -12,6 +12,8 @@
 const std::string kCompletionsPath = "/v1/completions";
 const std::string kServicesPrefix = "/services/";
 constexpr std::size_t kMaxKeyLength = 256;
+// Longest part of an invalid value in an error message.
+constexpr std::size_t kMaxQuoted = 100;
 
 [[noreturn]] void
 Refuse(int aStatus, const char* aCode, const std::string& aMessage)
@@ -45,7 +47,9 @@
 {
   const auto found = aConfiguration.services_.find(aName);
   if (found == aConfiguration.services_.end() || found->second.type_ != aType) {
-    Refuse(404, "no_such_service", "There is no service \"" + aName + "\".");
+    Refuse(404,
+           "no_such_service",
+           "There is no service \"" + aName.substr(0, kMaxQuoted) + "\".");
   }
   return found->second;
 }
--- a/src/requests/ModelCall.cpp
+++ b/src/requests/ModelCall.cpp
@@ -1,5 +1,6 @@
 #include "requests/ModelCall.h"
 
+#include "base/BoundedJson.h"
 #include "requests/CallerError.h"
 
 namespace sycamoreward {
@@ -14,6 +15,8 @@
 constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
 // Tokens are about 4 bytes of text long in the models in use.
 constexpr std::uint64_t kBytesPerToken = 4;
+// Longest part of an invalid value in an error message.
+constexpr std::size_t kMaxQuoted = 100;
 
 [[noreturn]] void
 Refuse(const std::string& aMessage)
@@ -74,7 +77,8 @@
   }
   if (!aBody[aField].is_boolean()) {
     Refuse("The field \"" + std::string(aField) + "\" is " +
-           aBody[aField].dump() + "; it must be true or false.");
+           aBody[aField].dump().substr(0, kMaxQuoted) +
+           "; it must be true or false.");
   }
   return aBody[aField].get<bool>();
 }
@@ -87,7 +91,8 @@
   }
   if (!aBody[aField].is_number_unsigned()) {
     Refuse("The field \"" + std::string(aField) + "\" is " +
-           aBody[aField].dump() + "; it must be a whole number.");
+           aBody[aField].dump().substr(0, kMaxQuoted) +
+           "; it must be a whole number.");
   }
   return aBody[aField].get<std::uint64_t>();
 }
@@ -115,9 +120,10 @@
 {
   ModelCall call;
   call.isChat_ = aIsChat;
-  call.body_ = json::parse(aBody, nullptr, false);
+  call.body_ = ParseStrictJson(aBody);
   if (!call.body_.is_object()) {
-    Refuse("The request body is not a JSON object.");
+    Refuse("The request body is not a JSON object, is nested too deeply or "
+           "has a key twice.");
   }
   const json& body = call.body_;
   if (!body.contains("model") || !body["model"].is_string()) {
@@ -127,7 +133,7 @@
   call.isStream_ = ReadFlag(body, "stream");
   call.maxTokens_ = Tokens(ReadCount(body, "max_tokens"));
   if (ReadCount(body, "n") > 1) {
-    Refuse("The field \"n\" is " + body["n"].dump() +
+    Refuse("The field \"n\" is " + body["n"].dump().substr(0, kMaxQuoted) +
            "; only one choice can be served.");
   }
   if (aIsChat) {
@@ -189,7 +195,7 @@
     event.isDone_ = true;
     return event;
   }
-  const json body = json::parse(aData, nullptr, false);
+  const json body = ParseBoundedJson(aData);
   if (!body.is_object() || !body.contains("attempt") ||
       !body["attempt"].is_number_unsigned() || !body.contains("index") ||
       !body["index"].is_number_unsigned() || !body.contains("choices") ||
--- a/src/requests/StatusQuery.cpp
+++ b/src/requests/StatusQuery.cpp
@@ -1,5 +1,7 @@
 #include "requests/StatusQuery.h"
 
+#include "base/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -108,7 +110,7 @@
   if (aReply.end_ != HttpEnd::Complete || aReply.status_ != 200) {
     return answer;
   }
-  const json body = json::parse(aReply.body_, nullptr, false);
+  const json body = ParseBoundedJson(aReply.body_);
   if (!body.is_object() || !body.contains("ran") || !body["ran"].is_boolean()) {
     return answer;
   }
--- a/src/routing/LoadPoller.cpp
+++ b/src/routing/LoadPoller.cpp
@@ -1,5 +1,7 @@
 #include "routing/LoadPoller.h"
 
+#include "base/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,7 +36,7 @@
 std::optional<ParsedLoad>
 ParseLoad(const std::string& aBody)
 {
-  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  const auto body = ParseBoundedJson(aBody);
   if (!body.is_object()) {
     return std::nullopt;
   }
--- a/src/routing/PoolScheduler.cpp
+++ b/src/routing/PoolScheduler.cpp
@@ -248,6 +248,16 @@
   return pool == pools_.end() ? std::vector<ServerView>() : pool->second.views_;
 }
 
+std::size_t
+PoolScheduler::ServerCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [name, pool] : pools_) {
+    count += pool.views_.size();
+  }
+  return count;
+}
+
 std::size_t
 PoolScheduler::QueueLength(const PoolName& aPool) const
 {
--- a/src/routing/PoolScheduler.h
+++ b/src/routing/PoolScheduler.h
@@ -56,6 +56,8 @@
 
   // Views of a pool's servers, for operators and tests.
   std::vector<ServerView> Views(const PoolName& aPool) const;
+  // Servers of the subsets of all pools.
+  std::size_t ServerCount() const;
   std::size_t QueueLength(const PoolName& aPool) const;
 
   // Chooses the servers again; call it when the live instances have changed.
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -96,6 +96,7 @@
   std::vector<evhttp_connection*> doomed_;
   std::map<Call*, std::shared_ptr<Call>> running_;
   std::weak_ptr<State> self_;
+  HttpClientTraffic traffic_;
 };
 
 namespace {
@@ -364,6 +365,29 @@
 
 } // namespace
 
+namespace {
+
+// aTraffic outlives the connection: the state frees its connections.
+void
+CountBytes(evhttp_connection* aConnection, HttpClientTraffic& aTraffic)
+{
+  bufferevent* transport = evhttp_connection_get_bufferevent(aConnection);
+  evbuffer_add_cb(
+    bufferevent_get_input(transport),
+    [](evbuffer*, const evbuffer_cb_info* aInfo, void* aCounter) {
+      static_cast<HttpClientTraffic*>(aCounter)->received_ += aInfo->n_added;
+    },
+    &aTraffic);
+  evbuffer_add_cb(
+    bufferevent_get_output(transport),
+    [](evbuffer*, const evbuffer_cb_info* aInfo, void* aCounter) {
+      static_cast<HttpClientTraffic*>(aCounter)->sent_ += aInfo->n_deleted;
+    },
+    &aTraffic);
+}
+
+} // namespace
+
 HttpClient::State::~State()
 {
   for (auto& [address, connections] : idle_) {
@@ -386,6 +410,7 @@
   evhttp_connection* connection = evhttp_connection_base_new(
     loop_.Base(), nullptr, aAddress.ip_.c_str(), aAddress.port_);
   evhttp_connection_set_timeout(connection, kEvhttpTimeoutSeconds);
+  CountBytes(connection, traffic_);
   return connection;
 }
 
@@ -446,6 +471,12 @@
   }
 }
 
+HttpClientTraffic
+HttpClient::Traffic() const
+{
+  return state_->traffic_;
+}
+
 std::shared_ptr<HttpCall>
 HttpClient::Start(const HttpClientRequest& aRequest, HttpCallbacks aCallbacks)
 {
--- a/src/runtime/HttpClient.h
+++ b/src/runtime/HttpClient.h
@@ -7,6 +7,7 @@
 #include "base/Units.h"
 #include "runtime/Http.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,6 +83,13 @@
   std::string body_;
 };
 
+// Bytes on the connections of a client since its start, with headers.
+struct HttpClientTraffic
+{
+  std::uint64_t sent_ = 0;
+  std::uint64_t received_ = 0;
+};
+
 class HttpClient
 {
 public:
@@ -100,6 +108,8 @@
     const HttpClientRequest& aRequest,
     std::function<void(HttpClientReply)> aOnReply);
 
+  HttpClientTraffic Traffic() const;
+
   // Idle connections kept for each server.
   static constexpr std::size_t kMaxIdleForServer = 8;
 
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "runtime/EventLoop.h"
+#include "runtime/ReceiveLimit.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -175,6 +176,7 @@
   std::set<Exchange*> open_;
   // Connections cut by Abort that evhttp has not freed yet.
   std::set<evhttp_connection*> doomed_;
+  std::unique_ptr<ReceiveLimit> receiveLimit_;
 };
 
 namespace {
@@ -421,6 +423,7 @@
 HandleRequest(evhttp_request* aRequest, void* aState)
 {
   auto* state = static_cast<HttpServer::State*>(aState);
+  state->receiveLimit_->Received(aRequest);
   auto exchange =
     std::make_shared<Exchange>(state->shared_from_this(), aRequest);
   try {
@@ -455,6 +458,9 @@
                            ssize_t(options.maxBodySize_.Value()));
   evhttp_set_timeout(state_->http_, int(options.idleTimeout_.count()));
   evhttp_set_allowed_methods(state_->http_, kAllowedMethods);
+  state_->receiveLimit_ =
+    std::make_unique<ReceiveLimit>(aLoop.GetClock(), options.maxReceiveTime_);
+  state_->receiveLimit_->Watch(state_->http_);
   evhttp_set_gencb(state_->http_, &HandleRequest, state_.get());
   state_->listener_ = evhttp_accept_socket_with_handle(state_->http_, fd);
 }
--- a/src/runtime/HttpServer.h
+++ b/src/runtime/HttpServer.h
@@ -25,6 +25,10 @@
   Bytes maxBodySize_{ 8 * 1024 * 1024 };
   // Longest time without progress on reading a request or writing a reply.
   std::chrono::seconds idleTimeout_{ 60 };
+  // Longest time from the first byte of a request to its last. Without it, a
+  // caller that sends one byte within each idle timeout would hold its
+  // connection for ever.
+  std::chrono::seconds maxReceiveTime_{ 120 };
   // An exchange is cut when the peer leaves this much unread; see
   // HttpExchange::BufferedBytes.
   Bytes maxReplyBuffer_{ 4 * 1024 * 1024 };
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -71,6 +71,13 @@
   , peerMessages_(MakeGauge(registry_,
                             "sycamoreward_peer_messages",
                             "Messages of the inner protocol since the start."))
+  , httpBytes_(MakeGauge(registry_,
+                         "sycamoreward_http_bytes",
+                         "Bytes of HTTP calls by use since the start."))
+  , polledServers_(MakeGauge(registry_,
+                             "sycamoreward_polled_servers",
+                             "Backend servers whose load is polled.")
+                     .Add({}))
   , revision_(MakeGauge(registry_,
                         "sycamoreward_configuration_revision",
                         "Configuration revision in force.")
@@ -151,6 +158,22 @@
     .Set(static_cast<double>(aMessages));
 }
 
+void
+Metrics::SetHttpTraffic(const std::string& aUse,
+                        const HttpClientTraffic& aTraffic)
+{
+  httpBytes_.Add({ { "use", aUse }, { "direction", "sent" } })
+    .Set(static_cast<double>(aTraffic.sent_));
+  httpBytes_.Add({ { "use", aUse }, { "direction", "received" } })
+    .Set(static_cast<double>(aTraffic.received_));
+}
+
+void
+Metrics::SetPolledServers(std::size_t aCount)
+{
+  polledServers_.Set(static_cast<double>(aCount));
+}
+
 void
 Metrics::SetConfigurationRevision(Revision aRevision)
 {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -7,6 +7,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "ledger/Outcome.h"
+#include "runtime/HttpClient.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -46,6 +47,14 @@
                       std::uint64_t aBytes,
                       std::uint64_t aMessages);
 
+  // Traffic of a client of this instance; aUse is "control" (load polls,
+  // instance list, notices) or "store".
+  void SetHttpTraffic(const std::string& aUse,
+                      const HttpClientTraffic& aTraffic);
+
+  // Backend servers of the subsets that this instance polls.
+  void SetPolledServers(std::size_t aCount);
+
   void SetConfigurationRevision(Revision aRevision);
   void SetLiveMembers(std::size_t aCount);
   void SetRunningRequests(std::size_t aCount);
@@ -67,6 +76,8 @@
   prometheus::Family<prometheus::Histogram>& total_;
   prometheus::Family<prometheus::Gauge>& peerBytes_;
   prometheus::Family<prometheus::Gauge>& peerMessages_;
+  prometheus::Family<prometheus::Gauge>& httpBytes_;
+  prometheus::Gauge& polledServers_;
   prometheus::Gauge& revision_;
   prometheus::Gauge& liveMembers_;
   prometheus::Gauge& runningRequests_;
--- /dev/null
+++ b/test/fuzz/MessageFuzz.cpp
@@ -0,0 +1,29 @@
+// Frames of the inner protocol. Guards against bytes that end the process, and
+// against messages that change when they are passed on.
+
+#include "base/Error.h"
+#include "peer/MessageCodec.h"
+
+#include <cstdlib>
+
+using namespace sycamoreward;
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) // NOLINT
+{
+  Frame frame;
+  try {
+    frame = DecodeMessage({ reinterpret_cast<const char*>(aData), aSize });
+  } catch (const UserError&) {
+    return 0;
+  }
+  if (frame.message_) {
+    const auto bytes = EncodeMessage(*frame.message_, frame.number_);
+    const Frame again = DecodeMessage(bytes);
+    if (!again.message_ ||
+        EncodeMessage(*again.message_, again.number_) != bytes) {
+      std::abort();
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/test/fuzz/StreamFuzz.cpp
@@ -0,0 +1,73 @@
+// Engines' event streams. Guards against events that depend on how the bytes
+// are cut into reads, and against an answer that is whole with a part missing.
+
+#include "recovery/AnswerAssembler.h"
+#include "recovery/SseParser.h"
+#include "requests/ModelCall.h"
+
+#include <cstdlib>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr std::uint64_t kMaxEvent = 256;
+
+// The first byte says how long the reads are.
+std::vector<std::string>
+ParseInPieces(std::string_view aData, std::size_t aPiece, bool& aIsReadable)
+{
+  SseParser parser{ Bytes(kMaxEvent) };
+  std::vector<std::string> events;
+  aIsReadable = true;
+  while (!aData.empty() && aIsReadable) {
+    const std::size_t length = std::min(aPiece, aData.size());
+    aIsReadable = parser.Feed(aData.substr(0, length), events);
+    aData.remove_prefix(length);
+  }
+  return events;
+}
+
+void
+Assemble(const std::vector<std::string>& aEvents)
+{
+  AnswerAssembler assembler;
+  assembler.BeginAttempt(AttemptNumber(1));
+  std::size_t accepted = 0;
+  for (const std::string& data : aEvents) {
+    const auto event = ParseEngineEvent(data);
+    if (!event) {
+      continue;
+    }
+    if (event->isDone_) {
+      assembler.End(AttemptNumber(1), PartIndex(accepted));
+    } else if (assembler.Accept(event->attempt_, event->index_, event->text_) ==
+               PartVerdict::Accepted) {
+      ++accepted;
+    }
+  }
+  if (assembler.Parts().size() != accepted) {
+    std::abort();
+  }
+}
+
+} // namespace
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) // NOLINT
+{
+  if (aSize == 0) {
+    return 0;
+  }
+  const std::string_view data(reinterpret_cast<const char*>(aData) + 1,
+                              aSize - 1);
+  bool isWholeReadable = true;
+  bool isCutReadable = true;
+  const auto whole = ParseInPieces(data, data.size() + 1, isWholeReadable);
+  const auto cut = ParseInPieces(data, aData[0] % 16 + 1, isCutReadable);
+  if (whole != cut || isWholeReadable != isCutReadable) {
+    std::abort();
+  }
+  Assemble(whole);
+  return 0;
+}
--- /dev/null
+++ b/test/performance/CapacityTest.cpp
@@ -0,0 +1,243 @@
+// Control overhead of an entry instance over the size of the fleet, measured on
+// real processes without callers and extrapolated to the size of the design
+// (400 entry instances, 2,600 engines). Guards against control work that grows
+// with the fleet.
+
+#include "performance/CapacityReport.h"
+#include "support/Deployment.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+#include <ctime>
+#include <sstream>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr int kSettleSeconds = 10;
+constexpr int kMeasureSeconds = 15;
+constexpr double kTargetInstances = 400;
+constexpr double kTargetServers = 2600;
+// Servers that an instance polls on average at the target: 100 groups of 26,
+// each served by 4 of 400 instances.
+constexpr double kTargetPolled = 26;
+
+using Figures = std::map<std::string, double>;
+
+std::string
+ReadMetrics(Deployment& aDeployment, unsigned aEntry)
+{
+  HttpClientRequest request;
+  request.address_ = aDeployment.OperatorAddress(aEntry);
+  request.target_ = "/metrics";
+  return aDeployment.Fetch(request).body_;
+}
+
+// The samples of a metrics page by name and labels.
+Figures
+ParseMetrics(const std::string& aText)
+{
+  Figures figures;
+  std::istringstream lines(aText);
+  std::string line;
+  while (std::getline(lines, line)) {
+    const std::size_t end = line.rfind(' ');
+    if (!line.empty() && line[0] != '#' && end != std::string::npos) {
+      figures[line.substr(0, end)] = std::stod(line.substr(end + 1));
+    }
+  }
+  return figures;
+}
+
+double
+SumOf(const Figures& aFigures, const std::string& aPrefix)
+{
+  double sum = 0;
+  for (const auto& [name, value] : aFigures) {
+    sum += name.compare(0, aPrefix.size(), aPrefix) == 0 ? value : 0;
+  }
+  return sum;
+}
+
+// What one instance has used since its start.
+InstanceUse
+UseOf(Deployment& aDeployment, unsigned aEntry)
+{
+  const Figures figures = ParseMetrics(ReadMetrics(aDeployment, aEntry));
+  InstanceUse use;
+  use.processorSeconds_ = SumOf(figures, "process_cpu_seconds_total");
+  use.residentBytes_ = SumOf(figures, "process_resident_memory_bytes");
+  use.peerBytes_ = SumOf(figures, "sycamoreward_peer_bytes");
+  use.peerMessages_ = SumOf(figures, "sycamoreward_peer_messages");
+  use.controlBytes_ =
+    SumOf(figures, "sycamoreward_http_bytes{direction=\"sent\",use=\"control") +
+    SumOf(figures,
+          "sycamoreward_http_bytes{direction=\"received\",use=\"control");
+  use.storeBytes_ =
+    SumOf(figures, "sycamoreward_http_bytes{direction=\"sent\",use=\"store") +
+    SumOf(figures,
+          "sycamoreward_http_bytes{direction=\"received\",use=\"store");
+  use.polledServers_ = SumOf(figures, "sycamoreward_polled_servers");
+  return use;
+}
+
+std::vector<InstanceUse>
+AllUses(Deployment& aDeployment)
+{
+  std::vector<InstanceUse> uses;
+  for (unsigned entry = 0; entry < aDeployment.Entries(); ++entry) {
+    uses.push_back(UseOf(aDeployment, entry));
+  }
+  return uses;
+}
+
+void
+Pass(Deployment& aDeployment, double aSeconds)
+{
+  aDeployment.Loop().RunUntil(
+    [] { return false; },
+    std::chrono::milliseconds(static_cast<int>(aSeconds * 1000)));
+}
+
+struct TableUse
+{
+  double reads_ = 0;
+  double writes_ = 0;
+};
+
+TableUse
+ReadTableUse(Deployment& aDeployment)
+{
+  const auto counters =
+    aDeployment.Get(aDeployment.PlatformAddress(), "/counters");
+  return { counters.at("tableReads"), counters.at("tableWrites") };
+}
+
+// Lets aWork run and returns the rates of the instances meanwhile.
+Sample
+Measure(Deployment& aDeployment, const std::function<void()>& aWork)
+{
+  const auto start = std::chrono::steady_clock::now();
+  const TableUse tableBefore = ReadTableUse(aDeployment);
+  const auto before = AllUses(aDeployment);
+  aWork();
+  const auto after = AllUses(aDeployment);
+  const TableUse tableAfter = ReadTableUse(aDeployment);
+  const double seconds =
+    std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+      .count();
+  Sample sample = MeanOf(before, after, seconds);
+  sample.tableReads_ = (tableAfter.reads_ - tableBefore.reads_) / seconds;
+  sample.tableWrites_ = (tableAfter.writes_ - tableBefore.writes_) / seconds;
+  return sample;
+}
+
+DeploymentOptions
+Size(unsigned aInstances, unsigned aEngines)
+{
+  DeploymentOptions options;
+  options.entries_ = aInstances;
+  options.engines_ = aEngines;
+  options.services_ = 0;
+  options.hasOneEngineProcess_ = true;
+  return options;
+}
+
+Sample
+MeasureIdle(unsigned aInstances, unsigned aEngines)
+{
+  Deployment deployment(Size(aInstances, aEngines));
+  Pass(deployment, kSettleSeconds);
+  Sample sample =
+    Measure(deployment, [&] { Pass(deployment, kMeasureSeconds); });
+  sample.instances_ = aInstances;
+  sample.servers_ = aEngines;
+  PrintSample(sample);
+  return sample;
+}
+
+// Commits aRate new resources a second, one after the other.
+unsigned
+ChangeConfiguration(Deployment& aDeployment, unsigned aRate, int aSeconds)
+{
+  static unsigned next = 0;
+  const auto start = std::chrono::steady_clock::now();
+  unsigned accepted = 0;
+  for (unsigned change = 0; change < aRate * unsigned(aSeconds); ++change) {
+    const std::string name = "office-" + std::to_string(next++);
+    const int status = aDeployment.PutResource(
+      change % aDeployment.Entries(),
+      { { "kind", "Workspace" },
+        { "metadata", { { "name", name } } },
+        { "spec",
+          { { "share", 1 }, { "tokenDigests", { std::string(64, 'a') } } } } });
+    accepted += status == 201 ? 1 : 0;
+    const auto due =
+      start + std::chrono::duration<double>((change + 1.0) / aRate);
+    const double left =
+      std::chrono::duration<double>(due - std::chrono::steady_clock::now())
+        .count();
+    if (left > 0) {
+      Pass(aDeployment, left);
+    }
+  }
+  return accepted;
+}
+
+} // namespace
+
+Test(Capacity, OverEntryInstances, .timeout = 600)
+{
+  std::vector<Sample> samples;
+  for (const unsigned instances : { 6U, 12U, 24U, 48U }) {
+    samples.push_back(MeasureIdle(instances, 26));
+  }
+  const auto lines =
+    FitAll(samples, [](const Sample& aSample) { return aSample.instances_; });
+  PrintLines("entry instances", lines, kTargetInstances);
+  // A tenth of a beat for each further instance would already break the bound.
+  cr_assert_lt(lines.at("peer messages/s").At(kTargetInstances), 60);
+}
+
+Test(Capacity, OverEngines, .timeout = 600)
+{
+  std::vector<Sample> samples;
+  for (const unsigned engines : { 20U, 80U, 320U, 650U }) {
+    samples.push_back(MeasureIdle(12, engines));
+  }
+  PrintLines(
+    "polled engines",
+    FitAll(samples, [](const Sample& aSample) { return aSample.polled_; }),
+    kTargetPolled);
+  PrintLines(
+    "listed engines",
+    FitAll(samples, [](const Sample& aSample) { return aSample.servers_; }),
+    kTargetServers);
+}
+
+Test(Capacity, OverChanges, .timeout = 600)
+{
+  constexpr int kSeconds = 10;
+  Deployment deployment(Size(12, 26));
+  Pass(deployment, kSettleSeconds);
+  std::vector<Sample> samples;
+  for (const unsigned rate : { 0U, 5U, 10U, 20U }) {
+    unsigned accepted = 0;
+    Sample sample = Measure(deployment, [&] {
+      if (rate == 0) {
+        Pass(deployment, kSeconds);
+      }
+      accepted = ChangeConfiguration(deployment, rate, kSeconds);
+    });
+    sample.changes_ = double(accepted) / sample.seconds_;
+    std::printf("%u changes/s asked, %.2f/s accepted\n", rate, sample.changes_);
+    PrintSample(sample);
+    samples.push_back(sample);
+  }
+  PrintLines(
+    "changes/s",
+    FitAll(samples, [](const Sample& aSample) { return aSample.changes_; }),
+    3500.0 / 86400);
+}
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -151,21 +151,48 @@
 }
 
 void
-Deployment::StartServers()
+Deployment::ListEngine(unsigned aIndex, const std::string& aAddress)
 {
+  List({ { "id", EngineId(aIndex) },
+         { "role", "engine" },
+         { "pool", "sheet-model" },
+         { "address", aAddress },
+         { "failureDomain", FailureDomain(aIndex) },
+         { "region", kRegion },
+         { "state", "live" } });
+}
+
+void
+Deployment::StartEnginesTogether()
+{
+  std::vector<std::string> arguments = options_.engineArguments_;
+  arguments.insert(
+    arguments.end(),
+    { "--pool", "sheet-model", "--count", std::to_string(options_.engines_) });
+  engines_.push_back(
+    std::make_unique<ChildProcess>("standin-engine", arguments));
+  const auto addresses =
+    nlohmann::json::parse(engines_.back()->FirstLine()).at("addresses");
   for (unsigned index = 0; index < options_.engines_; ++index) {
+    ListEngine(index, addresses.at(index));
+  }
+}
+
+void
+Deployment::StartServers()
+{
+  if (options_.hasOneEngineProcess_) {
+    StartEnginesTogether();
+  }
+  for (unsigned index = 0;
+       index < options_.engines_ && !options_.hasOneEngineProcess_;
+       ++index) {
     std::vector<std::string> arguments = options_.engineArguments_;
     arguments.insert(arguments.end(),
                      { "--id", EngineId(index), "--pool", "sheet-model" });
     engines_.push_back(
       std::make_unique<ChildProcess>("standin-engine", arguments));
-    List({ { "id", EngineId(index) },
-           { "role", "engine" },
-           { "pool", "sheet-model" },
-           { "address", ToString(EngineAddress(index)) },
-           { "failureDomain", FailureDomain(index) },
-           { "region", kRegion },
-           { "state", "live" } });
+    ListEngine(index, ToString(EngineAddress(index)));
   }
   for (unsigned index = 0; index < options_.services_; ++index) {
     services_.push_back(std::make_unique<ChildProcess>(
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -23,6 +23,9 @@
   unsigned services_ = 1;
   unsigned entries_ = 3;
   std::vector<std::string> engineArguments_;
+  // Whether one process runs all engines, each on a port of its own. Engine()
+  // is then the process for index 0 only.
+  bool hasOneEngineProcess_ = false;
   // Where entry instances reach the platform, when a link stands between.
   Address platformLink_;
 };
@@ -102,6 +105,8 @@
 
 private:
   void StartServers();
+  void StartEnginesTogether();
+  void ListEngine(unsigned aIndex, const std::string& aAddress);
   void List(const nlohmann::json& aInstance);
   std::string WriteSettings(unsigned aIndex);
   void DeclareResources();
