--- a/test/error/PortErrorTest.cpp
+++ b/test/error/PortErrorTest.cpp
@@ -312,7 +312,7 @@
     }
   };
   connection.Send("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\na");
-  for (int byte = 0; byte < 3; ++byte) {
+  for (int byte = 0; byte < 4; ++byte) {
     pass(std::chrono::seconds(50));
     connection.Send("a");
   }
