Run the runtime's tests under the thread sanitizer

Criterion shares memory with its workers at fixed addresses, which the thread sanitizer refuses, so make test-threads builds the same tests against a small header in its place. Two tests that post and stop from other threads are new.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,8 @@
 export RC_PARAMS ?= seed=20261204 max_success=200
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
-.PHONY: all configure test lint format format-check tidy bench capacity soak fuzz \
-  demo clean install
+.PHONY: all configure test lint format format-check tidy bench capacity soak \
+  fuzz test-threads demo clean install
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -34,6 +34,12 @@
 
 lint: format-check tidy
 
+# The runtime under the thread sanitizer.
+test-threads:
+	@cmake -S . -B build-thread -G Ninja -DSANITIZE=thread > build-thread.log 2>&1 || { cat build-thread.log; exit 1; }
+	cmake --build build-thread -j $(JOBS) --target test-threads
+	build-thread/bin/test-threads
+
 # A fixed number of runs from a fixed seed: the same inputs on each run.
 FUZZ_RUNS ?= 20000
 FUZZ_SEED ?= 20261204
--- a/test/correctness/EventLoopTest.cpp
+++ b/test/correctness/EventLoopTest.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <thread>
 #include <vector>
 
 using namespace sycamoreward;
@@ -30,3 +32,43 @@
   cr_assert_eq(ran[0], 1);
   cr_assert_eq(ran[1], 2);
 }
+
+// Guards against posts that are lost or change their order between threads.
+Test(EventLoop, PostsOfOtherThreadsKeepTheirOrder)
+{
+  constexpr int kThreads = 4;
+  constexpr int kPosts = 500;
+  SystemClock clock;
+  EventLoop loop(clock);
+  std::vector<std::vector<int>> seen(kThreads);
+  int left = kThreads * kPosts;
+  std::vector<std::thread> threads;
+  for (int thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread] {
+      for (int post = 0; post < kPosts; ++post) {
+        loop.Post([&, thread, post] {
+          seen[thread].push_back(post);
+          --left;
+        });
+      }
+    });
+  }
+  cr_assert(loop.RunUntil([&] { return left == 0; }, std::chrono::seconds(20)));
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  for (const auto& posts : seen) {
+    cr_assert(std::is_sorted(posts.begin(), posts.end()));
+  }
+}
+
+// Stop may come from another thread while the loop waits for events.
+Test(EventLoop, StopOfAnotherThreadEndsTheLoop)
+{
+  SystemClock clock;
+  EventLoop loop(clock);
+  std::thread stopper;
+  loop.Post([&] { stopper = std::thread([&] { loop.Stop(); }); });
+  loop.Run();
+  stopper.join();
+}
--- /dev/null
+++ b/test/threads/Main.cpp
@@ -0,0 +1,13 @@
+// Runs the tests of the runtime in one process, for the thread sanitizer.
+
+#include <criterion/criterion.h>
+
+int
+main()
+{
+  for (const auto& test : threads::TestCases()) {
+    test.run_();
+    std::printf("ok %s/%s\n", test.suite_, test.name_);
+  }
+  return threads::TestCases().empty() ? 1 : 0;
+}
