--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
 .PHONY: all configure test lint format format-check tidy bench capacity soak \
-  demo clean install
+  fuzz test-threads demo clean install
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -34,6 +34,28 @@
 
 lint: format-check tidy
 
+# The runtime under the thread sanitizer.
+test-threads:
+	@cmake -S . -B build-thread -G Ninja -DSANITIZE=thread > build-thread.log 2>&1 || { cat build-thread.log; exit 1; }
+	cmake --build build-thread -j $(JOBS) --target test-threads
+	build-thread/bin/test-threads
+
+# A fixed number of runs from a fixed seed: the same inputs on each run.
+FUZZ_RUNS ?= 30000
+FUZZ_SEED ?= 20261204
+fuzz:
+	@cmake -S . -B build-fuzz -G Ninja -DFUZZ=ON -DCMAKE_CXX_COMPILER=clang++ > build-fuzz.log 2>&1 || { cat build-fuzz.log; exit 1; }
+	cmake --build build-fuzz -j $(JOBS) --target fuzzers
+	@for source in test/fuzz/*.cpp; do \
+	  name=$$(basename $$source .cpp); echo "== $$name"; \
+	  rm -rf build-fuzz/corpus && cp -r test/fuzz/corpus/$$name build-fuzz/corpus; \
+	  build-fuzz/bin/$$name -runs=$(FUZZ_RUNS) -seed=$(FUZZ_SEED) -max_len=4096 \
+	    -timeout=10 -rss_limit_mb=1024 -dict=test/fuzz/dictionary.txt \
+	    -artifact_prefix=build-fuzz/ build-fuzz/corpus \
+	    > build-fuzz/$$name.log 2>&1 || { tail -50 build-fuzz/$$name.log; exit 1; }; \
+	  grep -E '^#[0-9]+[[:space:]]+DONE' build-fuzz/$$name.log; \
+	done
+
 bench: all
 	examples/bench/run.sh $(BUILD)/bin
 
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "runtime/EventLoop.h"
+#include "runtime/ReceiveLimit.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -177,6 +178,7 @@
   std::set<evhttp_connection*> doomed_;
   // Connections with a complete reply that is not written out yet.
   std::set<evhttp_connection*> unsent_;
+  std::unique_ptr<ReceiveLimit> receiveLimit_;
 };
 
 namespace {
@@ -452,6 +454,7 @@
 HandleRequest(evhttp_request* aRequest, void* aState)
 {
   auto* state = static_cast<HttpServer::State*>(aState);
+  state->receiveLimit_->Received(aRequest);
   auto exchange =
     std::make_shared<Exchange>(state->shared_from_this(), aRequest);
   try {
@@ -486,6 +489,9 @@
                            ssize_t(options.maxBodySize_.Value()));
   evhttp_set_timeout(state_->http_, int(options.idleTimeout_.count()));
   evhttp_set_allowed_methods(state_->http_, kAllowedMethods);
+  state_->receiveLimit_ =
+    std::make_unique<ReceiveLimit>(aLoop.GetClock(), options.maxReceiveTime_);
+  state_->receiveLimit_->Watch(state_->http_);
   evhttp_set_gencb(state_->http_, &HandleRequest, state_.get());
   state_->listener_ = evhttp_accept_socket_with_handle(state_->http_, fd);
 }
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -26,6 +26,9 @@
   unsigned services_ = 1;
   unsigned entries_ = 3;
   std::vector<std::string> engineArguments_;
+  // Whether one process runs all engines, each on a port of its own. Engine()
+  // is then the process for index 0 only.
+  bool hasOneEngineProcess_ = false;
   // Where entry instances reach the platform, when a link stands between.
   Address platformLink_;
   // Puts a link of the deployment between entry instances and platform.
@@ -129,6 +132,8 @@
 
 private:
   void StartServers();
+  void StartEnginesTogether();
+  void ListEngine(unsigned aIndex, const std::string& aAddress);
   std::string WriteSettings(unsigned aIndex,
                             const Address& aCallers,
                             const Address& aPeers);
