Read the rows again when a registrar reports an open claim

A registrar that was paused, and that another one had replaced meanwhile, went on from its memory when the others saw it live again. It never saw itself dead, so it did not reload, and as long as it had nothing to append it did not read the other's rows: the matrix cell "freeze registrar, while the service works" found callers who were told for more than 40 s that a certificate still ran whose outcome was in the table (3 of about 60 runs of that cell).

After a reply or look-up that found a claim without outcome, the registrar reads the tail of the log, at most once a second for each partition, and only while somebody asks. Ruled out: lost replies of the table and the 30 s limit of Record, since the owner's log showed the outcome durable within 8 s.

With the reading switched off, RegistrarThatWasPausedReadsWhatAnotherHasRecorded fails; with it all Ledger tests pass.

--- a/src/ledger/PartitionTask.cpp
+++ b/src/ledger/PartitionTask.cpp
@@ -205,6 +205,8 @@
   for (Waiter& waiter : std::exchange(waiters_, {})) {
     const auto reply = Decide(waiter);
     if (reply) {
+      isDoubtful_ = isDoubtful_ || reply->status_ == RegisterStatus::Running ||
+                    reply->status_ == RegisterStatus::Unsettled;
       Reply(*reply, waiter.onReply_);
       continue;
     }
@@ -295,6 +297,8 @@
   // Memory has no answers of old outcomes.
   const auto record = log_.requests_.find(aRequest);
   if (record != log_.requests_.end() || context_.journal_ == nullptr) {
+    isDoubtful_ = isDoubtful_ ||
+                  (record != log_.requests_.end() && !record->second.outcome_);
     aOnReply(
       { record == log_.requests_.end() ? std::nullopt : record->second.outcome_,
         "" });
@@ -312,6 +316,11 @@
   if (!hasState_) {
     return;
   }
+  if (isDoubtful_ && !isLoading_ && !log_.inFlight_) {
+    isDoubtful_ = false;
+    isLoading_ = true;
+    ReadTail();
+  }
   const MonotonicTime now = context_.loop_.GetClock().Now();
   std::vector<Claim> due;
   for (const RequestId& request : log_.running_) {
--- a/src/ledger/PartitionTask.h
+++ b/src/ledger/PartitionTask.h
@@ -87,7 +87,8 @@
               std::function<void(Ledger::LookupReply)> aOnReply);
 
   // Starts the settlement of claims whose owner has been dead for
-  // kSettleGrace. Called once a second and after changes of the members.
+  // kSettleGrace, and reads rows that another registrar may have appended.
+  // Called once a second.
   void CheckOwners();
 
   // Moves rows older than an hour to the object store, one segment a call.
@@ -155,6 +156,9 @@
   bool hasState_ = false;
   // Rows are being read; no append starts.
   bool isLoading_ = false;
+  // A reply said that a claim has no outcome. While this instance was paused,
+  // or is cut off from others, another registrar may have recorded one.
+  bool isDoubtful_ = false;
   bool hasOldClaims_ = false;
   // Last row whose claims were read from the object store.
   Sequence lastMoved_;
--- a/test/failure/LedgerTest.cpp
+++ b/test/failure/LedgerTest.cpp
@@ -163,6 +163,33 @@
   }
 }
 
+// Guards against a registrar that was paused and answers from old rows for
+// good: meanwhile another one has recorded the outcome.
+Test(Ledger, RegistrarThatWasPausedReadsWhatAnotherHasRecorded)
+{
+  LedgerCluster cluster(kNames);
+  const auto first = RemoteRequest(cluster, true);
+  const std::string owner = first.owner_.Value();
+  const std::string registrar = RegistrarOf(cluster, first.request_);
+  const std::string third =
+    NextName(owner) == registrar ? NextName(registrar) : NextName(owner);
+  cr_assert_eq(cluster.Register(first).status_, RegisterStatus::Granted);
+  const auto setRegistrar = [&](MemberState aState) {
+    for (const std::string& other : { owner, third }) {
+      cluster.nodes_.at(other).membership_.Set(InstanceId(registrar), aState);
+    }
+  };
+  setRegistrar(MemberState::Dead);
+  cluster.Client(owner).Record(OutcomeOf(first, OutcomeKind::Completed), {});
+  cluster.Run(std::chrono::seconds(2));
+  cr_assert_eq(cluster.Client(owner).BufferedOutcomes(), 0U);
+  setRegistrar(MemberState::Live);
+  cluster.Register(cluster.Request(third, "key", true));
+  cluster.Run(std::chrono::seconds(2));
+  cr_assert_eq(cluster.Register(cluster.Request(third, "key", true)).status_,
+               RegisterStatus::Finished);
+}
+
 // Guards against lost outcomes when the table is down for long and the
 // registrar changes meanwhile, and against a burst of writes afterwards.
 Test(Ledger, OutcomesSurviveAnOutageAndAChangeOfRegistrar)
