--- a/src/fleet/FleetTask.cpp
+++ b/src/fleet/FleetTask.cpp
@@ -94,6 +94,12 @@
   }
   const MonotonicTime now = services_.loop_.GetClock().Now();
   const auto configuration = services_.configuration_.Current();
+  if (configuration->revision_ != revision_) {
+    revision_ = configuration->revision_;
+    for (auto& [server, record] : servers_) {
+      record.due_ = record.failures_ == 0 ? now : record.due_;
+    }
+  }
   const std::vector<Server> listed = services_.servers_.Servers();
   for (auto it = servers_.begin(); it != servers_.end();) {
     const bool isListed =
--- a/src/fleet/FleetTask.h
+++ b/src/fleet/FleetTask.h
@@ -79,6 +79,8 @@
   OrderTerms terms_;
   std::map<ServerId, ServerRecord> servers_;
   std::size_t open_ = 0;
+  // Revision of the configuration at the last tick.
+  Revision revision_;
   FencingToken epoch_;
   // Last number of an order within epoch_.
   std::uint64_t number_ = 0;
--- a/test/failure/ConfigurationProcessTest.cpp
+++ b/test/failure/ConfigurationProcessTest.cpp
@@ -208,6 +208,8 @@
     unsigned done = 0;
     unsigned won = 0;
     for (unsigned racer = 0; racer < 10; ++racer) {
+      // The second half comes when the first change of the round is known.
+      cr_assert(world.Wait([&] { return racer != 5 || won > 0; }));
       const unsigned share = 100 + 10 * round + racer;
       workspace["spec"]["share"] = share;
       world.Start(
--- a/test/support/RevisionMonitor.cpp
+++ b/test/support/RevisionMonitor.cpp
@@ -45,6 +45,12 @@
   return entries_.at(aEntry).isReady_;
 }
 
+void
+RevisionMonitor::Stopped(unsigned aEntry)
+{
+  ++entries_.at(aEntry).run_;
+}
+
 void
 RevisionMonitor::Restarted(unsigned aEntry)
 {
--- a/test/support/RevisionMonitor.h
+++ b/test/support/RevisionMonitor.h
@@ -24,6 +24,9 @@
   // Whether the present process has told that it is ready.
   bool IsReady(unsigned aEntry) const;
 
+  // The process of an entry instance has ended; it is asked nothing more.
+  void Stopped(unsigned aEntry);
+
   // An entry instance was started again. From now on it must not be ready with
   // a lower revision than any instance has told so far.
   void Restarted(unsigned aEntry);
