Prove reclaim, drain, leaving and stream faults with real processes

Cause: the promises P1, P2, P5 and P6 were tested with fakes only. Tests with real processes showed these faults: - An instance that had handed over its requests after a reclaim notice went on running until the platform took it away. - A reply in the buffer of an instance that drains was not waited for. - A request that had failed at all servers of its pool waited in the queue until its deadline, as did callers that asked again with its key. - A request in the queue of a busy engine was taken for one on a silent connection after 1 s; the server was not probed. - Streams that broke off after their first token drew on the retry budget, so that 17 of 60 streams ended with 502 when one engine cut each after 20 tokens. - Requests that were expected to end before a reclaim, or that no successor took, were not planned again.

Change: EntryInstance::OnReclaimed ends the process when it is idle, at the latest 100 ms before the deadline of the notice. HttpServer::UnsentReplies counts replies that are not written out, and a drain waits for them. The scheduler drops a request's exclusions when no other server accepts work. Before an attempt ends as silent its server is probed on a new connection; a server with requests waiting is waited for, up to four more timeouts. A stream that had begun is moved without drawing on the budget, up to the bound of six attempts. Reclaim plans every 250 ms until the deadline.

Ruled out: relaxing ChooseServer itself; its property that an excluded server is never chosen stays, and the scheduler decides which servers are excluded.

The server in RequestOnceTest counted each request as a call. It now answers the probe with 404 and counts calls only, as strictly as before.

--- a/include/sycamoreward/EntryInstance.h
+++ b/include/sycamoreward/EntryInstance.h
@@ -31,6 +31,10 @@
   // their outcomes are durable. Has no time limit of its own.
   void Drain(std::function<void()> aOnDone);
 
+  // Calls aOnDone once after a reclaim notice: when all requests were handed
+  // over or have ended, at the latest shortly before the notice's deadline.
+  void OnReclaimed(std::function<void()> aOnDone);
+
 private:
   struct State;
   std::unique_ptr<State> state_;
--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -24,7 +24,9 @@
 #include "telemetry/Log.h"
 #include "telemetry/Metrics.h"
 
+#include <algorithm>
 #include <random>
+#include <utility>
 
 namespace sycamoreward {
 
@@ -33,6 +35,9 @@
 constexpr std::chrono::seconds kListTimeout{ 2 };
 // How often a drain looks whether outcomes have become durable.
 constexpr std::chrono::milliseconds kDrainCheck{ 50 };
+// A reclaimed instance ends this long before the platform takes it away, so
+// that its connections are closed and not silent.
+constexpr std::chrono::milliseconds kReclaimMargin{ 100 };
 
 std::string
 RandomToken(std::mt19937_64& aRandom)
@@ -123,7 +128,9 @@
   void Start();
   void OnNotice(Duration aLeft);
   void Leave();
+  bool IsDrained() const;
   void CheckDrained();
+  void EndReclaim();
 
   EventLoop& loop_;
   Settings settings_;
@@ -151,7 +158,11 @@
   std::unique_ptr<NoticeWatch> noticeWatch_;
   bool isLeaving_ = false;
   std::function<void()> onDrained_;
+  std::function<void()> onReclaimed_;
+  // Set by a reclaim notice.
+  bool isReclaimed_ = false;
   EventLoop::TimerId drainTimer_ = 0;
+  EventLoop::TimerId reclaimTimer_ = 0;
 };
 
 EntryInstance::State::State(EventLoop& aLoop, const Settings& aSettings)
@@ -367,7 +378,13 @@
     "The instance will be reclaimed in {} ms.",
     std::chrono::duration_cast<std::chrono::milliseconds>(aLeft).count());
   Leave();
+  isReclaimed_ = true;
   callerApi_.HandOverAll(loop_.GetClock().Now() + aLeft);
+  reclaimTimer_ = loop_.CallAfter(std::max(Duration(0), aLeft - kReclaimMargin),
+                                  [this] { EndReclaim(); });
+  if (drainTimer_ == 0) {
+    CheckDrained();
+  }
 }
 
 void
@@ -381,16 +398,38 @@
   callerServer_.StopAccepting();
 }
 
+bool
+EntryInstance::State::IsDrained() const
+{
+  return callerApi_.RunningRequests() == 0 &&
+         callerServer_.OpenExchanges() == 0 &&
+         callerServer_.UnsentReplies() == 0 && ledger_.BufferedOutcomes() == 0;
+}
+
 void
 EntryInstance::State::CheckDrained()
 {
-  if (callerApi_.RunningRequests() == 0 && callerServer_.OpenExchanges() == 0 &&
-      ledger_.BufferedOutcomes() == 0) {
-    const auto onDrained = std::move(onDrained_);
-    onDrained();
+  if (!IsDrained()) {
+    drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
     return;
   }
-  drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
+  if (const auto onDrained = std::exchange(onDrained_, nullptr)) {
+    onDrained();
+  }
+  if (isReclaimed_) {
+    EndReclaim();
+  }
+}
+
+void
+EntryInstance::State::EndReclaim()
+{
+  loop_.CancelTimer(reclaimTimer_);
+  if (const auto onReclaimed = std::exchange(onReclaimed_, nullptr)) {
+    log_->info("Ends after a reclaim with {} requests left.",
+               callerApi_.RunningRequests());
+    onReclaimed();
+  }
 }
 
 EntryInstance::EntryInstance(EventLoop& aLoop, const Settings& aSettings)
@@ -401,6 +440,7 @@
 EntryInstance::~EntryInstance()
 {
   state_->loop_.CancelTimer(state_->drainTimer_);
+  state_->loop_.CancelTimer(state_->reclaimTimer_);
 }
 
 std::string
@@ -432,7 +472,15 @@
   state_->onDrained_ = std::move(aOnDone);
   state_->Leave();
   state_->callerApi_.StopAccepting();
-  state_->CheckDrained();
+  if (state_->drainTimer_ == 0) {
+    state_->CheckDrained();
+  }
+}
+
+void
+EntryInstance::OnReclaimed(std::function<void()> aOnDone)
+{
+  state_->onReclaimed_ = std::move(aOnDone);
 }
 
 } // namespace sycamoreward
--- a/src/requests/Attempt.cpp
+++ b/src/requests/Attempt.cpp
@@ -1,7 +1,20 @@
 #include "requests/Attempt.h"
 
+#include "requests/SilenceProbe.h"
+
+#include <algorithm>
+
 namespace sycamoreward {
 
+namespace {
+
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+// A call that is still connecting ends by its own timeout as not sent, before
+// it is taken for a silent one.
+constexpr Duration kAfterConnect = std::chrono::milliseconds(50);
+
+} // namespace
+
 Attempt::Attempt(EventLoop& aLoop,
                  HttpClient& aClient,
                  HttpClientRequest aRequest,
@@ -10,6 +23,7 @@
   : loop_(aLoop)
   , client_(aClient)
   , request_(std::move(aRequest))
+  , firstSilence_(request_.silenceTimeout_)
   , maxGap_(aMaxGap)
   , callbacks_(std::move(aCallbacks))
 {
@@ -34,7 +48,61 @@
     const auto running = self->shared_from_this();
     running->HandleEnd(aEnd);
   };
+  // The attempt watches the silence itself, so that it can probe the server.
+  // The client's timeout is a bound beyond it.
+  request_.silenceTimeout_ =
+    (firstSilence_ + kProbeTimeout) * (kMaxSilenceWaits + 2);
   call_ = client_.Start(request_, std::move(callbacks));
+  lastData_ = loop_.GetClock().Now();
+  WatchSilence(
+    std::max(firstSilence_, request_.connectTimeout_ + kAfterConnect));
+}
+
+void
+Attempt::WatchSilence(Duration aDelay)
+{
+  silenceTimer_ = loop_.CallAfter(aDelay, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->isDone_ || self->isEnded_) {
+      return;
+    }
+    const MonotonicTime now = self->loop_.GetClock().Now();
+    if (self->isHeld_) {
+      self->lastData_ = now;
+    }
+    const Duration silent = now - self->lastData_;
+    if (silent < self->firstSilence_) {
+      self->WatchSilence(self->firstSilence_ - silent);
+    } else {
+      self->Probe();
+    }
+  });
+}
+
+void
+Attempt::Probe()
+{
+  const MonotonicTime asked = loop_.GetClock().Now();
+  ProbeServer(client_,
+              request_.address_,
+              kProbeTimeout,
+              [weak = weak_from_this(), asked](const ProbeResult& aResult) {
+                const auto self = weak.lock();
+                if (self == nullptr || self->isDone_ || self->isEnded_ ||
+                    self->gapTimer_ != 0) {
+                  return;
+                }
+                const bool isStream = self->callbacks_.onEvents_ != nullptr;
+                const bool isSilent = self->lastData_ < asked && !self->isHeld_;
+                if (isSilent &&
+                    DecideSilence(aResult, isStream, self->silenceWaits_) ==
+                      SilenceAction::Move) {
+                  self->BreakOff(HttpEnd::Silent);
+                  return;
+                }
+                self->silenceWaits_ += isSilent ? 1 : 0;
+                self->WatchSilence(self->firstSilence_);
+              });
 }
 
 void
@@ -45,6 +113,7 @@
   }
   isDone_ = true;
   loop_.CancelTimer(gapTimer_);
+  loop_.CancelTimer(silenceTimer_);
   if (call_ != nullptr && !isEnded_) {
     const auto call = std::move(call_);
     call->Cancel();
@@ -84,6 +153,7 @@
     return;
   }
   if (!isStream_) {
+    lastData_ = loop_.GetClock().Now();
     reply_.body_.append(aData);
     if (reply_.body_.size() > kMaxBody) {
       BreakOff(HttpEnd::Broken);
@@ -106,6 +176,7 @@
   FlushLater();
   lastData_ = loop_.GetClock().Now();
   if (gapTimer_ == 0 && !events.empty() && !isEnded_) {
+    loop_.CancelTimer(silenceTimer_);
     WatchGap();
   }
 }
@@ -151,6 +222,7 @@
   }
   isEnded_ = true;
   loop_.CancelTimer(gapTimer_);
+  loop_.CancelTimer(silenceTimer_);
   reply_.end_ = aEnd;
   call_.reset();
   FlushLater();
--- a/src/requests/Attempt.h
+++ b/src/requests/Attempt.h
@@ -41,7 +41,8 @@
   static constexpr std::uint64_t kMaxBody = 8 * 1024 * 1024;
 
   // aMaxGap is the longest time without data after the first event of a
-  // stream; the silence timeout of aRequest holds before it.
+  // stream. The silence timeout of aRequest holds before it; then the server is
+  // probed on a new connection before the attempt ends as silent.
   Attempt(EventLoop& aLoop,
           HttpClient& aClient,
           HttpClientRequest aRequest,
@@ -63,16 +64,22 @@
   void HandleEnd(HttpEnd aEnd);
   void BreakOff(HttpEnd aEnd);
   void WatchGap();
+  void WatchSilence(Duration aDelay);
+  void Probe();
   void FlushLater();
   void Flush();
 
   EventLoop& loop_;
   HttpClient& client_;
   HttpClientRequest request_;
+  Duration firstSilence_;
   Duration maxGap_;
   AttemptCallbacks callbacks_;
   MonotonicTime lastData_{};
   EventLoop::TimerId gapTimer_ = 0;
+  // Before the first event of a stream, and until the end of a plain reply.
+  EventLoop::TimerId silenceTimer_ = 0;
+  unsigned silenceWaits_ = 0;
   std::shared_ptr<HttpCall> call_;
   SseParser parser_;
   AttemptReply reply_;
--- a/src/requests/Reclaim.cpp
+++ b/src/requests/Reclaim.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/Log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sycamoreward {
 
@@ -25,10 +26,16 @@
   RequestContext& context_;
   RequestTable& table_;
   bool isAccepting_ = true;
+  // Requests with a step that has not ended yet.
+  std::set<RequestId> planned_;
 };
 
 namespace {
 
+// How often requests that were to end in time, or that no successor took, are
+// planned again. A stream can slow down after its end was estimated.
+constexpr Duration kPlanInterval = std::chrono::milliseconds(250);
+
 constexpr Duration kReplyLimit = std::chrono::milliseconds(400);
 // Successors that are asked for one request.
 constexpr std::size_t kMaxOffers = 3;
@@ -68,21 +75,34 @@
   input.remaining_ =
     std::max(Duration(0), aDeadline - context_.loop_.GetClock().Now());
   for (const auto& task : table_.Running()) {
-    input.requests_.push_back(task->Candidate());
+    if (planned_.count(task->Request().id_) == 0) {
+      input.requests_.push_back(task->Candidate());
+    }
   }
   const HandoverPlan plan = PlanHandover(input);
   for (const HandoverStep& step : plan.steps_) {
+    planned_.insert(step.request_);
     context_.loop_.CallAfter(step.delay_, [weak = weak_from_this(), step] {
       if (const auto self = weak.lock()) {
         self->SendOne(step.request_, step.successor_);
       }
     });
   }
-  LogFor("recovery")
-    ->info("Handing over {} requests, {} end in time, {} can't be saved.",
-           plan.steps_.size(),
-           plan.stay_.size(),
-           plan.lost_.size());
+  if (!input.requests_.empty()) {
+    LogFor("recovery")
+      ->info("Handing over {} requests, {} end in time, {} can't be saved.",
+             plan.steps_.size(),
+             plan.stay_.size(),
+             plan.lost_.size());
+  }
+  if (input.remaining_ > kPlanInterval) {
+    context_.loop_.CallAfter(kPlanInterval,
+                             [weak = weak_from_this(), aDeadline] {
+                               if (const auto self = weak.lock()) {
+                                 self->Plan(aDeadline);
+                               }
+                             });
+  }
 }
 
 void
@@ -109,6 +129,8 @@
                       std::vector<PeerIdentity> aSuccessors)
 {
   if (aSuccessors.empty()) {
+    // The next plan includes it again.
+    planned_.erase(aTask->Request().id_);
     aTask->Thaw();
     return;
   }
--- a/src/requests/RequestStream.cpp
+++ b/src/requests/RequestStream.cpp
@@ -127,6 +127,7 @@
   const Server server = running_.at(aAttempt).server_;
   const AttemptFailure failure = ReadFailure(aReply);
   const FailureClass kind = ClassifyFailure(failure);
+  const bool hasProgress = running_.at(aAttempt).hasFirstByte_;
   CloseAttempt(aAttempt,
                AttemptEnd::Failed,
                aReply.end_ == HttpEnd::Complete
@@ -142,7 +143,7 @@
   if (!running_.empty()) {
     return;
   }
-  switch (Decide(kind)) {
+  switch (Decide(kind, hasProgress)) {
     case RetryAction::RetryElsewhere:
       Choose(false);
       return;
@@ -167,7 +168,7 @@
 }
 
 RetryAction
-RequestTask::Decide(FailureClass aClass)
+RequestTask::Decide(FailureClass aClass, bool aHasProgress)
 {
   if (!request_.isRepeatable_ && aClass == FailureClass::Transport) {
     // Whatever the retry rules say: a call that may have run is not sent again
@@ -182,8 +183,10 @@
   question.isRepeatable_ = request_.isRepeatable_;
   question.attempts_ = unsigned(attempts_.size());
   question.remaining_ = Remaining();
-  question.hasBudget_ =
-    !DrawsOnBudget(aClass) || context_.scheduler_.TakeRetry(request_.service_);
+  // A stream that had begun goes on at the next token, so moving it repeats no
+  // work. With a budget the end of one engine would end most of its streams.
+  question.hasBudget_ = aHasProgress || !DrawsOnBudget(aClass) ||
+                        context_.scheduler_.TakeRetry(request_.service_);
   return DecideRetry(question);
 }
 
--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -4,6 +4,8 @@
 #include "requests/BackendCall.h"
 #include "requests/TaskErrors.h"
 
+#include <algorithm>
+
 namespace sycamoreward {
 
 namespace {
@@ -154,8 +156,14 @@
 {
   waiting_.erase(aTicket);
   // A hedge is of use only while no attempt has begun to answer.
+  const bool isAtServer =
+    aGrant.server_ &&
+    std::any_of(running_.begin(), running_.end(), [&](const auto& aEntry) {
+      return aEntry.second.server_.id_ == aGrant.server_->id_;
+    });
   const bool isUnwanted =
-    isEnded_ || (aIsHedge && (running_.empty() || !log_->Parts().empty()));
+    isEnded_ ||
+    (aIsHedge && (running_.empty() || isAtServer || !log_->Parts().empty()));
   if (isUnwanted) {
     if (aGrant.server_) {
       context_.scheduler_.End(aTicket, AttemptEnd::Cancelled);
--- a/src/requests/RequestTask.h
+++ b/src/requests/RequestTask.h
@@ -94,7 +94,7 @@
   void SelectWinner(AttemptNumber aAttempt, Running& aRunning);
   void OnAttemptEnd(AttemptNumber aAttempt, const AttemptReply& aReply);
   void OnFailure(AttemptNumber aAttempt, AttemptReply aReply);
-  RetryAction Decide(FailureClass aClass);
+  RetryAction Decide(FailureClass aClass, bool aHasProgress);
   void AskServer(const Server& aServer);
   void OnStatus(const Server& aServer, const StatusAnswer& aAnswer);
   void OnDeadline();
--- a/src/routing/PoolSchedulerQueue.cpp
+++ b/src/routing/PoolSchedulerQueue.cpp
@@ -35,6 +35,26 @@
   return slots;
 }
 
+// A request that has failed at all servers that accept work may try one of them
+// again. With its exclusions it would wait until its deadline.
+ChooseQuestion
+DropExclusions(ChooseQuestion aQuestion,
+               const std::vector<ServerView>& aViews,
+               MonotonicTime aNow)
+{
+  const auto& excluded = aQuestion.excluded_;
+  const bool hasOther =
+    std::any_of(aViews.begin(), aViews.end(), [&](const ServerView& aView) {
+      return IsAccepting(aView, aNow) &&
+             std::find(excluded.begin(), excluded.end(), aView.server_.id_) ==
+               excluded.end();
+    });
+  if (!hasOther) {
+    aQuestion.excluded_.clear();
+  }
+  return aQuestion;
+}
+
 } // namespace
 
 ShedDecision
@@ -108,7 +128,8 @@
   MonotonicTime now = Now();
   const auto fits = [&](const QueueItem& aItem) {
     const Pending& pending = pending_.at(aItem.ticket_);
-    ChooseQuestion question = pending.question_;
+    ChooseQuestion question =
+      DropExclusions(pending.question_, pool.views_, now);
     question.mayProbe_ = false;
     return ChooseServer(pool.views_, pending.policy_, question, now, random_)
       .has_value();
@@ -127,8 +148,12 @@
   const auto found = pending_.find(aTicket);
   Pending pending = std::move(found->second);
   pending_.erase(found);
-  const auto chosen = ChooseServer(
-    aPool.views_, pending.policy_, pending.question_, aNow, random_);
+  const auto chosen =
+    ChooseServer(aPool.views_,
+                 pending.policy_,
+                 DropExclusions(pending.question_, aPool.views_, aNow),
+                 aNow,
+                 random_);
   ServerView& view = aPool.views_[chosen.value()];
   const bool isLong = pending.question_.isLong_;
   RecordStart(view, pending.cost_, isLong, aNow);
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -175,6 +175,8 @@
   std::set<Exchange*> open_;
   // Connections cut by Abort that evhttp has not freed yet.
   std::set<evhttp_connection*> doomed_;
+  // Connections with a complete reply that is not written out yet.
+  std::set<evhttp_connection*> unsent_;
 };
 
 namespace {
@@ -212,6 +214,7 @@
 private:
   void AddHeaders(const HttpHeaders& aHeaders);
   void Finish();
+  void FinishWithReply();
   static void OnConnectionClosed(evhttp_connection* aConnection, void* aSelf);
 
   // An exchange outlives the connection only as an empty shell.
@@ -310,6 +313,34 @@
   Detach();
 }
 
+// The connection counts as unsent until evhttp has written the reply or closed
+// it: an instance that ends before would cut the tail of the reply.
+void
+Exchange::FinishWithReply()
+{
+  evhttp_request* request = request_;
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  const auto state = state_.lock();
+  Finish();
+  if (connection == nullptr || state == nullptr) {
+    return;
+  }
+  state->unsent_.insert(connection);
+  evhttp_request_set_on_complete_cb(
+    request,
+    [](evhttp_request* aRequest, void* aState) {
+      static_cast<HttpServer::State*>(aState)->unsent_.erase(
+        evhttp_request_get_connection(aRequest));
+    },
+    state.get());
+  evhttp_connection_set_closecb(
+    connection,
+    [](evhttp_connection* aClosed, void* aState) {
+      static_cast<HttpServer::State*>(aState)->unsent_.erase(aClosed);
+    },
+    state.get());
+}
+
 void
 Exchange::Reply(int aStatus,
                 const HttpHeaders& aHeaders,
@@ -322,7 +353,7 @@
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, aBody.data(), aBody.size());
   evhttp_request* request = request_;
-  Finish();
+  FinishWithReply();
   evhttp_send_reply(request, aStatus, ReasonPhrase(aStatus), body);
   evbuffer_free(body);
 }
@@ -370,7 +401,7 @@
     return;
   }
   evhttp_request* request = request_;
-  Finish();
+  FinishWithReply();
   evhttp_send_reply_end(request);
 }
 
@@ -481,6 +512,12 @@
   return state_->open_.size();
 }
 
+std::size_t
+HttpServer::UnsentReplies() const
+{
+  return state_->unsent_.size();
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/runtime/HttpServer.h
+++ b/src/runtime/HttpServer.h
@@ -100,6 +100,9 @@
   // Exchanges without a complete reply.
   std::size_t OpenExchanges() const;
 
+  // Complete replies that their callers have not taken wholly yet.
+  std::size_t UnsentReplies() const;
+
   // Closes the listening socket; open exchanges go on, and each reply from now
   // on closes its connection.
   void StopAccepting();
--- /dev/null
+++ b/test/failure/LeavingTest.cpp
@@ -0,0 +1,163 @@
+// Promise P5: a backend server that is leaving receives no new work after 3 s.
+
+#include "support/DeploymentHistory.h"
+#include "support/FaultScene.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr std::chrono::seconds kBound{ 3 };
+constexpr std::chrono::milliseconds kBetweenCalls{ 50 };
+constexpr unsigned kLeaving = 0;
+
+// How the entry instances can learn that an engine leaves.
+struct LeavingCase
+{
+  // The engine says so in its load reports and refuses work.
+  bool engineSays_ = false;
+  // The platform's list says so.
+  bool listSays_ = false;
+  int listLagMs_ = 0;
+  bool areEntriesIsolated_ = false;
+  // The engine's replies are lost, so its last statement gets old.
+  bool losesReplies_ = false;
+};
+
+// Callers that ask at all entry instances all the time.
+class Callers
+{
+public:
+  explicit Callers(FaultScene& aScene)
+    : scene_(aScene)
+  {
+  }
+
+  void AskFor(std::chrono::milliseconds aTime)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < end) {
+      for (unsigned entry = 0; entry < scene_.Deployed().Entries(); ++entry) {
+        const auto name = "query-" + std::to_string(next_++);
+        scene_.Caller().Start(CompletionRequest(
+          name, kQueryService, 4, { scene_.Deployed().CallerAddress(entry) }));
+      }
+      scene_.Pass(kBetweenCalls);
+    }
+  }
+
+private:
+  FaultScene& scene_;
+  unsigned next_ = 0;
+};
+
+std::int64_t
+NowUs()
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+void
+Leave(FaultScene& aScene, const LeavingCase& aCase)
+{
+  Deployment& deployment = aScene.Deployed();
+  if (aCase.engineSays_) {
+    aScene.SetFaults(deployment.EngineAddress(kLeaving),
+                     { { "leaving", true } });
+  }
+  if (aCase.listSays_) {
+    deployment.SetState(Deployment::EngineId(kLeaving), "leaving");
+  }
+  if (aCase.losesReplies_) {
+    deployment.EngineLink(kLeaving).SetMode(LinkMode::DropReplies);
+  }
+}
+
+void
+RunCase(const LeavingCase& aCase)
+{
+  DeploymentOptions options;
+  options.areEntriesIsolated_ = aCase.areEntriesIsolated_;
+  options.hasEngineLinks_ = aCase.losesReplies_;
+  FaultScene scene(options);
+  Deployment& deployment = scene.Deployed();
+  Callers callers(scene);
+  callers.AskFor(std::chrono::seconds(1));
+  deployment.Post(deployment.PlatformAddress(),
+                  "/faults",
+                  { { "listLagMs", aCase.listLagMs_ } });
+  const auto before = scene.EngineCounters(kLeaving);
+  cr_assert_gt(before.at("lastAcceptedUs").get<std::int64_t>(), 0);
+  const std::int64_t left = NowUs();
+  Leave(scene, aCase);
+  callers.AskFor(kBound);
+  const auto atBound = scene.EngineCounters(kLeaving);
+  callers.AskFor(std::chrono::milliseconds(2500));
+  cr_assert(deployment.WaitFor([&] { return scene.Caller().IsDone(); }, 10));
+  const auto after = scene.EngineCounters(kLeaving);
+  const std::int64_t last = after.at("lastAcceptedUs");
+  cr_assert_leq(last - left,
+                std::chrono::microseconds(kBound).count(),
+                "new work came %ld us after the engine left",
+                long(last - left));
+  // An engine that says that it leaves refuses what still comes.
+  cr_assert_eq(after.at("refused").get<unsigned>(),
+               atBound.at("refused").get<unsigned>(),
+               "new work was sent after 3 s and refused");
+  if (aCase.losesReplies_) {
+    ExpectNoViolations(deployment, scene.Caller());
+  } else {
+    ExpectAllAnswered(deployment, scene.Caller());
+  }
+}
+
+} // namespace
+
+// Guards against work on the word of a list that knows better than the engine.
+Test(Leaving, EngineSaysSo)
+{
+  LeavingCase each;
+  each.engineSays_ = true;
+  RunCase(each);
+}
+
+// Guards against work for an engine that still accepts while the list says that
+// it is leaving.
+Test(Leaving, OnlyTheListSaysSo)
+{
+  LeavingCase each;
+  each.listSays_ = true;
+  RunCase(each);
+}
+
+Test(Leaving, EngineSaysSoAndTheListLags)
+{
+  LeavingCase each;
+  each.engineSays_ = true;
+  each.listSays_ = true;
+  each.listLagMs_ = 10000;
+  RunCase(each);
+}
+
+// Guards against a bound that holds only while instances tell each other.
+Test(Leaving, EngineSaysSoAndInstancesAreCutOff)
+{
+  LeavingCase each;
+  each.engineSays_ = true;
+  each.listSays_ = true;
+  each.listLagMs_ = 10000;
+  each.areEntriesIsolated_ = true;
+  RunCase(each);
+}
+
+// Guards against work on the word of an old statement.
+Test(Leaving, EngineCanNotBeHeard)
+{
+  LeavingCase each;
+  each.losesReplies_ = true;
+  RunCase(each);
+}
--- /dev/null
+++ b/test/failure/ReclaimTest.cpp
@@ -0,0 +1,159 @@
+// Promise P1: an accepted request survives any announced reclaim of the
+// instance or failure domain serving it.
+
+#include "support/FaultScene.h"
+
+#include <criterion/criterion.h>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr int kNoticeSeconds = 3;
+constexpr unsigned kStreams = 6;
+// 5 s at 10 ms each, which is longer than the notice.
+constexpr unsigned kTokens = 500;
+constexpr unsigned kTokenMs = 10;
+
+// One way in which instances are taken away.
+struct ReclaimCase
+{
+  const char* name_;
+  // Entry instances that get a notice, one after the other.
+  std::vector<unsigned> noticed_;
+  // Time between two notices.
+  std::chrono::milliseconds gap_{ 0 };
+  // Whether the engines of the same failure domains are taken away too.
+  bool takesEngines_ = false;
+};
+
+void
+TakeEngines(FaultScene& aScene, unsigned aDomain)
+{
+  Deployment& deployment = aScene.Deployed();
+  for (unsigned engine = 0; engine < deployment.Engines(); ++engine) {
+    if (Deployment::FailureDomain(engine) ==
+        Deployment::FailureDomain(aDomain)) {
+      deployment.Engine(engine).Kill();
+    }
+  }
+}
+
+void
+AnnounceEngines(FaultScene& aScene, unsigned aDomain)
+{
+  Deployment& deployment = aScene.Deployed();
+  for (unsigned engine = 0; engine < deployment.Engines(); ++engine) {
+    if (Deployment::FailureDomain(engine) ==
+        Deployment::FailureDomain(aDomain)) {
+      aScene.SetFaults(deployment.EngineAddress(engine),
+                       { { "leaving", true } });
+      deployment.SetState(Deployment::EngineId(engine), "leaving");
+    }
+  }
+}
+
+// The notices of aCase, then the end of the instances at their deadlines.
+void
+Reclaim(FaultScene& aScene, const ReclaimCase& aCase)
+{
+  Deployment& deployment = aScene.Deployed();
+  for (const unsigned entry : aCase.noticed_) {
+    deployment.Notice(Deployment::EntryId(entry), kNoticeSeconds);
+    deployment.SetState(Deployment::EntryId(entry), "leaving");
+    if (aCase.takesEngines_) {
+      AnnounceEngines(aScene, entry);
+    }
+    aScene.Pass(aCase.gap_);
+  }
+  aScene.Pass(std::chrono::seconds(kNoticeSeconds));
+  for (const unsigned entry : aCase.noticed_) {
+    cr_expect_eq(deployment.Entry(entry).WaitForExit(1),
+                 0,
+                 "%s did not end by itself",
+                 Deployment::EntryId(entry).c_str());
+    if (aCase.takesEngines_) {
+      TakeEngines(aScene, entry);
+    }
+  }
+}
+
+void
+RunCase(const ReclaimCase& aCase)
+{
+  DeploymentOptions options = FaultScene::SlowEngines(kTokenMs);
+  options.entries_ = 4;
+  FaultScene scene(options);
+  scene.SetFaults(scene.Deployed().ServiceAddress(0), { { "delayMs", 1000 } });
+  scene.StartStreams("stream", kStreams, kTokens, 0);
+  scene.StartCertificate("certificate", 0);
+  scene.WaitForParts(3);
+  Reclaim(scene, aCase);
+  scene.ExpectWhole(12);
+  unsigned moved = 0;
+  for (unsigned index = 0; index < kStreams; ++index) {
+    moved +=
+      scene.RepliesTo("stream-" + std::to_string(index)).size() > 1 ? 1 : 0;
+  }
+  cr_assert_eq(moved, kStreams, "%u streams were handed over", moved);
+}
+
+} // namespace
+
+// Guards against the loss of long streams with the instance that serves them,
+// and of a certificate that ends within the notice.
+Test(Reclaim, OneInstance)
+{
+  RunCase({ "instance", { 0 } });
+}
+
+// Guards against successors in the failure domain that is taken away, and
+// against streams that end with their engine.
+Test(Reclaim, FailureDomain)
+{
+  RunCase({ "domain", { 0, 3 }, {}, true });
+}
+
+// Guards against a request that is lost because its successor is also leaving.
+Test(Reclaim, Wave)
+{
+  RunCase({ "wave", { 0, 1, 2 }, std::chrono::milliseconds(700) });
+}
+
+namespace {
+
+// An instance that is killed some time after its notice.
+void
+RunKill(std::chrono::milliseconds aAfterNotice)
+{
+  FaultScene scene(FaultScene::SlowEngines(kTokenMs));
+  Deployment& deployment = scene.Deployed();
+  scene.SetFaults(deployment.ServiceAddress(0), { { "delayMs", 1500 } });
+  scene.StartStreams("stream", kStreams, kTokens, 0);
+  scene.StartCertificate("certificate", 0);
+  scene.WaitForParts(3);
+  deployment.Notice(Deployment::EntryId(0), kNoticeSeconds);
+  scene.Pass(aAfterNotice);
+  deployment.Entry(0).Kill();
+  deployment.SetState(Deployment::EntryId(0), "gone");
+  scene.ExpectWhole(25);
+}
+
+} // namespace
+
+// Guards against a doubled run or a lost answer when the process dies before it
+// has read the notice, while it hands over, and afterwards.
+Test(Reclaim, KilledBeforeHandover)
+{
+  RunKill(std::chrono::milliseconds(50));
+}
+
+Test(Reclaim, KilledDuringHandover)
+{
+  RunKill(std::chrono::milliseconds(450));
+}
+
+Test(Reclaim, KilledAfterHandover)
+{
+  RunKill(std::chrono::milliseconds(1000));
+}
--- a/test/failure/RequestOnceTest.cpp
+++ b/test/failure/RequestOnceTest.cpp
@@ -36,6 +36,10 @@
         aExchange->Reply(status_.is_null() ? 404 : 200, {}, status_.dump());
         return;
       }
+      if (aExchange->Request().path_ == "/load") {
+        aExchange->Reply(404, {}, "");
+        return;
+      }
       ++calls_;
       switch (mode_) {
         case Mode::Reply:
--- /dev/null
+++ b/test/failure/StreamFaultTest.cpp
@@ -0,0 +1,170 @@
+// Promise P2 with faults of engines and of the connections to them while
+// streams run: each stream goes on at another engine at the exact token.
+
+#include "runtime/HttpServer.h"
+#include "support/DeploymentHistory.h"
+#include "support/FaultScene.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr unsigned kTokenMs = 10;
+constexpr unsigned kTokens = 200;
+constexpr unsigned kFaulty = 0;
+constexpr std::chrono::milliseconds kBetweenStarts{ 600 };
+
+using Step = std::function<void(FaultScene&)>;
+
+Step
+EngineFault(const nlohmann::json& aFaults)
+{
+  return [aFaults](FaultScene& aScene) {
+    aScene.SetFaults(aScene.Deployed().EngineAddress(kFaulty), aFaults);
+  };
+}
+
+Step
+Link(LinkMode aMode)
+{
+  return [aMode](FaultScene& aScene) {
+    aScene.Deployed().EngineLink(kFaulty).SetMode(aMode);
+  };
+}
+
+// Starts streams in three rounds, so that at the time of the fault some are
+// near their end, some in the middle, some at their first tokens and some not
+// yet begun; then a round meets the fault from the start.
+void
+RunFault(
+  const Step& aFault,
+  const Step& aEnd = [](FaultScene&) {})
+{
+  DeploymentOptions options = FaultScene::SlowEngines(kTokenMs);
+  options.hasEngineLinks_ = true;
+  FaultScene scene(options);
+  const auto startRound = [&](const std::string& aName) {
+    for (unsigned entry = 0; entry < scene.Deployed().Entries(); ++entry) {
+      scene.StartStreams(
+        aName + "-" + std::to_string(entry), 4, kTokens, entry);
+    }
+  };
+  startRound("late");
+  scene.Pass(kBetweenStarts);
+  startRound("middle");
+  scene.Pass(kBetweenStarts);
+  startRound("early");
+  scene.WaitForParts(1);
+  const auto load =
+    scene.Deployed().Get(scene.Deployed().EngineAddress(kFaulty), "/load");
+  cr_assert_gt(load.at("running").get<unsigned>(), 0);
+  startRound("new");
+  aFault(scene);
+  scene.Pass(std::chrono::milliseconds(200));
+  startRound("after");
+  const bool isDone =
+    scene.Deployed().WaitFor([&] { return scene.Caller().IsDone(); }, 20);
+  cr_expect(isDone);
+  aEnd(scene);
+  scene.ExpectWhole(5);
+  for (const CallerHistory& history : scene.Caller().Histories()) {
+    cr_expect_eq(history.replies_.size(),
+                 1,
+                 "%s needed %zu tries",
+                 history.name_.c_str(),
+                 history.replies_.size());
+  }
+}
+
+} // namespace
+
+Test(StreamFault, Killed)
+{
+  RunFault(
+    [](FaultScene& aScene) { aScene.Deployed().Engine(kFaulty).Kill(); });
+}
+
+Test(StreamFault, Cut)
+{
+  RunFault(EngineFault({ { "cutAfterTokens", 20 } }));
+}
+
+Test(StreamFault, Stopped)
+{
+  RunFault(
+    [](FaultScene& aScene) { aScene.Deployed().Engine(kFaulty).Freeze(); },
+    [](FaultScene& aScene) { aScene.Deployed().Engine(kFaulty).Thaw(); });
+}
+
+Test(StreamFault, Leaving)
+{
+  RunFault(EngineFault({ { "leaving", true } }));
+}
+
+Test(StreamFault, Refused)
+{
+  RunFault(EngineFault({ { "refuse", true } }));
+}
+
+// Shorter than the silence that moves an attempt, longer than the wait for a
+// first byte: requests get a second attempt, and both answer.
+Test(StreamFault, Hedged)
+{
+  RunFault(EngineFault({ { "stallMs", 900 } }));
+}
+
+Test(StreamFault, OpenConnectionsSilent)
+{
+  RunFault(Link(LinkMode::SilenceOpen));
+}
+
+Test(StreamFault, AllConnectionsSilent)
+{
+  RunFault(Link(LinkMode::SilenceAll));
+}
+
+Test(StreamFault, RepliesDropped)
+{
+  RunFault(Link(LinkMode::DropReplies));
+}
+
+Test(StreamFault, LinkCut)
+{
+  RunFault(Link(LinkMode::Cut));
+}
+
+// Guards against a plain reply that its server cut off and that looks whole to
+// the caller. The service is repeatable and has one server, so there is no
+// other reply to give.
+Test(StreamFault, PlainReplyCutByItsServer)
+{
+  FaultScene scene({});
+  Deployment& deployment = scene.Deployed();
+  unsigned cuts = 0;
+  HttpServer cutting(
+    deployment.Loop(), {}, [&](std::shared_ptr<HttpExchange> aExchange) {
+      if (aExchange->Request().path_ != "/sheet") {
+        aExchange->Reply(200, {}, R"({"accepting":true})");
+        return;
+      }
+      ++cuts;
+      aExchange->StartReply(200, { { "Content-Type", "text/plain" } });
+      aExchange->SendChunk("the first half");
+      deployment.Loop().CallAfter(std::chrono::milliseconds(50),
+                                  [aExchange] { aExchange->Abort(); });
+    });
+  scene.AddPlainService("cutting", cutting.BoundAddress());
+  for (unsigned entry = 0; entry < deployment.Entries(); ++entry) {
+    cuts = 0;
+    const HttpClientReply reply =
+      deployment.Fetch(scene.PlainRequest("cutting", "/sheet", entry));
+    cr_assert_gt(cuts, 0);
+    cr_assert(reply.end_ != HttpEnd::Complete || reply.status_ >= 500,
+              "the cut reply was given with status %d",
+              reply.status_);
+  }
+}
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -159,10 +159,15 @@
                      { "--id", EngineId(index), "--pool", "sheet-model" });
     engines_.push_back(
       std::make_unique<ChildProcess>("standin-engine", arguments));
+    Address listed = EngineAddress(index);
+    if (options_.hasEngineLinks_) {
+      links_.push_back(std::make_unique<CuttableLink>(loop_, listed));
+      listed = links_.back()->ListenAddress();
+    }
     List({ { "id", EngineId(index) },
            { "role", "engine" },
            { "pool", "sheet-model" },
-           { "address", ToString(EngineAddress(index)) },
+           { "address", ToString(listed) },
            { "failureDomain", FailureDomain(index) },
            { "region", kRegion },
            { "state", "live" } });
@@ -194,6 +199,9 @@
     logDirectory == nullptr
       ? ""
       : std::string(logDirectory) + "/" + EntryId(aIndex) + ".log");
+  if (options_.areEntriesIsolated_) {
+    return;
+  }
   List({ { "id", EntryId(aIndex) },
          { "role", "entry" },
          { "pool", "entry" },
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -8,6 +8,7 @@
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
 #include "support/ChildProcess.h"
+#include "support/CuttableLink.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,6 +26,10 @@
   std::vector<std::string> engineArguments_;
   // Where entry instances reach the platform, when a link stands between.
   Address platformLink_;
+  // Puts a link in front of each engine; the list names the link's address.
+  bool hasEngineLinks_ = false;
+  // Keeps entry instances out of the list, so that none learns of another.
+  bool areEntriesIsolated_ = false;
 };
 
 // Tokens that the settings and resources of a deployment accept.
@@ -49,6 +54,8 @@
 
   ChildProcess& Platform() { return *platform_; }
   ChildProcess& Engine(unsigned aIndex) { return *engines_.at(aIndex); }
+  // With hasEngineLinks_.
+  CuttableLink& EngineLink(unsigned aIndex) { return *links_.at(aIndex); }
   ChildProcess& Service(unsigned aIndex) { return *services_.at(aIndex); }
   ChildProcess& Entry(unsigned aIndex) { return *entries_.at(aIndex); }
 
@@ -89,6 +96,9 @@
   // Handles events until aDone, with a limit of real time. Returns aDone().
   bool WaitFor(const std::function<bool()>& aDone, int aSeconds);
 
+  // Puts an instance into the platform's list.
+  void List(const nlohmann::json& aInstance);
+
   // Marks a backend server or an entry instance in the platform's list.
   void SetState(const std::string& aId, const std::string& aState);
 
@@ -102,7 +112,6 @@
 
 private:
   void StartServers();
-  void List(const nlohmann::json& aInstance);
   std::string WriteSettings(unsigned aIndex);
   void DeclareResources();
 
@@ -114,6 +123,7 @@
   Address platformAddress_;
   std::unique_ptr<ChildProcess> platform_;
   std::vector<std::unique_ptr<ChildProcess>> engines_;
+  std::vector<std::unique_ptr<CuttableLink>> links_;
   std::vector<std::unique_ptr<ChildProcess>> services_;
   std::vector<std::unique_ptr<ChildProcess>> entries_;
   // Last entry put into the platform's list, by id.
--- a/tools/sycamorewardd/Main.cpp
+++ b/tools/sycamorewardd/Main.cpp
@@ -59,6 +59,7 @@
   EventLoop loop(clock);
   EntryInstance instance(loop, settings);
   const auto drain = [&] { instance.Drain([&loop] { loop.Stop(); }); };
+  instance.OnReclaimed([&loop] { loop.Stop(); });
   loop.OnSignal(SIGTERM, drain);
   loop.OnSignal(SIGINT, drain);
   loop.OnSignal(SIGHUP, [&] { RereadLogLevel(aFile); });
