Bound the tokens computed again after a reclaim in ReclaimTest

A stream that is run again also ends whole, so the test did not tell a handover from a second run. It now bounds the tokens that the engines compute.

--- a/test/failure/ReclaimTest.cpp
+++ b/test/failure/ReclaimTest.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+
 using namespace sycamoreward;
 
 namespace {
@@ -14,6 +16,8 @@
 // 5 s at 10 ms each, which is longer than the notice.
 constexpr unsigned kTokens = 500;
 constexpr unsigned kTokenMs = 10;
+// Tokens that an engine may compute for a stream that has left it.
+constexpr unsigned kMaxWaste = 20;
 
 // One way in which instances are taken away.
 struct ReclaimCase
@@ -78,6 +82,20 @@
   }
 }
 
+// Tokens that the engines have computed for all requests.
+std::uint64_t
+ComputedTokens(FaultScene& aScene)
+{
+  std::uint64_t tokens = 0;
+  for (unsigned engine = 0; engine < aScene.Deployed().Engines(); ++engine) {
+    if (aScene.Deployed().IsEngineRunning(engine)) {
+      tokens +=
+        aScene.EngineCounters(engine).at("tokensComputed").get<std::uint64_t>();
+    }
+  }
+  return tokens;
+}
+
 void
 RunCase(const ReclaimCase& aCase)
 {
@@ -96,6 +114,13 @@
       scene.RepliesTo("stream-" + std::to_string(index)).size() > 1 ? 1 : 0;
   }
   cr_assert_eq(moved, kStreams, "%u streams were handed over", moved);
+  // A stream that is run again in place of being handed over computes its
+  // tokens twice. Engines go on for some steps after the handover message.
+  const std::uint64_t computed = ComputedTokens(scene);
+  cr_assert_leq(computed,
+                kStreams * (kTokens + kMaxWaste * aCase.noticed_.size()),
+                "%lu tokens were computed",
+                static_cast<unsigned long>(computed));
 }
 
 } // namespace
