--- a/src/requests/RequestTask.cpp
+++ b/src/requests/RequestTask.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 namespace sycamoreward {
 
 namespace {
