Add the fleet duty and test the control plane over processes

Cause: configuration, membership and the command line were tested in one process or against a played server only, and the fleet package was not in use.

Changes: * FleetTask loads the models that ModelVersion declares, under the fleet lease. Each order is claimed in the table before it is sent. New: spec.checksFencing, settings fleet.leaseMs, fleet.renewMs, fleet.orderTimeoutMs. * status.inForce used the highest relayed value for domains without direct contact. InForce takes the lowest, over at most three steps, and 0 for a domain of which nothing is known. Beat has the new field relayedInForce. * An instance that started without seeds in its settings and with the table down was never ready. The test that refused "GET" is replaced: "Get", "LIST" and numbers are refused, upper and lower case are read alike.

Seen to fail with mechanisms switched off in a scratch edit (one run each): * highest instead of lowest value in InForce: InForce/StatusNeverOverstates; * no pull after a heartbeat: platform cut off from a failure domain; * no seeds from the platform's list: an instance that starts while the table is down is never ready; * no condition on the resource's version: two operators won one round; * no identity check in Hello: the old instance was believed to live; * no `leaving` event; no suspicion after a failed probe: the two tests of address answers; * no lease check before an order together with orders after a claim of unknown result: stale orders refused (servers that check) and applied (servers that don't). The lease check alone off, and an expired lease taken as valid together with no TooLate in DecideOrder, passed: a claim whose reply came after the pause has timed out and is abandoned.

Not seen to fail with a mechanism off: whole streams at deletion, order of watch events, and the commands of sycamorewardctl.

--- a/src/configuration/ConfigurationTask.cpp
+++ b/src/configuration/ConfigurationTask.cpp
@@ -85,6 +85,13 @@
 
 void
 ConfigurationTask::Start(std::vector<PeerIdentity> aSeeds)
+{
+  SetSeeds(std::move(aSeeds));
+  Tick();
+}
+
+void
+ConfigurationTask::SetSeeds(std::vector<PeerIdentity> aSeeds)
 {
   seeds_ = std::move(aSeeds);
   seeds_.erase(std::remove_if(seeds_.begin(),
@@ -94,7 +101,6 @@
                                        membership_.Self().instance_;
                               }),
                seeds_.end());
-  Tick();
 }
 
 std::shared_ptr<const Configuration>
@@ -299,28 +305,34 @@
 ConfigurationTask::FillBeat(Beat& aBeat)
 {
   aBeat.configuration_ = state_.CurrentRevision();
-  auto inForce = InForce();
-  if (inForce != sentInForce_) {
-    sentInForce_ = inForce;
+  InForceStatements statements = CollectStatements();
+  for (const auto& [domain, revision] : statements.direct_) {
+    statements.near_.erase(domain);
+  }
+  if (statements.direct_ != sentDirect_ || statements.near_ != sentNear_) {
+    sentDirect_ = statements.direct_;
+    sentNear_ = statements.near_;
     beatsSinceChange_ = 0;
   }
   if (++beatsSinceChange_ < kBeatsAfterChange ||
       beatsSinceChange_ % kBeatsBetween == 0) {
-    aBeat.inForce_ = std::move(inForce);
+    aBeat.inForce_ = std::move(statements.direct_);
+    aBeat.relayedInForce_ = std::move(statements.near_);
   }
 }
 
 void
 ConfigurationTask::ReadBeat(const PeerIdentity& aFrom, const Beat& aBeat)
 {
-  PeerRevision& peer = peers_[aFrom.instance_];
+  PeerStatement& peer = peers_[aFrom.instance_];
   if (!aFrom.failureDomain_.Value().empty()) {
     peer.failureDomain_ = aFrom.failureDomain_;
   }
   peer.revision_ = aBeat.configuration_;
   peer.heard_ = loop_.GetClock().Now();
   if (!aBeat.inForce_.empty()) {
-    peer.inForce_ = aBeat.inForce_;
+    peer.direct_ = aBeat.inForce_;
+    peer.near_ = aBeat.relayedInForce_;
   }
   for (auto it = peers_.begin(); it != peers_.end();) {
     const bool isOld = peer.heard_ - it->second.heard_ > kStatementAge;
@@ -331,33 +343,19 @@
   }
 }
 
-std::map<std::string, std::uint64_t>
+DomainRevisions
 ConfigurationTask::InForce() const
 {
-  const std::string own = membership_.Self().failureDomain_.Value();
-  std::map<std::string, std::uint64_t> direct;
-  std::map<std::string, std::uint64_t> relayed;
-  direct[own] = state_.CurrentRevision().Value();
-  const auto lower = [&](const std::string& aDomain, std::uint64_t aRevision) {
-    const auto place = direct.emplace(aDomain, aRevision).first;
-    place->second = std::min(place->second, aRevision);
-  };
-  for (const auto& [instance, peer] : peers_) {
-    const std::string& domain = peer.failureDomain_.Value();
-    lower(domain, peer.revision_.Value());
-    for (const auto& [name, revision] : peer.inForce_) {
-      // Only a member of a domain speaks for it; what others relay would keep
-      // an old minimum alive for ever.
-      if (name == domain && name != own) {
-        lower(name, revision);
-      } else if (name != domain) {
-        relayed[name] = std::max(relayed[name], revision);
-      }
-    }
-  }
-  // Domains that no heartbeat of this instance reaches.
-  direct.insert(relayed.begin(), relayed.end());
-  return direct;
+  return InForceByDomain(CollectStatements(), membership_.Members());
+}
+
+InForceStatements
+ConfigurationTask::CollectStatements() const
+{
+  return CollectInForce(membership_.Members(),
+                        membership_.Neighbours(),
+                        state_.CurrentRevision(),
+                        peers_);
 }
 
 void
--- a/src/configuration/ConfigurationTask.h
+++ b/src/configuration/ConfigurationTask.h
@@ -7,6 +7,7 @@
 #include "configuration/ConfigurationSource.h"
 #include "configuration/ConfigurationStore.h"
 #include "configuration/FeedExchange.h"
+#include "configuration/InForce.h"
 #include "membership/MembershipTask.h"
 
 #include <functional>
@@ -55,6 +56,9 @@
   // the platform's list.
   void Start(std::vector<PeerIdentity> aSeeds);
 
+  // Replaces the seeds when the platform's list is known or changes.
+  void SetSeeds(std::vector<PeerIdentity> aSeeds);
+
   // False until the configuration has been read from the table or from enough
   // peers.
   bool IsReady() const { return isReady_; }
@@ -67,19 +71,10 @@
   // A change that this instance has committed.
   void Committed(const ConfigChange& aChange);
 
-  // Lowest revision in force by failure domain, over the members that this
-  // instance and its neighbours exchange heartbeats with.
-  std::map<std::string, std::uint64_t> InForce() const;
+  // See InForceByDomain.
+  DomainRevisions InForce() const;
 
 private:
-  struct PeerRevision
-  {
-    FailureDomainId failureDomain_;
-    Revision revision_;
-    std::map<std::string, std::uint64_t> inForce_;
-    MonotonicTime heard_;
-  };
-
   void Tick();
   void AskSeeds();
   void ReadTable();
@@ -88,6 +83,7 @@
   void PullFrom(const PeerIdentity& aPeer);
   bool Apply(const FeedDelta& aDelta);
   std::optional<FeedDelta> DeltaAfter(std::uint64_t aAfter) const;
+  InForceStatements CollectStatements() const;
   void FillBeat(Beat& aBeat);
   void ReadBeat(const PeerIdentity& aFrom, const Beat& aBeat);
   void Changed();
@@ -103,9 +99,10 @@
   std::vector<PeerIdentity> seeds_;
   StartAnswers answers_;
   std::uint64_t ticks_ = 0;
-  std::map<InstanceId, PeerRevision> peers_;
-  // What was last sent as inForce_, and beats since its last change.
-  std::map<std::string, std::uint64_t> sentInForce_;
+  std::map<InstanceId, PeerStatement> peers_;
+  // What was last sent, and beats since its last change.
+  DomainRevisions sentDirect_;
+  DomainRevisions sentNear_;
   std::uint64_t beatsSinceChange_ = 0;
   std::vector<std::function<void()>> observers_;
   EventLoop::TimerId timer_ = 0;
--- a/src/configuration/Resource.h
+++ b/src/configuration/Resource.h
@@ -99,6 +99,9 @@
   PoolName pool_;
   // Object in the weight store.
   std::string weights_;
+  // Whether the servers of the pool refuse an order with an older fencing
+  // number than they have seen.
+  bool checksFencing_ = true;
 };
 
 // Settings of the decisions about a service's requests.
--- a/src/configuration/ResourceJson.cpp
+++ b/src/configuration/ResourceJson.cpp
@@ -43,6 +43,28 @@
   return found == kMethods.end() ? HttpMethod::Post : *found;
 }
 
+// Methods of routes may be written in upper case, as in HTTP.
+void
+LowerRouteMethods(Json& aDocument)
+{
+  const Json::json_pointer routes("/spec/routes");
+  if (!aDocument.contains(routes) || !aDocument[routes].is_array()) {
+    return;
+  }
+  for (Json& route : aDocument[routes]) {
+    if (!route.is_object() || !route.contains("method") ||
+        !route["method"].is_string()) {
+      continue;
+    }
+    const std::string word = route["method"].get<std::string>();
+    for (const HttpMethod method : kMethods) {
+      if (word == ToString(method)) {
+        route["method"] = MethodWord(method);
+      }
+    }
+  }
+}
+
 Duration
 ReadMs(const Json& aValue)
 {
@@ -115,7 +137,8 @@
            spec.at("model").get<std::string>(),
            spec.at("version").get<std::string>(),
            PoolName(spec.at("pool").get<std::string>()),
-           spec.at("weights").get<std::string>() };
+           spec.at("weights").get<std::string>(),
+           spec.at("checksFencing").get<bool>() };
 }
 
 RoutingPolicy
@@ -177,7 +200,8 @@
   return { { "model", aVersion.model_ },
            { "version", aVersion.version_ },
            { "pool", aVersion.pool_.Value() },
-           { "weights", aVersion.weights_ } };
+           { "weights", aVersion.weights_ },
+           { "checksFencing", aVersion.checksFencing_ } };
 }
 
 Json
@@ -312,6 +336,7 @@
   }
   Json document = aDocument;
   document.erase("status");
+  LowerRouteMethods(document);
   ParsedResource parsed;
   parsed.errors_ = CheckDocument(SchemaOf(*kind), document);
   if (!parsed.errors_.empty()) {
--- a/src/configuration/Schema.cpp
+++ b/src/configuration/Schema.cpp
@@ -115,7 +115,7 @@
                 false,
                 "post",
                 { "get", "post", "put", "delete", "head", "patch", "options" },
-                "Method of the requests."));
+                "Method of the requests, in lower or upper case."));
   aTable.push_back(
     RequiredField("spec.routes[].pathPrefix",
                   FieldType::Path,
@@ -205,6 +205,12 @@
     "spec.pool", FieldType::Name, "Backend servers that load the version."));
   table.push_back(RequiredField(
     "spec.weights", FieldType::Text, "Object in the weight store."));
+  table.push_back(
+    OptionalField("spec.checksFencing",
+                  FieldType::Boolean,
+                  true,
+                  "Whether the servers of the pool refuse an order with an "
+                  "older fencing number than they have seen."));
   return table;
 }
 
--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -6,6 +6,7 @@
 #include "configuration/ServerFeed.h"
 #include "entry/ClaimQuery.h"
 #include "entry/ProcessUsage.h"
+#include "fleet/FleetTask.h"
 #include "ledger/Journal.h"
 #include "ledger/LedgerClient.h"
 #include "ledger/Registrar.h"
@@ -24,6 +25,7 @@
 #include "telemetry/Log.h"
 #include "telemetry/Metrics.h"
 
+#include <algorithm>
 #include <random>
 
 namespace sycamoreward {
@@ -33,6 +35,9 @@
 constexpr std::chrono::seconds kListTimeout{ 2 };
 // How often a drain looks whether outcomes have become durable.
 constexpr std::chrono::milliseconds kDrainCheck{ 50 };
+// Duty and name of the lease of the fleet task.
+constexpr const char* kFleetDuty = "fleet";
+constexpr std::ptrdiff_t kFleetCandidates = 2;
 
 std::string
 RandomToken(std::mt19937_64& aRandom)
@@ -105,6 +110,16 @@
   return live;
 }
 
+OrderTerms
+FleetTerms(const FleetSettings& aFleet)
+{
+  OrderTerms terms;
+  terms.lease_.duration_ = aFleet.lease_;
+  terms.lease_.renewEvery_ = aFleet.renew_;
+  terms.orderTimeout_ = aFleet.orderTimeout_;
+  return terms;
+}
+
 } // namespace
 
 struct EntryInstance::State
@@ -118,6 +133,7 @@
   void FetchList(std::uint64_t aSince,
                  std::function<void(std::optional<std::string>)> aOnText);
   bool IsReady() const;
+  bool IsFleetCandidate() const;
   std::string MetricsText();
   void ConnectParts();
   void Start();
@@ -148,6 +164,8 @@
   LedgerClient ledger_;
   CallerApi callerApi_;
   ResourceApi resourceApi_;
+  LeaseTask fleetLease_;
+  FleetTask fleet_;
   std::unique_ptr<NoticeWatch> noticeWatch_;
   bool isLeaving_ = false;
   std::function<void()> onDrained_;
@@ -217,6 +235,22 @@
                  configuration_,
                  configurationStore_,
                  aSettings.operators_)
+  , fleetLease_(
+      aLoop,
+      table_,
+      kFleetDuty,
+      aSettings.instance_.id_,
+      FleetTerms(aSettings.fleet_).lease_,
+      [this] { return IsFleetCandidate(); },
+      [this] { return RandomToken(random_); })
+  , fleet_(FleetServices{ aLoop,
+                          client_,
+                          table_,
+                          configuration_,
+                          servers_,
+                          [this] { return fleetLease_.Held(); },
+                          [this] { return RandomToken(random_); } },
+           FleetTerms(aSettings.fleet_))
 {
   ConnectParts();
   Start();
@@ -280,6 +314,7 @@
   servers_.OnChange([this] {
     scheduler_.RefreshServers();
     membership_.SetSeeds(servers_.Entries());
+    configuration_.SetSeeds(servers_.Entries());
   });
 }
 
@@ -310,6 +345,19 @@
   return configuration_.IsReady() && servers_.IsReady() && !isLeaving_;
 }
 
+// Before the configuration is known, this instance could not tell which models
+// are wanted.
+bool
+EntryInstance::State::IsFleetCandidate() const
+{
+  const auto ranked =
+    RankForDuty(membership_.Members(), kFleetDuty, settings_.instance_.region_);
+  const auto place =
+    std::find(ranked.begin(), ranked.end(), settings_.instance_.id_);
+  return IsReady() && place != ranked.end() &&
+         place - ranked.begin() < kFleetCandidates;
+}
+
 void
 EntryInstance::State::HandleCaller(
   const std::shared_ptr<HttpExchange>& aExchange)
--- /dev/null
+++ b/src/fleet/FleetTask.cpp
@@ -0,0 +1,296 @@
+#include "fleet/FleetTask.h"
+
+#include "telemetry/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+// Time between two looks at a server that is as wanted.
+constexpr Duration kCheckInterval = std::chrono::seconds(1);
+constexpr Duration kLongestBackoff = std::chrono::seconds(60);
+
+// Sort keys order as text, so numbers are written with a fixed width.
+std::string
+Digits(std::uint64_t aNumber)
+{
+  const std::string digits = std::to_string(aNumber);
+  return std::string(20 - digits.size(), '0') + digits;
+}
+
+bool
+IsAsWanted(const Json& aState, const ModelVersion& aWanted)
+{
+  return aState.value("model", Json()) == aWanted.model_ &&
+         aState.value("version", Json()) == aWanted.version_;
+}
+
+FencingSupport
+SupportOf(const ModelVersion& aVersion)
+{
+  return aVersion.checksFencing_ ? FencingSupport::Checked
+                                 : FencingSupport::Ignored;
+}
+
+} // namespace
+
+const ModelVersion*
+FindWanted(const Configuration& aConfiguration, const PoolName& aPool)
+{
+  const ModelVersion* wanted = nullptr;
+  for (const auto& [name, version] : aConfiguration.modelVersions_) {
+    if (version.pool_ == aPool &&
+        (wanted == nullptr || version.metadata_.resourceVersion_ >
+                                wanted->metadata_.resourceVersion_)) {
+      wanted = &version;
+    }
+  }
+  return wanted;
+}
+
+Duration
+OrderBackoff(unsigned aFailures)
+{
+  Duration wait = kCheckInterval;
+  for (unsigned count = 1; count < aFailures && wait < kLongestBackoff;
+       ++count) {
+    wait *= 2;
+  }
+  return std::min(wait, kLongestBackoff);
+}
+
+FleetTask::FleetTask(FleetServices aServices, OrderTerms aTerms)
+  : services_(std::move(aServices))
+  , terms_(aTerms)
+{
+  timer_ = services_.loop_.CallAfter(kTickInterval, [this] { Tick(); });
+}
+
+FleetTask::~FleetTask()
+{
+  services_.loop_.CancelTimer(timer_);
+}
+
+void
+FleetTask::Tick()
+{
+  timer_ = services_.loop_.CallAfter(kTickInterval, [this] { Tick(); });
+  const auto lease = services_.held_();
+  if (!lease) {
+    return;
+  }
+  if (lease->epoch_ != epoch_) {
+    epoch_ = lease->epoch_;
+    number_ = 0;
+  }
+  const MonotonicTime now = services_.loop_.GetClock().Now();
+  const auto configuration = services_.configuration_.Current();
+  if (configuration->revision_ != revision_) {
+    revision_ = configuration->revision_;
+    for (auto& [server, record] : servers_) {
+      record.due_ = record.failures_ == 0 ? now : record.due_;
+    }
+  }
+  const std::vector<Server> listed = services_.servers_.Servers();
+  for (auto it = servers_.begin(); it != servers_.end();) {
+    const bool isListed =
+      std::any_of(listed.begin(), listed.end(), [&](const Server& aServer) {
+        return aServer.id_ == it->first;
+      });
+    it = isListed || it->second.isOpen_ ? std::next(it) : servers_.erase(it);
+  }
+  std::vector<std::pair<MonotonicTime, const Server*>> due;
+  for (const Server& server : listed) {
+    const ServerRecord& record = servers_[server.id_];
+    if (!record.isOpen_ && record.due_ <= now &&
+        server.state_ == ServerState::Live &&
+        FindWanted(*configuration, server.pool_) != nullptr) {
+      due.emplace_back(record.due_, &server);
+    }
+  }
+  // The one that waits longest goes first, so that each has its turn.
+  std::sort(due.begin(), due.end());
+  for (const auto& [time, server] : due) {
+    if (open_ >= kMaxOpen) {
+      break;
+    }
+    StartCheck(*server, *FindWanted(*configuration, server->pool_));
+  }
+}
+
+void
+FleetTask::StartCheck(const Server& aServer, const ModelVersion& aWanted)
+{
+  servers_[aServer.id_].isOpen_ = true;
+  ++open_;
+  HttpClientRequest request;
+  request.address_ = aServer.address_;
+  request.target_ = "/orders";
+  Call(request,
+       [this, server = aServer, wanted = aWanted](
+         const HttpClientReply& aReply) { OnState(server, wanted, aReply); });
+}
+
+void
+FleetTask::OnState(const Server& aServer,
+                   const ModelVersion& aWanted,
+                   const HttpClientReply& aReply)
+{
+  ServerRecord& record = servers_[aServer.id_];
+  const Json state = Json::parse(aReply.body_, nullptr, false);
+  if (aReply.end_ != HttpEnd::Complete || aReply.status_ != 200 ||
+      !state.is_object()) {
+    Finish(aServer.id_, kCheckInterval);
+  } else if (IsAsWanted(state, aWanted)) {
+    record.failures_ = 0;
+    Finish(aServer.id_, kCheckInterval);
+  } else {
+    Claim(aServer, aWanted);
+  }
+}
+
+bool
+FleetTask::IsAllowed(const ModelVersion& aWanted) const
+{
+  const auto lease = services_.held_();
+  return lease && lease->epoch_ == epoch_ &&
+         DecideOrder(lease,
+                     SupportOf(aWanted),
+                     services_.loop_.GetClock().Now(),
+                     terms_) == OrderPermission::Allowed;
+}
+
+void
+FleetTask::Claim(const Server& aServer, const ModelVersion& aWanted)
+{
+  if (!IsAllowed(aWanted)) {
+    Finish(aServer.id_, kCheckInterval);
+    return;
+  }
+  ++servers_[aServer.id_].failures_;
+  RowWrite write;
+  write.row_.key_ = { "orders/" + aServer.id_.Value(),
+                      Digits(epoch_.Value()) + "." + Digits(++number_) };
+  write.row_.values_ = { { "action", ToString(OrderKind::LoadModel) },
+                         { "model", aWanted.model_ },
+                         { "version", aWanted.version_ } };
+  write.condition_ = RowCondition::Absent;
+  services_.table_.Write(
+    { write },
+    services_.makeToken_(),
+    [this,
+     server = aServer,
+     wanted = aWanted,
+     epoch = epoch_,
+     weak = std::weak_ptr<bool>(alive_)](WriteResult aResult) {
+      if (weak.expired()) {
+        return;
+      }
+      // A claim that is not known to be made is abandoned; the next try has a
+      // new number.
+      if (aResult != WriteResult::Committed || epoch != epoch_ ||
+          !IsAllowed(wanted)) {
+        Finish(server.id_, OrderBackoff(servers_[server.id_].failures_));
+        return;
+      }
+      SendOrder(server, wanted, epoch);
+    });
+}
+
+void
+FleetTask::SendOrder(const Server& aServer,
+                     const ModelVersion& aWanted,
+                     FencingToken aEpoch)
+{
+  LogFor("fleet")->info("Orders {} to load {} version {} with epoch {}.",
+                        aServer.id_.Value(),
+                        aWanted.model_,
+                        aWanted.version_,
+                        aEpoch.Value());
+  HttpClientRequest request;
+  request.address_ = aServer.address_;
+  request.method_ = HttpMethod::Post;
+  request.target_ = "/orders";
+  request.headers_ = { { "Content-Type", "application/json" } };
+  request.body_ = Json{
+    { "action", ToString(OrderKind::LoadModel) },
+    { "model", aWanted.model_ },
+    { "version", aWanted.version_ },
+    { "weights", aWanted.weights_ },
+    { "fencing", aEpoch.Value() }
+  }.dump();
+  request.mayReuseConnection_ = false;
+  Call(request, [this, server = aServer](const HttpClientReply& aReply) {
+    const bool isApplied =
+      aReply.end_ == HttpEnd::Complete && aReply.status_ == 200;
+    if (!isApplied) {
+      LogFor("fleet")->warn("The order to {} was not confirmed: {}, status {}.",
+                            server.id_.Value(),
+                            ToString(aReply.end_),
+                            aReply.status_);
+    }
+    // The state is read back at once after a success.
+    Finish(server.id_,
+           isApplied ? Duration(0)
+                     : OrderBackoff(servers_[server.id_].failures_));
+  });
+}
+
+void
+FleetTask::Finish(const ServerId& aServer, Duration aWait)
+{
+  ServerRecord& record = servers_[aServer];
+  record.isOpen_ = false;
+  record.due_ = services_.loop_.GetClock().Now() + aWait;
+  --open_;
+}
+
+void
+FleetTask::Call(const HttpClientRequest& aRequest,
+                std::function<void(HttpClientReply)> aOnReply)
+{
+  struct State
+  {
+    std::shared_ptr<HttpCall> call_;
+    EventLoop::TimerId timer_ = 0;
+    bool isDone_ = false;
+  };
+  HttpClientRequest request = aRequest;
+  request.connectTimeout_ = terms_.orderTimeout_;
+  request.silenceTimeout_ = terms_.orderTimeout_;
+  const auto state = std::make_shared<State>();
+  const auto finish =
+    [this,
+     state,
+     onReply = std::move(aOnReply),
+     weak = std::weak_ptr<bool>(alive_)](const HttpClientReply& aReply) {
+      if (weak.expired() || state->isDone_) {
+        return;
+      }
+      state->isDone_ = true;
+      state->call_.reset();
+      services_.loop_.CancelTimer(state->timer_);
+      onReply(aReply);
+    };
+  state->timer_ =
+    services_.loop_.CallAfter(terms_.orderTimeout_, [state, finish] {
+      if (state->call_ != nullptr) {
+        state->call_->Cancel();
+      }
+      HttpClientReply silent;
+      silent.end_ = HttpEnd::Silent;
+      finish(silent);
+    });
+  state->call_ = services_.client_.Fetch(request, finish);
+}
+
+} // namespace sycamoreward
--- /dev/null
+++ b/src/fleet/FleetTask.h
@@ -0,0 +1,92 @@
+#pragma once
+
+// Keeps the models of engines at what the ModelVersion resources declare, while
+// this instance holds the fleet lease.
+
+#include "configuration/ConfigurationSource.h"
+#include "fleet/LeaseTask.h"
+#include "fleet/Orders.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
+#include "store/Table.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sycamoreward {
+
+// The version that the servers of a pool should have: of the ModelVersion
+// resources of the pool the one that was changed last. Null when there is none.
+const ModelVersion*
+FindWanted(const Configuration& aConfiguration, const PoolName& aPool);
+
+// How long a server is left alone after orders that did not take effect.
+Duration
+OrderBackoff(unsigned aFailures);
+
+struct FleetServices
+{
+  EventLoop& loop_;
+  HttpClient& client_;
+  Table& table_;
+  const ConfigurationSource& configuration_;
+  const ServerList& servers_;
+  // The lease while it is valid.
+  std::function<std::optional<HeldLease>()> held_;
+  std::function<std::string()> makeToken_;
+};
+
+class FleetTask
+{
+public:
+  FleetTask(FleetServices aServices, OrderTerms aTerms);
+  ~FleetTask();
+  FleetTask(const FleetTask&) = delete;
+  FleetTask& operator=(const FleetTask&) = delete;
+
+  // Calls open at once, each for one server.
+  static constexpr std::size_t kMaxOpen = 8;
+
+private:
+  struct ServerRecord
+  {
+    bool isOpen_ = false;
+    // When it may be asked next.
+    MonotonicTime due_{};
+    // Orders since the server last had the wanted version.
+    unsigned failures_ = 0;
+  };
+
+  void Tick();
+  void StartCheck(const Server& aServer, const ModelVersion& aWanted);
+  void OnState(const Server& aServer,
+               const ModelVersion& aWanted,
+               const HttpClientReply& aReply);
+  void Claim(const Server& aServer, const ModelVersion& aWanted);
+  void SendOrder(const Server& aServer,
+                 const ModelVersion& aWanted,
+                 FencingToken aEpoch);
+  bool IsAllowed(const ModelVersion& aWanted) const;
+  void Finish(const ServerId& aServer, Duration aWait);
+  // Calls a server with the order timeout as limit of the whole call.
+  void Call(const HttpClientRequest& aRequest,
+            std::function<void(HttpClientReply)> aOnReply);
+
+  FleetServices services_;
+  OrderTerms terms_;
+  std::map<ServerId, ServerRecord> servers_;
+  std::size_t open_ = 0;
+  // Revision of the configuration at the last tick.
+  Revision revision_;
+  FencingToken epoch_;
+  // Last number of an order within epoch_.
+  std::uint64_t number_ = 0;
+  EventLoop::TimerId timer_ = 0;
+  // Lets callbacks find out that this task is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sycamoreward
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -120,6 +120,7 @@
   aArchive("config", aValue.configuration_);
   aArchive("servers", aValue.serverListVersion_);
   aArchive("inForce", aValue.inForce_);
+  aArchive("relayedInForce", aValue.relayedInForce_);
   aArchive("members", aValue.members_);
   aArchive("leaving", aValue.leavingServers_);
 }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -44,8 +44,10 @@
   Incarnation incarnation_;
   Revision configuration_;
   std::uint64_t serverListVersion_ = 0;
-  // Lowest configuration revision in force by failure domain, as far as known.
+  // Lowest configuration revision in force by failure domain: where the sender
+  // has contact with members of it, and where only peers of the sender have.
   std::map<std::string, std::uint64_t> inForce_;
+  std::map<std::string, std::uint64_t> relayedInForce_;
   std::vector<MemberEvent> members_;
   std::vector<ServerLeavingEvent> leavingServers_;
 };
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -99,6 +99,10 @@
   const Json& drain = aDocument.at("drain");
   settings.drain_ = { ReadMs(drain, "idleConnectionMs"),
                       ReadMs(drain, "handOverReserveMs") };
+  const Json& fleet = aDocument.at("fleet");
+  settings.fleet_ = { ReadMs(fleet, "leaseMs"),
+                      ReadMs(fleet, "renewMs"),
+                      ReadMs(fleet, "orderTimeoutMs") };
   settings.trace_ = { ReadOptionalAddress(aDocument.at("trace"), "export") };
   return settings;
 }
@@ -137,6 +141,25 @@
   return errors;
 }
 
+// Without time between the renewal and the last moment for an order there would
+// be no orders to servers that ignore fencing numbers.
+std::vector<FieldError>
+CheckFleet(const FleetSettings& aFleet)
+{
+  if (aFleet.renew_ + aFleet.orderTimeout_ < aFleet.lease_) {
+    return {};
+  }
+  const auto text = [](Duration aTime) {
+    return std::to_string(aTime / std::chrono::milliseconds(1));
+  };
+  return { { "fleet.leaseMs",
+             "The field \"fleet.leaseMs\" is " + text(aFleet.lease_) +
+               "; it must be longer than renewMs (" + text(aFleet.renew_) +
+               ") and orderTimeoutMs (" + text(aFleet.orderTimeout_) +
+               ") together.",
+             0 } };
+}
+
 Settings
 ReadFile(const std::string& aName, YamlFile aFile)
 {
@@ -160,6 +183,7 @@
   }
   Settings settings = ReadSettings(WithDefaults(table, document.value_));
   AddFaults(document, CheckListen(settings), faults);
+  AddFaults(document, CheckFleet(settings.fleet_), faults);
   if (!faults.empty()) {
     throw SettingsError(std::move(faults));
   }
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -81,6 +81,14 @@
   Duration handOverReserve_{ 0 };
 };
 
+// Lease and orders of the fleet task.
+struct FleetSettings
+{
+  Duration lease_{ 0 };
+  Duration renew_{ 0 };
+  Duration orderTimeout_{ 0 };
+};
+
 struct TraceSettings
 {
   // Receiver of OTLP JSON; none when empty.
@@ -98,6 +106,7 @@
   std::vector<OperatorSettings> operators_;
   LimitSettings limits_;
   DrainSettings drain_;
+  FleetSettings fleet_;
   TraceSettings trace_;
 };
 
--- a/src/settings/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -107,6 +107,40 @@
                 "reader: reads and watches; writer: also changes resources."));
 }
 
+void
+AddFleet(FieldTable& aTable)
+{
+  aTable.push_back(OptionalField("fleet",
+                                 kObject,
+                                 nlohmann::json::object(),
+                                 "Lease and orders of the fleet task; the same "
+                                 "on each instance."));
+  aTable.push_back(RangedField("fleet.leaseMs",
+                               FieldType::Integer,
+                               15'000,
+                               500,
+                               600'000,
+                               "ms",
+                               "Time for which the lease is held after its "
+                               "last renewal; longer than the two below "
+                               "together."));
+  aTable.push_back(RangedField("fleet.renewMs",
+                               FieldType::Integer,
+                               5'000,
+                               50,
+                               300'000,
+                               "ms",
+                               "Time between two renewals of the lease."));
+  aTable.push_back(RangedField("fleet.orderTimeoutMs",
+                               FieldType::Integer,
+                               5'000,
+                               50,
+                               300'000,
+                               "ms",
+                               "Longest time until a backend server acts on "
+                               "an order."));
+}
+
 void
 AddBounds(FieldTable& aTable)
 {
@@ -155,6 +189,7 @@
                                "ms",
                                "Part of a reclaim notice that is kept for "
                                "handing requests over."));
+  AddFleet(aTable);
   aTable.push_back(OptionalField("trace", kObject, empty, "Traces."));
   aTable.push_back(
     Remote(OptionalField("trace.export",
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -75,6 +75,9 @@
   cr_assert_eq(settings.platform_.tableName_, "sycamoreward");
   cr_assert(!settings.platform_.notices_);
   cr_assert(!settings.trace_.export_);
+  cr_assert(settings.fleet_.lease_ == std::chrono::seconds(15));
+  cr_assert(settings.fleet_.renew_ == std::chrono::seconds(5));
+  cr_assert(settings.fleet_.orderTimeout_ == std::chrono::seconds(5));
 }
 
 Test(Settings, EachKindOfFaultIsNamedWithItsLine)
@@ -95,6 +98,11 @@
               16,
               "drain.handOverReserveSeconds",
               "write \"handOverReserveMs\" in milliseconds");
+  ExpectFault("handOverReserveMs: 700",
+              "handOverReserveMs: 700\nfleet:\n  leaseMs: 10000",
+              18,
+              "fleet.leaseMs",
+              "must be longer than renewMs (5000) and orderTimeoutMs (5000)");
   ExpectFault("handOverReserveMs: 700",
               "handOverReserveMs: 700ms",
               16,
--- /dev/null
+++ b/test/failure/MembershipProcessTest.cpp
@@ -0,0 +1,173 @@
+// Which entry instances callers are told to use, in a deployment of six as
+// processes, when instances die, freeze, leave or lose their address.
+
+#include "support/Deployment.h"
+#include "support/RecordingCaller.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+using namespace sycamoreward;
+
+namespace {
+
+constexpr unsigned kEntries = 6;
+constexpr unsigned kVictim = 1;
+// Bounds: 7 to 8 s to detect a sudden end, 2 s to announce a leaving.
+constexpr int kDeathSeconds = 10;
+constexpr int kLeaveSeconds = 2;
+
+struct AddressWorld
+{
+  AddressWorld()
+  {
+    DeploymentOptions options;
+    options.engines_ = 1;
+    options.entries_ = kEntries;
+    deployment_ = std::make_unique<Deployment>(options);
+    cr_assert(deployment_->WaitFor([&] { return AllList(kVictim, {}); }, 20));
+  }
+
+  // What aEntry tells callers about the address of aOther and its failure
+  // domain.
+  bool Lists(unsigned aEntry,
+             const Address& aAddress,
+             const std::string& aDomain)
+  {
+    HttpClientRequest request;
+    request.address_ = deployment_->CallerAddress(aEntry);
+    request.target_ = "/v1/addresses";
+    request.mayReuseConnection_ = false;
+    const HttpClientReply reply = deployment_->Fetch(request);
+    // A leaving instance accepts no connections.
+    if (reply.end_ != HttpEnd::Complete) {
+      return false;
+    }
+    const auto answer = nlohmann::json::parse(reply.body_);
+    for (const auto& listed : answer.at("addresses")) {
+      if (listed.at("address") == ToString(aAddress) &&
+          listed.at("failureDomain") == aDomain) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  unsigned Count(const Address& aAddress,
+                 const std::string& aDomain,
+                 const std::set<unsigned>& aExcept)
+  {
+    unsigned count = 0;
+    for (unsigned entry = 0; entry < deployment_->Entries(); ++entry) {
+      count += aExcept.count(entry) == 0 && Lists(entry, aAddress, aDomain);
+    }
+    return count;
+  }
+
+  bool AllList(unsigned aOther, const std::set<unsigned>& aExcept)
+  {
+    return Count(deployment_->CallerAddress(aOther),
+                 Deployment::FailureDomain(aOther),
+                 aExcept) == deployment_->Entries() - aExcept.size();
+  }
+
+  bool NobodyLists(unsigned aOther, const std::set<unsigned>& aExcept)
+  {
+    return Count(deployment_->CallerAddress(aOther),
+                 Deployment::FailureDomain(aOther),
+                 aExcept) == 0;
+  }
+
+  // Waits until no instance but aExcept lists aOther; prints the time.
+  void ExpectGone(const char* aCase, int aSeconds)
+  {
+    const auto begin = std::chrono::steady_clock::now();
+    cr_assert(deployment_->WaitFor(
+                [&] { return NobodyLists(kVictim, { kVictim }); }, aSeconds),
+              "%s",
+              aCase);
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - begin);
+    printf("out of all address answers after %ld ms: %s\n",
+           long(time.count()),
+           aCase);
+  }
+
+  std::unique_ptr<Deployment> deployment_;
+};
+
+} // namespace
+
+// Guards against callers that are sent to a dead instance for long, and against
+// a frozen one that stays out after it runs again.
+Test(MembershipProcess, KilledAndFrozenInstancesLeaveTheAddresses)
+{
+  AddressWorld world;
+  world.deployment_->Entry(kVictim).Freeze();
+  world.ExpectGone("frozen", kDeathSeconds);
+  world.deployment_->Entry(kVictim).Thaw();
+  cr_assert(
+    world.deployment_->WaitFor([&] { return world.AllList(kVictim, {}); }, 15),
+    "the instance did not come back");
+  // A short freeze is refuted or not noticed.
+  world.deployment_->Entry(kVictim).Freeze();
+  cr_assert_not(world.deployment_->WaitFor([] { return false; }, 4));
+  world.deployment_->Entry(kVictim).Thaw();
+  cr_assert(
+    world.deployment_->WaitFor([&] { return world.AllList(kVictim, {}); }, 15),
+    "the instance did not come back");
+  world.deployment_->Entry(kVictim).Kill();
+  world.ExpectGone("killed", kDeathSeconds);
+  cr_assert(world.AllList(0, { kVictim }));
+}
+
+// Guards against new callers at an instance that drains.
+Test(MembershipProcess, LeavingInstanceLeavesTheAddressesAtOnce)
+{
+  AddressWorld world;
+  Deployment& deployment = *world.deployment_;
+  RecordingCaller caller(deployment.Loop(), deployment.Client(), kCallerToken);
+  bool hasBegun = false;
+  caller.OnData([&](const std::string&) { hasBegun = true; });
+  // Keeps the instance running while it leaves.
+  caller.Start(CompletionRequest(
+    "long", kReviewService, 2000, { deployment.CallerAddress(kVictim) }));
+  cr_assert(deployment.WaitFor([&] { return hasBegun; }, 20));
+  deployment.Entry(kVictim).Terminate();
+  world.ExpectGone("leaving", kLeaveSeconds);
+  cr_assert(world.NobodyLists(kVictim, {}));
+  cr_assert(deployment.WaitFor([&] { return caller.IsDone(); }, 30));
+  cr_assert_eq(deployment.Entry(kVictim).WaitForExit(20), 0);
+  cr_assert(world.NobodyLists(kVictim, { kVictim }));
+}
+
+// Guards against trust in an address: another instance that takes over the
+// ports of a dead one must not keep it alive, nor bring it back later.
+Test(MembershipProcess, AnotherInstanceAtTheAddressIsNotTheOldOne)
+{
+  AddressWorld world;
+  Deployment& deployment = *world.deployment_;
+  const Address callers = deployment.CallerAddress(kVictim);
+  const Address peers = deployment.PeerAddress(kVictim);
+  const std::string oldDomain = Deployment::FailureDomain(kVictim);
+  const std::string newDomain = Deployment::FailureDomain(kEntries);
+  deployment.Entry(kVictim).Kill();
+  deployment.StartEntryAt(kEntries, callers, peers);
+  cr_assert_neq(oldDomain, newDomain);
+  const std::set<unsigned> dead{ kVictim };
+  cr_assert(deployment.WaitFor(
+              [&] { return world.Count(callers, oldDomain, dead) == 0; },
+              kDeathSeconds),
+            "the old instance is still believed to live");
+  cr_assert(deployment.WaitFor(
+              [&] { return world.Count(callers, newDomain, dead) == kEntries; },
+              kDeathSeconds),
+            "the new instance is not known everywhere");
+  cr_assert_not(
+    deployment.WaitFor(
+      [&] { return world.Count(callers, oldDomain, dead) > 0; }, 12),
+    "the old instance is believed to be back");
+}
--- /dev/null
+++ b/test/support/ControlWorld.h
@@ -0,0 +1,128 @@
+#pragma once
+
+// A deployment of six entry instances in three failure domains, with a link to
+// the platform for each failure domain and a monitor of all revisions.
+
+#include "support/CuttableLink.h"
+#include "support/Deployment.h"
+#include "support/RevisionMonitor.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace sycamoreward {
+
+constexpr unsigned kWorldEntries = 6;
+
+struct ControlWorld
+{
+  explicit ControlWorld(DeploymentOptions aOptions = {})
+  {
+    aOptions.entries_ = kWorldEntries;
+    aOptions.linkFor_ =
+      [this](EventLoop& aLoop, const Address& aPlatform, unsigned aEntry) {
+        auto& link = links_[aEntry % 3];
+        if (link == nullptr) {
+          link = std::make_unique<CuttableLink>(aLoop, aPlatform);
+        }
+        return link->ListenAddress();
+      };
+    deployment_ = std::make_unique<Deployment>(aOptions);
+    monitor_ = std::make_unique<RevisionMonitor>(*deployment_);
+  }
+  ~ControlWorld()
+  {
+    cr_expect(monitor_->Fault().empty(), "%s", monitor_->Fault().c_str());
+    monitor_.reset();
+    // The links use the loop of the deployment.
+    links_.clear();
+  }
+
+  // Calls aMethod at an entry instance; the call goes on by itself.
+  void Start(unsigned aEntry,
+             HttpMethod aMethod,
+             const std::string& aTarget,
+             const nlohmann::json& aBody,
+             std::function<void(HttpClientReply)> aOnReply)
+  {
+    HttpClientRequest request;
+    request.address_ = deployment_->OperatorAddress(aEntry);
+    request.method_ = aMethod;
+    request.target_ = aTarget;
+    request.headers_ = { { "Authorization",
+                           std::string("Bearer ") + kOperatorToken } };
+    request.body_ = aBody.is_null() ? "" : aBody.dump();
+    deployment_->Client().Fetch(request, std::move(aOnReply));
+  }
+
+  HttpClientReply Call(unsigned aEntry,
+                       HttpMethod aMethod,
+                       const std::string& aTarget,
+                       const nlohmann::json& aBody = nullptr)
+  {
+    std::optional<HttpClientReply> reply;
+    Start(aEntry, aMethod, aTarget, aBody, [&](HttpClientReply aReply) {
+      reply = std::move(aReply);
+    });
+    cr_assert(Wait([&] { return reply.has_value(); }));
+    return *reply;
+  }
+
+  nlohmann::json Read(unsigned aEntry, const std::string& aTarget)
+  {
+    return nlohmann::json::parse(Call(aEntry, HttpMethod::Get, aTarget).body_);
+  }
+
+  bool Wait(const std::function<bool()>& aDone, int aSeconds = 30)
+  {
+    return deployment_->WaitFor(aDone, aSeconds);
+  }
+
+  // Changes a workspace; returns the revision of the change.
+  std::uint64_t Change(unsigned aEntry, unsigned aShare)
+  {
+    nlohmann::json workspace = Read(aEntry, "/apis/v1/Workspace/lab");
+    workspace["spec"]["share"] = aShare;
+    const auto reply =
+      Call(aEntry, HttpMethod::Put, "/apis/v1/Workspace/lab", workspace);
+    cr_assert_eq(reply.status_, 200, "%s", reply.body_.c_str());
+    return RevisionIn(reply);
+  }
+
+  // The revision that the reply to a change names.
+  static std::uint64_t RevisionIn(const HttpClientReply& aReply)
+  {
+    const auto document = nlohmann::json::parse(aReply.body_);
+    const std::string version = document["metadata"]["resourceVersion"];
+    return std::stoull(version);
+  }
+
+  bool AllHave(const std::set<unsigned>& aEntries,
+               std::uint64_t aRevision) const
+  {
+    return std::all_of(aEntries.begin(), aEntries.end(), [&](unsigned aEntry) {
+      return monitor_->Revision(aEntry) >= aRevision;
+    });
+  }
+
+  void Kill(unsigned aEntry)
+  {
+    deployment_->Entry(aEntry).Kill();
+    monitor_->Stopped(aEntry);
+  }
+  void Restart(unsigned aEntry)
+  {
+    deployment_->StartEntry(aEntry);
+    monitor_->Restarted(aEntry);
+  }
+
+  std::map<unsigned, std::unique_ptr<CuttableLink>> links_;
+  std::unique_ptr<Deployment> deployment_;
+  std::unique_ptr<RevisionMonitor> monitor_;
+};
+
+} // namespace sycamoreward
--- /dev/null
+++ b/test/support/RevisionMonitor.cpp
@@ -0,0 +1,129 @@
+#include "support/RevisionMonitor.h"
+
+#include <algorithm>
+
+namespace sycamoreward {
+
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{ 20 };
+constexpr std::chrono::milliseconds kTimeout{ 500 };
+
+HttpClientRequest
+MakeRequest(const Address& aAddress, const std::string& aTarget)
+{
+  HttpClientRequest request;
+  request.address_ = aAddress;
+  request.target_ = aTarget;
+  request.headers_ = { { "Authorization",
+                         std::string("Bearer ") + kOperatorToken } };
+  request.silenceTimeout_ = kTimeout;
+  request.mayReuseConnection_ = false;
+  return request;
+}
+
+} // namespace
+
+RevisionMonitor::RevisionMonitor(Deployment& aDeployment)
+  : deployment_(aDeployment)
+  , entries_(aDeployment.Entries())
+{
+  for (unsigned entry = 0; entry < entries_.size(); ++entry) {
+    AskReady(entry, 0);
+  }
+}
+
+std::uint64_t
+RevisionMonitor::Revision(unsigned aEntry) const
+{
+  return entries_.at(aEntry).revision_;
+}
+
+bool
+RevisionMonitor::IsReady(unsigned aEntry) const
+{
+  return entries_.at(aEntry).isReady_;
+}
+
+void
+RevisionMonitor::Stopped(unsigned aEntry)
+{
+  ++entries_.at(aEntry).run_;
+}
+
+void
+RevisionMonitor::Restarted(unsigned aEntry)
+{
+  std::uint64_t known = 0;
+  for (const Entry& entry : entries_) {
+    known = std::max(known, entry.revision_);
+  }
+  Entry& entry = entries_.at(aEntry);
+  entry = { 0, known, false, entry.run_ + 1 };
+  AskReady(aEntry, entry.run_);
+}
+
+// The revision is asked for after the reply about readiness, so that a ready
+// instance must have it.
+void
+RevisionMonitor::AskReady(unsigned aEntry, unsigned aRun)
+{
+  deployment_.Client().Fetch(
+    MakeRequest(deployment_.OperatorAddress(aEntry), "/readyz"),
+    [this, aEntry, aRun, weak = std::weak_ptr<bool>(alive_)](
+      const HttpClientReply& aReply) {
+      if (!weak.expired() && aRun == entries_[aEntry].run_) {
+        AskRevision(aEntry, aRun, aReply.status_ == 200);
+      }
+    });
+}
+
+void
+RevisionMonitor::AskRevision(unsigned aEntry, unsigned aRun, bool aIsReady)
+{
+  deployment_.Client().Fetch(
+    MakeRequest(deployment_.OperatorAddress(aEntry), "/apis/v1/Service"),
+    [this, aEntry, aRun, aIsReady, weak = std::weak_ptr<bool>(alive_)](
+      const HttpClientReply& aReply) {
+      if (weak.expired() || aRun != entries_[aEntry].run_) {
+        return;
+      }
+      if (aReply.end_ == HttpEnd::Complete && aReply.status_ == 200) {
+        const auto list = nlohmann::json::parse(aReply.body_);
+        const std::string revision = list["metadata"]["resourceVersion"];
+        Judge(aEntry, std::stoull(revision), aIsReady);
+      }
+      Again(aEntry, aRun);
+    });
+}
+
+void
+RevisionMonitor::Again(unsigned aEntry, unsigned aRun)
+{
+  deployment_.Loop().CallAfter(
+    kInterval, [this, aEntry, aRun, weak = std::weak_ptr<bool>(alive_)] {
+      if (!weak.expired() && aRun == entries_[aEntry].run_) {
+        AskReady(aEntry, aRun);
+      }
+    });
+}
+
+void
+RevisionMonitor::Judge(unsigned aEntry, std::uint64_t aRevision, bool aIsReady)
+{
+  Entry& entry = entries_[aEntry];
+  if (aRevision < entry.revision_) {
+    fault_ += Deployment::EntryId(aEntry) + " went back from " +
+              std::to_string(entry.revision_) + " to " +
+              std::to_string(aRevision) + ". ";
+  }
+  if (aIsReady && aRevision < entry.floor_) {
+    fault_ += Deployment::EntryId(aEntry) + " was ready with revision " +
+              std::to_string(aRevision) + ", when " +
+              std::to_string(entry.floor_) + " was known. ";
+  }
+  entry.revision_ = aRevision;
+  entry.isReady_ = entry.isReady_ || aIsReady;
+}
+
+} // namespace sycamoreward
--- a/tools/sycamorewardctl/Apply.cpp
+++ b/tools/sycamorewardctl/Apply.cpp
@@ -31,19 +31,21 @@
 {
 public:
   Applier(ApiClient& aClient,
+          const std::vector<Change>& aPlan,
           const CtlOptions& aOptions,
           std::ostream& aOut,
           std::ostream& aErr)
     : client_(aClient)
+    , plan_(aPlan)
     , options_(aOptions)
     , out_(aOut)
     , err_(aErr)
   {
   }
 
-  int Run(const std::vector<Change>& aPlan)
+  int Run()
   {
-    for (const Change& change : aPlan) {
+    for (const Change& change : plan_) {
       if (change.action_ == ChangeAction::None) {
         Report(change, "is unchanged");
         Reach(change, std::strtoull(change.version_.c_str(), nullptr, 10));
@@ -52,6 +54,10 @@
       try {
         Send(change);
       } catch (const ApiError& error) {
+        if (options_.isDryRun_ && IsRemovedByPlan(change, error)) {
+          Report(change, DoneText(change));
+          continue;
+        }
         hasFailed_ = true;
         ReportError(change, error);
       }
@@ -84,6 +90,72 @@
     }
   }
 
+  static std::string DoneText(const Change& aChange)
+  {
+    if (aChange.action_ == ChangeAction::Delete) {
+      return "deleted";
+    }
+    return aChange.action_ == ChangeAction::Create ? "created" : "updated";
+  }
+
+  // A dry run sends each change by itself, so the server finds references that
+  // earlier changes of the plan would have put right. Whether all faults that
+  // it found are of this kind.
+  bool IsRemovedByPlan(const Change& aChange, const ApiError& aError)
+  {
+    std::vector<FieldError> removed;
+    if (aChange.declared_) {
+      Configuration alone;
+      PutResource(alone, aChange.declared_->resource_);
+      Configuration withPlan = alone;
+      for (const Change& change : plan_) {
+        if (change.declared_ && change.kind_ == ResourceKind::Service) {
+          PutResource(withPlan, change.declared_->resource_);
+        }
+      }
+      removed = Without(CheckReferences(alone), CheckReferences(withPlan));
+    } else {
+      removed = CheckReferences(ReadDeleted());
+    }
+    return !aError.Details().empty() &&
+           Without(aError.Details(), removed).empty();
+  }
+
+  static std::vector<FieldError> Without(
+    std::vector<FieldError> aErrors,
+    const std::vector<FieldError>& aRemoved)
+  {
+    const auto isRemoved = [&](const FieldError& aError) {
+      return std::any_of(
+        aRemoved.begin(), aRemoved.end(), [&](const FieldError& aOther) {
+          return aOther.field_ == aError.field_ &&
+                 aOther.message_ == aError.message_;
+        });
+    };
+    aErrors.erase(std::remove_if(aErrors.begin(), aErrors.end(), isRemoved),
+                  aErrors.end());
+    return aErrors;
+  }
+
+  // What the plan deletes besides services, as the server has it.
+  Configuration ReadDeleted()
+  {
+    Configuration deleted;
+    for (const Change& change : plan_) {
+      if (change.action_ != ChangeAction::Delete ||
+          change.kind_ == ResourceKind::Service) {
+        continue;
+      }
+      const ApiReply reply = client_.Call(
+        HttpMethod::Get, ResourceTarget(change.kind_, change.name_));
+      const ParsedResource parsed = ResourceFromJson(reply.body_);
+      if (reply.status_ == 200 && parsed.resource_) {
+        PutResource(deleted, *parsed.resource_);
+      }
+    }
+    return deleted;
+  }
+
   // Notes a resource whose status shows the revisions in force.
   void Reach(const Change& aChange, std::uint64_t aRevision)
   {
@@ -129,10 +201,7 @@
       throw ApiError(ToString(method), reply);
     }
     const std::uint64_t revision = ReadVersion(reply.body_);
-    const std::string text = isDelete ? "deleted"
-                             : aChange.action_ == ChangeAction::Create
-                               ? "created"
-                               : "updated";
+    const std::string text = DoneText(aChange);
     Report(aChange,
            revision == 0 || options_.isDryRun_
              ? text
@@ -215,6 +284,7 @@
   }
 
   ApiClient& client_;
+  const std::vector<Change>& plan_;
   const CtlOptions& options_;
   std::ostream& out_;
   std::ostream& err_;
@@ -232,7 +302,7 @@
           std::ostream& aOut,
           std::ostream& aErr)
 {
-  return Applier(aClient, aOptions, aOut, aErr).Run(aPlan);
+  return Applier(aClient, aPlan, aOptions, aOut, aErr).Run();
 }
 
 InForce
