--- a/src/configuration/ConfigurationTask.cpp
+++ b/src/configuration/ConfigurationTask.cpp
@@ -86,6 +86,13 @@
 
 void
 ConfigurationTask::Start(std::vector<PeerIdentity> aSeeds)
+{
+  SetSeeds(std::move(aSeeds));
+  Tick();
+}
+
+void
+ConfigurationTask::SetSeeds(std::vector<PeerIdentity> aSeeds)
 {
   seeds_ = std::move(aSeeds);
   seeds_.erase(std::remove_if(seeds_.begin(),
@@ -95,7 +102,6 @@
                                        membership_.Self().instance_;
                               }),
                seeds_.end());
-  Tick();
 }
 
 void
--- a/test/failure/FleetProcessTest.cpp
+++ b/test/failure/FleetProcessTest.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace sycamoreward;
@@ -104,6 +105,14 @@
     return count;
   }
 
+  bool HasClaim(const std::string& aVersion)
+  {
+    const auto rows = Rows("orders/" + Deployment::EngineId(0));
+    return std::any_of(rows.begin(), rows.end(), [&](const Row& aRow) {
+      return aRow.values_.at("version") == aVersion;
+    });
+  }
+
   void DelayStore(unsigned aMilliseconds)
   {
     deployment_->Post(deployment_->PlatformAddress(),
@@ -159,6 +168,7 @@
     // Longer than a lease with an order.
     deployment.WaitFor([] { return false; }, 5);
     world.WaitUntilLoaded(late);
+    cr_expect(world.HasClaim(early), "no order was claimed before the pause");
     // A holder whose lease has expired sends nothing. Servers that ignore the
     // number would apply it until it is corrected.
     cr_assert_eq(world.Counter("staleOrdersApplied"), 0);
--- a/test/support/CtlProcess.cpp
+++ b/test/support/CtlProcess.cpp
@@ -85,9 +85,9 @@
     kill(pid, SIGKILL);
     waitpid(pid, &status, 0);
   }
-  const CtlRun run{ WIFEXITED(status) ? WEXITSTATUS(status) : -1,
-                    ReadAll(out),
-                    ReadAll(err) };
+  CtlRun run{ WIFEXITED(status) ? WEXITSTATUS(status) : -1,
+              ReadAll(out),
+              ReadAll(err) };
   std::filesystem::remove_all(folder);
   cr_assert(isDone, "the command did not end: %s", run.err_.c_str());
   return run;
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -17,7 +17,6 @@
 
 constexpr int kLimitSeconds = 30;
 constexpr unsigned kFailureDomains = 3;
-constexpr const char* kRegion = Deployment::kRegion;
 
 // SHA-256 of kOperatorToken.
 constexpr const char* kOperatorDigest =
