Free requests whose caller left and callbacks that hold their exchange

Cause: the leak check found that evhttp leaves a request to the handler when its connection fails while it is handled, so that each caller that left early cost about 1 KB for good; and that an exchange was never freed when its own drain callback held it.

Change: the close callback frees such a request, and Detach drops the callbacks later than the current event.

--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -267,7 +267,13 @@
 {
   auto* self = static_cast<Exchange*>(aSelf);
   self->isGone_ = true;
-  // evhttp frees the request with its connection.
+  // evhttp frees a request with its connection, but for one whose connection
+  // failed while the request was handled: it takes that one off the connection
+  // and leaves it to the handler.
+  if (self->request_ != nullptr &&
+      evhttp_request_get_connection(self->request_) == nullptr) {
+    evhttp_request_free(self->request_);
+  }
   auto callback = std::move(self->onCallerGone_);
   self->onCallerGone_ = nullptr;
   self->Detach();
@@ -286,6 +292,12 @@
   request_ = nullptr;
   if (const auto state = state_.lock()) {
     state->open_.erase(this);
+    // A callback that holds this exchange would keep it for ever. It may be
+    // running now, so it is destroyed later.
+    state->loop_.Post(
+      [drained = std::move(onDrained_), gone = std::move(onCallerGone_)] {});
+    onDrained_ = nullptr;
+    onCallerGone_ = nullptr;
   }
 }
 
--- a/test/correctness/RequestReplyTest.cpp
+++ b/test/correctness/RequestReplyTest.cpp
@@ -93,6 +93,8 @@
   }
   log->Notify();
   cr_assert_eq(exchange->chunks_, 1U);
+  // Until its end, the connection and the log hold each other.
+  log->Cut();
 }
 
 Test(RequestReply, FailedAndMovedAnswersAreCutWithoutEndMark)
