--- a/test/performance/CapacityTest.cpp
+++ b/test/performance/CapacityTest.cpp
@@ -5,6 +5,7 @@
 
 #include "performance/CapacityReport.h"
 #include "routing/LoadPoller.h"
+#include "routing/Subset.h"
 #include "support/Deployment.h"
 
 #include <criterion/criterion.h>
@@ -277,3 +278,31 @@
     FitAll(samples, [](const Sample& aSample) { return aSample.changes_; }),
     3500.0 / 86400);
 }
+
+// How evenly the servers of one pool are spread at the target: the instance
+// with most polls decides whether the bound holds for each node.
+Test(Capacity, SubsetsAtFullSize)
+{
+  std::vector<InstanceId> instances;
+  for (int index = 0; index < int(kTargetInstances); ++index) {
+    instances.emplace_back("entry-" + std::to_string(index));
+  }
+  std::vector<Server> servers(std::size_t{ 2600 });
+  for (std::size_t index = 0; index < servers.size(); ++index) {
+    servers[index].id_ = ServerId("engine-" + std::to_string(index));
+  }
+  std::vector<std::size_t> sizes;
+  std::size_t sum = 0;
+  for (const InstanceId& instance : instances) {
+    sizes.push_back(ChooseSubset(instance, instances, servers).size());
+    sum += sizes.back();
+  }
+  std::sort(sizes.begin(), sizes.end());
+  std::printf("polled servers at 400 instances and 2,600 engines: mean %.1f, "
+              "median %zu, 95th percentile %zu, highest %zu\n",
+              double(sum) / double(sizes.size()),
+              sizes[sizes.size() / 2],
+              sizes[sizes.size() * 95 / 100],
+              sizes.back());
+  cr_assert_leq(sizes.back(), LoadPoller::kMaxPolls);
+}
