--- a/test/correctness/EventLoopTest.cpp
+++ b/test/correctness/EventLoopTest.cpp
@@ -43,6 +43,7 @@
   std::vector<std::vector<int>> seen(kThreads);
   int left = kThreads * kPosts;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&, thread] {
       for (int post = 0; post < kPosts; ++post) {
--- a/test/error/PeerErrorTest.cpp
+++ b/test/error/PeerErrorTest.cpp
@@ -91,6 +91,10 @@
 {
   Deployment deployment(OneInstance());
   const Address address = PeerAddressOf(deployment);
+  const std::string unknownVersion =
+    "GET /peer HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
+    "Connection: Upgrade\r\nSec-WebSocket-Version: 99\r\n"
+    "Sec-WebSocket-Key: x\r\n\r\n";
   const std::vector<std::string> cases{
     "",
     "GET /peer HTTP/1.1\r\n",
@@ -98,9 +102,7 @@
     "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
     "GET /peer HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(kMegabyte, 'a') +
       "\r\n\r\n",
-    "GET /peer HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
-    "Connection: Upgrade\r\nSec-WebSocket-Version: 99\r\n"
-    "Sec-WebSocket-Key: x\r\n\r\n",
+    unknownVersion,
     WebSocketHandshake()
   };
   for (const std::string& bytes : cases) {
--- a/test/error/PortErrorTest.cpp
+++ b/test/error/PortErrorTest.cpp
@@ -229,11 +229,12 @@
   const auto after =
     deployment.Get(deployment.OperatorAddress(0), "/apis/v1/Workspace/lab");
   cr_assert_eq(before.at("spec"), after.at("spec"));
+  const char* const badWatch =
+    "GET /apis/v1/Workspace?watch=true&resourceVersion=-1";
   for (const std::string target : { "GET /apis/v1/Nothing",
                                     "GET /apis/v1/Workspace/%zz",
                                     "GET /apis/v1/",
-                                    "GET /apis/v1/Workspace?watch=true&"
-                                    "resourceVersion=-1",
+                                    badWatch,
                                     "DELETE /apis/v1/Workspace/nobody" }) {
     ExpectOneOf(Exchange(deployment.OperatorAddress(0),
                          RawRequest(target, kOperatorToken, "")),
--- a/test/performance/CapacityReport.cpp
+++ b/test/performance/CapacityReport.cpp
@@ -102,6 +102,7 @@
   std::map<std::string, Line> lines;
   for (const Figure& figure : kFigures) {
     std::vector<double> values;
+    values.reserve(aSamples.size());
     for (const Sample& sample : aSamples) {
       values.push_back(sample.*figure.value_);
     }
--- a/test/performance/CapacityTest.cpp
+++ b/test/performance/CapacityTest.cpp
@@ -284,6 +284,7 @@
 Test(Capacity, SubsetsAtFullSize)
 {
   std::vector<InstanceId> instances;
+  instances.reserve(std::size_t(kTargetInstances));
   for (int index = 0; index < int(kTargetInstances); ++index) {
     instances.emplace_back("entry-" + std::to_string(index));
   }
