--- a/src/entry/EntryInstance.cpp
+++ b/src/entry/EntryInstance.cpp
@@ -6,6 +6,7 @@
 #include "configuration/ServerFeed.h"
 #include "entry/ClaimQuery.h"
 #include "entry/ProcessUsage.h"
+#include "fleet/FleetTask.h"
 #include "ledger/Journal.h"
 #include "ledger/LedgerClient.h"
 #include "ledger/Registrar.h"
@@ -24,7 +25,9 @@
 #include "telemetry/Log.h"
 #include "telemetry/Metrics.h"
 
+#include <algorithm>
 #include <random>
+#include <utility>
 
 namespace sycamoreward {
 
@@ -33,6 +36,12 @@
 constexpr std::chrono::seconds kListTimeout{ 2 };
 // How often a drain looks whether outcomes have become durable.
 constexpr std::chrono::milliseconds kDrainCheck{ 50 };
+// A reclaimed instance ends this long before the platform takes it away, so
+// that its connections are closed and not silent.
+constexpr std::chrono::milliseconds kReclaimMargin{ 100 };
+// Duty and name of the lease of the fleet task.
+constexpr const char* kFleetDuty = "fleet";
+constexpr std::ptrdiff_t kFleetCandidates = 2;
 
 std::string
 RandomToken(std::mt19937_64& aRandom)
@@ -80,6 +89,14 @@
   return options;
 }
 
+LedgerClientOptions
+LedgerOptions(ObjectStore& aObjects)
+{
+  LedgerClientOptions options;
+  options.answers_ = &aObjects;
+  return options;
+}
+
 std::vector<PeerIdentity>
 SeedIdentities(const std::vector<Address>& aAddresses)
 {
@@ -105,6 +122,16 @@
   return live;
 }
 
+OrderTerms
+FleetTerms(const FleetSettings& aFleet)
+{
+  OrderTerms terms;
+  terms.lease_.duration_ = aFleet.lease_;
+  terms.lease_.renewEvery_ = aFleet.renew_;
+  terms.orderTimeout_ = aFleet.orderTimeout_;
+  return terms;
+}
+
 } // namespace
 
 struct EntryInstance::State
@@ -118,19 +145,28 @@
   void FetchList(std::uint64_t aSince,
                  std::function<void(std::optional<std::string>)> aOnText);
   bool IsReady() const;
+  bool IsFleetCandidate() const;
   std::string MetricsText();
   void ConnectParts();
   void Start();
   void OnNotice(Duration aLeft);
   void Leave();
+  bool IsDrained() const;
   void CheckDrained();
+  void EndReclaim();
 
   EventLoop& loop_;
   Settings settings_;
   std::shared_ptr<spdlog::logger> log_ = LogFor("entry");
   std::mt19937_64 random_ = SeededRandom();
   Metrics metrics_;
+  // For calls to backend servers.
   HttpClient client_;
+  // For load polls, the instance list and notices, so that their bytes are
+  // counted apart.
+  HttpClient controlClient_;
+  // For the table and the object store.
+  HttpClient storeClient_;
   HttpServer callerServer_;
   HttpServer operatorServer_;
   WebSocketPeerNetwork network_;
@@ -148,16 +184,24 @@
   LedgerClient ledger_;
   CallerApi callerApi_;
   ResourceApi resourceApi_;
+  LeaseTask fleetLease_;
+  FleetTask fleet_;
   std::unique_ptr<NoticeWatch> noticeWatch_;
   bool isLeaving_ = false;
   std::function<void()> onDrained_;
+  std::function<void()> onReclaimed_;
+  // Set by a reclaim notice.
+  bool isReclaimed_ = false;
   EventLoop::TimerId drainTimer_ = 0;
+  EventLoop::TimerId reclaimTimer_ = 0;
 };
 
 EntryInstance::State::State(EventLoop& aLoop, const Settings& aSettings)
   : loop_(aLoop)
   , settings_(aSettings)
   , client_(aLoop)
+  , controlClient_(aLoop)
+  , storeClient_(aLoop)
   , callerServer_(aLoop,
                   ServerOptions(aSettings.listen_.callers_, aSettings.limits_),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -171,10 +215,10 @@
       })
   , network_(aLoop, NetworkOptions(aSettings.listen_), MakeIdentity())
   , membership_(aLoop, network_, network_.Self())
-  , table_(client_,
+  , table_(storeClient_,
            StoreAt(aSettings.platform_.table_, aSettings.platform_.tableName_))
   , objects_(
-      client_,
+      storeClient_,
       StoreAt(aSettings.platform_.objectStore_, aSettings.platform_.bucket_))
   , feeds_(network_)
   , configurationStore_(aLoop, table_, [this] { return RandomToken(random_); })
@@ -188,7 +232,7 @@
       feeds_,
       membership_)
   , scheduler_(aLoop,
-               client_,
+               controlClient_,
                servers_,
                random_,
                PoolSchedulerOptions{
@@ -207,16 +251,34 @@
                                     return servers_.IsGone(aInstance);
                                   } },
                aSettings.instance_.region_)
-  , ledger_(aLoop,
-            membership_,
-            network_,
-            &registrar_,
-            [this] { return random_(); })
+  , ledger_(
+      aLoop,
+      membership_,
+      network_,
+      &registrar_,
+      [this] { return random_(); },
+      LedgerOptions(objects_))
   , callerApi_(context_)
   , resourceApi_(aLoop,
                  configuration_,
                  configurationStore_,
                  aSettings.operators_)
+  , fleetLease_(
+      aLoop,
+      table_,
+      kFleetDuty,
+      aSettings.instance_.id_,
+      FleetTerms(aSettings.fleet_).lease_,
+      [this] { return IsFleetCandidate(); },
+      [this] { return RandomToken(random_); })
+  , fleet_(FleetServices{ aLoop,
+                          client_,
+                          table_,
+                          configuration_,
+                          servers_,
+                          [this] { return fleetLease_.Held(); },
+                          [this] { return RandomToken(random_); } },
+           FleetTerms(aSettings.fleet_))
 {
   ConnectParts();
   Start();
@@ -259,7 +321,7 @@
   request.target_ = "/v1/instances?since=" + std::to_string(aSince);
   request.connectTimeout_ = kListTimeout;
   request.silenceTimeout_ = kListTimeout;
-  client_.Fetch(request, [aOnText](HttpClientReply aReply) {
+  controlClient_.Fetch(request, [aOnText](HttpClientReply aReply) {
     const bool isOk = aReply.end_ == HttpEnd::Complete && aReply.status_ == 200;
     aOnText(isOk ? std::optional<std::string>(std::move(aReply.body_))
                  : std::nullopt);
@@ -280,6 +342,7 @@
   servers_.OnChange([this] {
     scheduler_.RefreshServers();
     membership_.SetSeeds(servers_.Entries());
+    configuration_.AddSeeds(servers_.Entries());
   });
 }
 
@@ -293,7 +356,7 @@
   if (settings_.platform_.notices_) {
     noticeWatch_ = std::make_unique<NoticeWatch>(
       loop_,
-      client_,
+      controlClient_,
       *settings_.platform_.notices_,
       settings_.platform_.noticePath_,
       [this](Duration aLeft) { OnNotice(aLeft); });
@@ -310,6 +373,19 @@
   return configuration_.IsReady() && servers_.IsReady() && !isLeaving_;
 }
 
+// Before the configuration is known, this instance could not tell which models
+// are wanted.
+bool
+EntryInstance::State::IsFleetCandidate() const
+{
+  const auto ranked =
+    RankForDuty(membership_.Members(), kFleetDuty, settings_.instance_.region_);
+  const auto place =
+    std::find(ranked.begin(), ranked.end(), settings_.instance_.id_);
+  return IsReady() && place != ranked.end() &&
+         place - ranked.begin() < kFleetCandidates;
+}
+
 void
 EntryInstance::State::HandleCaller(
   const std::shared_ptr<HttpExchange>& aExchange)
@@ -351,6 +427,9 @@
   metrics_.SetPeerTraffic("received",
                           statistics.traffic_.bytesReceived_,
                           statistics.traffic_.framesReceived_);
+  metrics_.SetHttpTraffic("control", controlClient_.Traffic());
+  metrics_.SetHttpTraffic("store", storeClient_.Traffic());
+  metrics_.SetPolledServers(scheduler_.ServerCount());
   const ProcessUsage usage = ReadProcessUsage();
   metrics_.SetProcessorSeconds(usage.processorSeconds_);
   metrics_.SetResidentBytes(usage.residentBytes_);
@@ -367,7 +446,13 @@
     "The instance will be reclaimed in {} ms.",
     std::chrono::duration_cast<std::chrono::milliseconds>(aLeft).count());
   Leave();
+  isReclaimed_ = true;
   callerApi_.HandOverAll(loop_.GetClock().Now() + aLeft);
+  reclaimTimer_ = loop_.CallAfter(std::max(Duration(0), aLeft - kReclaimMargin),
+                                  [this] { EndReclaim(); });
+  if (drainTimer_ == 0) {
+    CheckDrained();
+  }
 }
 
 void
@@ -381,16 +466,38 @@
   callerServer_.StopAccepting();
 }
 
+bool
+EntryInstance::State::IsDrained() const
+{
+  return callerApi_.RunningRequests() == 0 &&
+         callerServer_.OpenExchanges() == 0 &&
+         callerServer_.UnsentReplies() == 0 && ledger_.BufferedOutcomes() == 0;
+}
+
 void
 EntryInstance::State::CheckDrained()
 {
-  if (callerApi_.RunningRequests() == 0 && callerServer_.OpenExchanges() == 0 &&
-      ledger_.BufferedOutcomes() == 0) {
-    const auto onDrained = std::move(onDrained_);
-    onDrained();
+  if (!IsDrained()) {
+    drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
     return;
   }
-  drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
+  if (const auto onDrained = std::exchange(onDrained_, nullptr)) {
+    onDrained();
+  }
+  if (isReclaimed_) {
+    EndReclaim();
+  }
+}
+
+void
+EntryInstance::State::EndReclaim()
+{
+  loop_.CancelTimer(reclaimTimer_);
+  if (const auto onReclaimed = std::exchange(onReclaimed_, nullptr)) {
+    log_->info("Ends after a reclaim with {} requests left.",
+               callerApi_.RunningRequests());
+    onReclaimed();
+  }
 }
 
 EntryInstance::EntryInstance(EventLoop& aLoop, const Settings& aSettings)
@@ -401,6 +508,7 @@
 EntryInstance::~EntryInstance()
 {
   state_->loop_.CancelTimer(state_->drainTimer_);
+  state_->loop_.CancelTimer(state_->reclaimTimer_);
 }
 
 std::string
@@ -432,7 +540,15 @@
   state_->onDrained_ = std::move(aOnDone);
   state_->Leave();
   state_->callerApi_.StopAccepting();
-  state_->CheckDrained();
+  if (state_->drainTimer_ == 0) {
+    state_->CheckDrained();
+  }
+}
+
+void
+EntryInstance::OnReclaimed(std::function<void()> aOnDone)
+{
+  state_->onReclaimed_ = std::move(aOnDone);
 }
 
 } // namespace sycamoreward
--- a/src/ledger/PartitionLog.cpp
+++ b/src/ledger/PartitionLog.cpp
@@ -1,77 +1,39 @@
 #include "ledger/PartitionLog.h"
 
 #include "base/Error.h"
+#include "ledger/PartitionRules.h"
+
+#include <algorithm>
+#include <set>
 
 namespace sycamoreward {
 
 namespace {
 
-std::string
-KeyName(const WorkspaceId& aWorkspace,
-        const ServiceName& aService,
-        const std::string& aKeyDigest)
-{
-  return aWorkspace.Value() + "\n" + aService.Value() + "\n" + aKeyDigest;
-}
-
 std::string
 PendingName(const LogEntry& aEntry)
 {
-  return (aEntry.kind_ == EntryKind::Claim ? "c" : "o") +
-         RequestOf(aEntry).Value();
-}
-
-// A withdrawn request leaves its key free.
-bool
-IsWithdrawn(const RequestRecord& aRecord)
-{
-  return aRecord.outcome_ && aRecord.outcome_->kind_ == OutcomeKind::NotRun;
-}
-
-// The request that holds a key and was not withdrawn.
-const RequestRecord*
-FindHolder(const PartitionLog& aLog, const std::string& aKeyName)
-{
-  const auto key = aLog.keys_.find(aKeyName);
-  if (key == aLog.keys_.end()) {
-    return nullptr;
-  }
-  const auto record = aLog.requests_.find(key->second);
-  return record == aLog.requests_.end() || IsWithdrawn(record->second)
-           ? nullptr
-           : &record->second;
-}
-
-const RequestRecord*
-FindRecord(const PartitionLog& aLog, const RequestId& aRequest)
-{
-  const auto found = aLog.requests_.find(aRequest);
-  return found == aLog.requests_.end() ? nullptr : &found->second;
-}
-
-// A claim takes effect when its request was not withdrawn or claimed before
-// and no other request holds the key.
-bool
-IsClaimPossible(const PartitionLog& aLog, const Claim& aClaim)
-{
-  if (FindRecord(aLog, aClaim.request_) != nullptr) {
-    return false;
+  if (aEntry.kind_ == EntryKind::Outcome) {
+    return (aEntry.settles_ ? "s" : "o") + RequestOf(aEntry).Value();
   }
-  return aClaim.keyDigest_.empty() ||
-         FindHolder(
-           aLog,
-           KeyName(aClaim.workspace_, aClaim.service_, aClaim.keyDigest_)) ==
-           nullptr;
+  const Claim& claim = aEntry.claim_;
+  return claim.previousOwners_.empty()
+           ? "c" + claim.request_.Value()
+           : "t" + claim.owner_.Value() + "\n" + claim.request_.Value();
 }
 
-bool
-IsSettled(const PartitionLog& aLog, const LogEntry& aEntry)
+// Servers that the new owner or an earlier one may have sent to. Empty when one
+// of them did not say.
+std::vector<ServerId>
+JoinServers(const std::vector<ServerId>& aOld,
+            const std::vector<ServerId>& aNew)
 {
-  if (aEntry.kind_ == EntryKind::Claim) {
-    return !IsClaimPossible(aLog, aEntry.claim_);
+  if (aOld.empty() || aNew.empty()) {
+    return {};
   }
-  const RequestRecord* record = FindRecord(aLog, aEntry.outcome_.request_);
-  return record != nullptr && record->outcome_;
+  std::set<ServerId> all(aOld.begin(), aOld.end());
+  all.insert(aNew.begin(), aNew.end());
+  return { all.begin(), all.end() };
 }
 
 void
@@ -80,6 +42,14 @@
   if (!IsClaimPossible(aLog, aClaim)) {
     return;
   }
+  const auto transferred = aLog.requests_.find(aClaim.request_);
+  if (transferred != aLog.requests_.end()) {
+    Claim& held = *transferred->second.claim_;
+    held.owner_ = aClaim.owner_;
+    held.ownerIncarnation_ = aClaim.ownerIncarnation_;
+    held.servers_ = JoinServers(held.servers_, aClaim.servers_);
+    return;
+  }
   aLog.requests_[aClaim.request_].claim_ = aClaim;
   aLog.running_.insert(aClaim.request_);
   aLog.ages_.emplace_back(aWritten, aClaim.request_);
@@ -92,24 +62,25 @@
 // Outcomes of repeatable work come without a claim; the latest of them holds
 // the key, because its answer is the one most likely to be kept still.
 void
-ApplyOutcome(PartitionLog& aLog, const Outcome& aOutcome, WallTime aWritten)
+ApplyOutcome(PartitionLog& aLog, const LogEntry& aEntry, WallTime aWritten)
 {
-  RequestRecord& record = aLog.requests_[aOutcome.request_];
-  if (record.outcome_) {
+  const Outcome& outcome = aEntry.outcome_;
+  RequestRecord& record = aLog.requests_[outcome.request_];
+  if (record.outcome_ || !IsOfHolder(record, aEntry)) {
     return;
   }
   const bool isClaimed = record.claim_.has_value();
-  record.outcome_ = aOutcome;
-  aLog.running_.erase(aOutcome.request_);
-  aLog.ages_.emplace_back(aWritten, aOutcome.request_);
-  if (isClaimed || aOutcome.keyDigest_.empty() || IsWithdrawn(record)) {
+  record.outcome_ = outcome;
+  aLog.running_.erase(outcome.request_);
+  aLog.ages_.emplace_back(aWritten, outcome.request_);
+  if (isClaimed || outcome.keyDigest_.empty() || IsWithdrawn(record)) {
     return;
   }
   const std::string name =
-    KeyName(aOutcome.workspace_, aOutcome.service_, aOutcome.keyDigest_);
+    KeyName(outcome.workspace_, outcome.service_, outcome.keyDigest_);
   const RequestRecord* holder = FindHolder(aLog, name);
   if (holder == nullptr || !holder->claim_) {
-    aLog.keys_[name] = aOutcome.request_;
+    aLog.keys_[name] = outcome.request_;
   }
 }
 
@@ -165,7 +136,7 @@
     if (entry.kind_ == EntryKind::Claim) {
       ApplyClaim(aLog, entry.claim_, aRow.written_);
     } else {
-      ApplyOutcome(aLog, entry.outcome_, aRow.written_);
+      ApplyOutcome(aLog, entry, aRow.written_);
     }
   }
 }
@@ -243,6 +214,9 @@
     if (own->outcome_) {
       return ReplyFor(RegisterStatus::Finished, *own);
     }
+    if (IsOwnedByOneOf(*own, aRequest.previousOwners_)) {
+      return std::nullopt;
+    }
     return ReplyFor(own->claim_->owner_ == aRequest.owner_
                       ? RegisterStatus::Granted
                       : RegisterStatus::Running,
@@ -313,7 +287,15 @@
   row.writeToken_ = aWriteToken;
   row.previousDigest_ = aLog.lastDigest_;
   row.written_ = aNow;
+  std::set<RequestId> changed;
   for (const PendingEntry& pending : aLog.pending_) {
+    // One outcome or transfer of a request in a row: what follows it may have
+    // no effect by then and is judged again after the row.
+    const bool isChange = pending.entry_.kind_ == EntryKind::Outcome ||
+                          !pending.entry_.claim_.previousOwners_.empty();
+    if (isChange && !changed.insert(RequestOf(pending.entry_)).second) {
+      continue;
+    }
     if (!row.entries_.empty() &&
         row.entries_.size() + pending.text_.size() > kMaxRowBytes) {
       break;
--- a/src/ledger/PartitionTask.cpp
+++ b/src/ledger/PartitionTask.cpp
@@ -205,14 +205,18 @@
   for (Waiter& waiter : std::exchange(waiters_, {})) {
     const auto reply = Decide(waiter);
     if (reply) {
+      isDoubtful_ = isDoubtful_ || reply->status_ == RegisterStatus::Running ||
+                    reply->status_ == RegisterStatus::Unsettled;
       Reply(*reply, waiter.onReply_);
       continue;
     }
     LogEntry entry;
     const RegisterRequest& request = waiter.request_;
-    entry.claim_ = { request.request_,   request.workspace_,  request.service_,
-                     request.keyDigest_, request.bodyDigest_, request.owner_,
-                     waiter.incarnation_ };
+    entry.claim_ = { request.request_,       request.workspace_,
+                     request.service_,       request.keyDigest_,
+                     request.bodyDigest_,    request.owner_,
+                     waiter.incarnation_,    request.servers_,
+                     request.previousOwners_ };
     if (waiter.expiry_ <= now || !AddPending(log_, entry)) {
       waiter.onReply_({});
     } else {
@@ -293,6 +297,8 @@
   // Memory has no answers of old outcomes.
   const auto record = log_.requests_.find(aRequest);
   if (record != log_.requests_.end() || context_.journal_ == nullptr) {
+    isDoubtful_ = isDoubtful_ ||
+                  (record != log_.requests_.end() && !record->second.outcome_);
     aOnReply(
       { record == log_.requests_.end() ? std::nullopt : record->second.outcome_,
         "" });
@@ -310,6 +316,11 @@
   if (!hasState_) {
     return;
   }
+  if (isDoubtful_ && !isLoading_ && !log_.inFlight_) {
+    isDoubtful_ = false;
+    isLoading_ = true;
+    ReadTail();
+  }
   const MonotonicTime now = context_.loop_.GetClock().Now();
   std::vector<Claim> due;
   for (const RequestId& request : log_.running_) {
@@ -343,9 +354,13 @@
       if (isServing_ &&
           context_.ownerState_(aClaim.owner_, aClaim.ownerIncarnation_) !=
             OwnerState::Alive) {
-        Record({ JudgeSettlement(
-                 aClaim, aAnswer, state, context_.loop_.GetClock().Wall()) },
-               [](const std::vector<RequestId>&) {});
+        LogEntry entry;
+        entry.kind_ = EntryKind::Outcome;
+        entry.outcome_ = JudgeSettlement(
+          aClaim, aAnswer, state, context_.loop_.GetClock().Wall());
+        entry.settles_ = { aClaim.owner_, aClaim.ownerIncarnation_ };
+        AddPending(log_, entry);
+        ScheduleFlush();
       }
     }));
 }
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -77,6 +77,8 @@
   aArchive("bodyDigest", aValue.bodyDigest_);
   aArchive("durable", aValue.isDurable_);
   aArchive("owner", aValue.owner_);
+  aArchive("servers", aValue.servers_);
+  aArchive("previousOwners", aValue.previousOwners_);
 }
 
 template<typename A>
@@ -120,6 +122,7 @@
   aArchive("config", aValue.configuration_);
   aArchive("servers", aValue.serverListVersion_);
   aArchive("inForce", aValue.inForce_);
+  aArchive("relayedInForce", aValue.relayedInForce_);
   aArchive("members", aValue.members_);
   aArchive("leaving", aValue.leavingServers_);
 }
@@ -236,6 +239,7 @@
   aArchive("remaining", aValue.remaining_);
   aArchive("attempts", aValue.attempts_);
   aArchive("sent", aValue.isSent_);
+  aArchive("owners", aValue.owners_);
   aArchive("status", aValue.status_);
   aArchive("answerContentType", aValue.answerContentType_);
   aArchive("tokens", aValue.tokens_);
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -44,8 +44,10 @@
   Incarnation incarnation_;
   Revision configuration_;
   std::uint64_t serverListVersion_ = 0;
-  // Lowest configuration revision in force by failure domain, as far as known.
+  // Lowest configuration revision in force by failure domain: where the sender
+  // has contact with members of it, and where only peers of the sender have.
   std::map<std::string, std::uint64_t> inForce_;
+  std::map<std::string, std::uint64_t> relayedInForce_;
   std::vector<MemberEvent> members_;
   std::vector<ServerLeavingEvent> leavingServers_;
 };
@@ -158,6 +160,8 @@
   std::vector<AttemptRecord> attempts_;
   // An unrepeatable request whose call was sent; the successor may only ask.
   bool isSent_ = false;
+  // Owners so far, from whom the successor takes a durable claim over.
+  std::vector<InstanceId> owners_;
   // Parts of the answer so far.
   int status_ = 0;
   std::string answerContentType_;
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "runtime/EventLoop.h"
+#include "runtime/ReceiveLimit.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -183,6 +184,9 @@
   std::set<Exchange*> open_;
   // Connections cut by Abort that evhttp has not freed yet.
   std::set<evhttp_connection*> doomed_;
+  // Connections with a complete reply that is not written out yet.
+  std::set<evhttp_connection*> unsent_;
+  std::unique_ptr<ReceiveLimit> receiveLimit_;
 };
 
 namespace {
@@ -222,6 +226,7 @@
   void Finish();
   bool MayWriteDirectly(MonotonicTime aNow) const;
   bool WriteDirectly(std::string_view aData);
+  void FinishWithReply();
   static void OnConnectionClosed(evhttp_connection* aConnection, void* aSelf);
 
   // An exchange outlives the connection only as an empty shell.
@@ -322,6 +327,34 @@
   Detach();
 }
 
+// The connection counts as unsent until evhttp has written the reply or closed
+// it: an instance that ends before would cut the tail of the reply.
+void
+Exchange::FinishWithReply()
+{
+  evhttp_request* request = request_;
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  const auto state = state_.lock();
+  Finish();
+  if (connection == nullptr || state == nullptr) {
+    return;
+  }
+  state->unsent_.insert(connection);
+  evhttp_request_set_on_complete_cb(
+    request,
+    [](evhttp_request* aRequest, void* aState) {
+      static_cast<HttpServer::State*>(aState)->unsent_.erase(
+        evhttp_request_get_connection(aRequest));
+    },
+    state.get());
+  evhttp_connection_set_closecb(
+    connection,
+    [](evhttp_connection* aClosed, void* aState) {
+      static_cast<HttpServer::State*>(aState)->unsent_.erase(aClosed);
+    },
+    state.get());
+}
+
 void
 Exchange::Reply(int aStatus,
                 const HttpHeaders& aHeaders,
@@ -334,7 +367,7 @@
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, aBody.data(), aBody.size());
   evhttp_request* request = request_;
-  Finish();
+  FinishWithReply();
   evhttp_send_reply(request, aStatus, ReasonPhrase(aStatus), body);
   evbuffer_free(body);
 }
@@ -431,7 +464,7 @@
     return;
   }
   evhttp_request* request = request_;
-  Finish();
+  FinishWithReply();
   evhttp_send_reply_end(request);
 }
 
@@ -482,6 +515,7 @@
 HandleRequest(evhttp_request* aRequest, void* aState)
 {
   auto* state = static_cast<HttpServer::State*>(aState);
+  state->receiveLimit_->Received(aRequest);
   auto exchange =
     std::make_shared<Exchange>(state->shared_from_this(), aRequest);
   try {
@@ -516,6 +550,9 @@
                            ssize_t(options.maxBodySize_.Value()));
   evhttp_set_timeout(state_->http_, int(options.idleTimeout_.count()));
   evhttp_set_allowed_methods(state_->http_, kAllowedMethods);
+  state_->receiveLimit_ =
+    std::make_unique<ReceiveLimit>(aLoop.GetClock(), options.maxReceiveTime_);
+  state_->receiveLimit_->Watch(state_->http_);
   evhttp_set_gencb(state_->http_, &HandleRequest, state_.get());
   state_->listener_ = evhttp_accept_socket_with_handle(state_->http_, fd);
 }
@@ -542,6 +579,12 @@
   return state_->open_.size();
 }
 
+std::size_t
+HttpServer::UnsentReplies() const
+{
+  return state_->unsent_.size();
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/runtime/HttpServer.h
+++ b/src/runtime/HttpServer.h
@@ -25,6 +25,10 @@
   Bytes maxBodySize_{ 8 * 1024 * 1024 };
   // Longest time without progress on reading a request or writing a reply.
   std::chrono::seconds idleTimeout_{ 60 };
+  // Longest time from the first byte of a request to its last. Without it, a
+  // caller that sends one byte within each idle timeout would hold its
+  // connection for ever.
+  std::chrono::seconds maxReceiveTime_{ 120 };
   // An exchange is cut when the peer leaves this much unread; see
   // HttpExchange::BufferedBytes.
   Bytes maxReplyBuffer_{ 4 * 1024 * 1024 };
@@ -100,6 +104,9 @@
   // Exchanges without a complete reply.
   std::size_t OpenExchanges() const;
 
+  // Complete replies that their callers have not taken wholly yet.
+  std::size_t UnsentReplies() const;
+
   // Closes the listening socket; open exchanges go on, and each reply from now
   // on closes its connection.
   void StopAccepting();
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -75,6 +75,9 @@
   cr_assert_eq(settings.platform_.tableName_, "sycamoreward");
   cr_assert(!settings.platform_.notices_);
   cr_assert(!settings.trace_.export_);
+  cr_assert(settings.fleet_.lease_ == std::chrono::seconds(15));
+  cr_assert(settings.fleet_.renew_ == std::chrono::seconds(5));
+  cr_assert(settings.fleet_.orderTimeout_ == std::chrono::seconds(5));
 }
 
 Test(Settings, EachKindOfFaultIsNamedWithItsLine)
@@ -95,6 +98,11 @@
               16,
               "drain.handOverReserveSeconds",
               "write \"handOverReserveMs\" in milliseconds");
+  ExpectFault("handOverReserveMs: 700",
+              "handOverReserveMs: 700\nfleet:\n  leaseMs: 10000",
+              18,
+              "fleet.leaseMs",
+              "must be longer than renewMs (5000) and orderTimeoutMs (5000)");
   ExpectFault("handOverReserveMs: 700",
               "handOverReserveMs: 700ms",
               16,
@@ -155,6 +163,8 @@
   cr_assert_eq(FaultsOf("a: [1\nb: }").size(), 1);
   cr_assert_eq(FaultsOf("- 1\n").size(), 1);
   cr_assert_eq(FaultsOf(kRight + "---\n" + kRight).size(), 1);
+  // yaml-cpp reports an empty document at the comma without end.
+  cr_assert(!FaultsOf(",").empty());
   // Deep nesting must not exhaust the stack.
   cr_assert(!FaultsOf(std::string(100, '[')).empty());
   cr_assert(!FaultsOf(std::string(100'000, '[')).empty());
--- a/test/support/Deployment.cpp
+++ b/test/support/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "support/Deployment.h"
 
+#include "support/DeploymentResources.h"
+
 #include <criterion/criterion.h>
 
 #include <unistd.h>
@@ -17,56 +19,9 @@
 constexpr unsigned kFailureDomains = 3;
 constexpr const char* kRegion = Deployment::kRegion;
 
-// SHA-256 of kOperatorToken and of kCallerToken.
+// SHA-256 of kOperatorToken.
 constexpr const char* kOperatorDigest =
   "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
-constexpr const char* kCallerDigest =
-  "42759dabeaa13003b4a08844d414105fbbe66726b223dccb182613678f2c0d1a";
-
-nlohmann::json
-Resource(const std::string& aKind,
-         const std::string& aName,
-         const nlohmann::json& aSpec)
-{
-  return { { "kind", aKind },
-           { "metadata", { { "name", aName } } },
-           { "spec", aSpec } };
-}
-
-nlohmann::json
-ModelService(const std::string& aName, bool aIsLong, unsigned aPriority)
-{
-  return Resource(
-    "Service",
-    aName,
-    { { "type", "model" },
-      { "pool", "sheet-model" },
-      { "region", kRegion },
-      { "model", "sheet" },
-      { "class", { { "isLong", aIsLong }, { "priority", aPriority } } } });
-}
-
-std::vector<nlohmann::json>
-Resources()
-{
-  return { ModelService(kReviewService, true, 6),
-           ModelService(kQueryService, false, 1),
-           Resource("Service",
-                    kCertificateService,
-                    { { "type", "plain" },
-                      { "pool", "certificate-desk" },
-                      { "region", kRegion },
-                      { "isRepeatable", false },
-                      { "statusPath", "/status/{id}" },
-                      { "routes",
-                        { { { "method", "get" },
-                            { "pathPrefix", "/lookup" },
-                            { "isRepeatable", true } } } } }),
-           Resource(
-             "Workspace",
-             "lab",
-             { { "share", 1 }, { "tokenDigests", { kCallerDigest } } }) };
-}
 
 Address
 AddressIn(const ChildProcess& aProcess, const char* aField)
@@ -85,6 +40,10 @@
   platform_ = std::make_unique<ChildProcess>("standin-platform",
                                              std::vector<std::string>());
   platformAddress_ = AddressIn(*platform_, "address");
+  if (options_.hasPlatformLink_) {
+    platformLink_ = std::make_unique<CuttableLink>(loop_, platformAddress_);
+    options_.platformLink_ = platformLink_->ListenAddress();
+  }
   if (options_.platformLink_.port_ == 0) {
     options_.platformLink_ = platformAddress_;
   }
@@ -150,22 +109,60 @@
   return AddressIn(*entries_.at(aIndex), "operators");
 }
 
+Address
+Deployment::PeerAddress(unsigned aIndex) const
+{
+  return AddressIn(*entries_.at(aIndex), "peers");
+}
+
 void
-Deployment::StartServers()
+Deployment::ListEngine(unsigned aIndex, const std::string& aAddress)
 {
+  List({ { "id", EngineId(aIndex) },
+         { "role", "engine" },
+         { "pool", "sheet-model" },
+         { "address", aAddress },
+         { "failureDomain", FailureDomain(aIndex) },
+         { "region", kRegion },
+         { "state", "live" } });
+}
+
+void
+Deployment::StartEnginesTogether()
+{
+  std::vector<std::string> arguments = options_.engineArguments_;
+  arguments.insert(
+    arguments.end(),
+    { "--pool", "sheet-model", "--count", std::to_string(options_.engines_) });
+  engines_.push_back(
+    std::make_unique<ChildProcess>("standin-engine", arguments));
+  const auto addresses =
+    nlohmann::json::parse(engines_.back()->FirstLine()).at("addresses");
   for (unsigned index = 0; index < options_.engines_; ++index) {
+    ListEngine(index, addresses.at(index));
+  }
+}
+
+void
+Deployment::StartServers()
+{
+  if (options_.hasOneEngineProcess_) {
+    StartEnginesTogether();
+  }
+  for (unsigned index = 0;
+       index < options_.engines_ && !options_.hasOneEngineProcess_;
+       ++index) {
     std::vector<std::string> arguments = options_.engineArguments_;
     arguments.insert(arguments.end(),
                      { "--id", EngineId(index), "--pool", "sheet-model" });
     engines_.push_back(
       std::make_unique<ChildProcess>("standin-engine", arguments));
-    List({ { "id", EngineId(index) },
-           { "role", "engine" },
-           { "pool", "sheet-model" },
-           { "address", ToString(EngineAddress(index)) },
-           { "failureDomain", FailureDomain(index) },
-           { "region", kRegion },
-           { "state", "live" } });
+    Address listed = EngineAddress(index);
+    if (options_.hasEngineLinks_) {
+      links_.push_back(std::make_unique<CuttableLink>(loop_, listed));
+      listed = links_.back()->ListenAddress();
+    }
+    ListEngine(index, ToString(listed));
   }
   for (unsigned index = 0; index < options_.services_; ++index) {
     services_.push_back(std::make_unique<ChildProcess>(
@@ -182,6 +179,14 @@
 
 void
 Deployment::StartEntry(unsigned aIndex)
+{
+  StartEntryAt(aIndex, { "127.0.0.1", 0 }, { "127.0.0.1", 0 });
+}
+
+void
+Deployment::StartEntryAt(unsigned aIndex,
+                         const Address& aCallers,
+                         const Address& aPeers)
 {
   if (entries_.size() <= aIndex) {
     entries_.resize(aIndex + 1);
@@ -190,36 +195,46 @@
   const char* logDirectory = std::getenv("TEST_LOG_DIRECTORY");
   entries_[aIndex] = std::make_unique<ChildProcess>(
     "sycamorewardd",
-    std::vector<std::string>{ "--settings", WriteSettings(aIndex) },
+    std::vector<std::string>{ "--settings",
+                              WriteSettings(aIndex, aCallers, aPeers) },
     logDirectory == nullptr
       ? ""
       : std::string(logDirectory) + "/" + EntryId(aIndex) + ".log");
+  if (options_.areEntriesIsolated_) {
+    return;
+  }
   List({ { "id", EntryId(aIndex) },
          { "role", "entry" },
          { "pool", "entry" },
-         { "address", ToString(AddressIn(*entries_[aIndex], "peers")) },
+         { "address", ToString(PeerAddress(aIndex)) },
          { "failureDomain", FailureDomain(aIndex) },
          { "region", kRegion },
          { "state", "live" } });
 }
 
 std::string
-Deployment::WriteSettings(unsigned aIndex)
+Deployment::WriteSettings(unsigned aIndex,
+                          const Address& aCallers,
+                          const Address& aPeers)
 {
-  const std::string platform = ToString(options_.platformLink_);
+  const std::string platform = ToString(
+    options_.linkFor_ ? options_.linkFor_(loop_, platformAddress_, aIndex)
+                      : options_.platformLink_);
   std::string path = directory_ + "/" + EntryId(aIndex) + ".yaml";
   std::ofstream file(path);
   file << "instance:\n  id: " << EntryId(aIndex)
        << "\n  failureDomain: " << FailureDomain(aIndex)
        << "\n  region: " << kRegion << "\nlisten:\n"
-       << "  callers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n"
-       << "  peers: 127.0.0.1:0\nplatform:\n  table: " << platform
+       << "  callers: " << ToString(aCallers)
+       << "\n  operators: 127.0.0.1:0\n  peers: " << ToString(aPeers)
+       << "\nplatform:\n  table: " << platform
        << "\n  objectStore: " << platform << "\n  bucket: journal"
        << "\n  instanceList: " << platform << "\n  notices: " << platform
        << "\n  noticePath: /instances/" << EntryId(aIndex)
        << "/latest/meta-data/spot/instance-action\n"
        << "log:\n  format: text\n  level: debug\noperators:\n"
-       << "  - tokenDigest: " << kOperatorDigest << "\n    role: writer\n";
+       << "  - tokenDigest: " << kOperatorDigest << "\n    role: writer\n"
+       << options_.settings_;
   return path;
 }
 
@@ -245,7 +260,7 @@
 void
 Deployment::DeclareResources()
 {
-  for (const auto& resource : Resources()) {
+  for (const auto& resource : DeploymentResources()) {
     const int status = PutResource(0, resource);
     cr_assert(status == 200 || status == 201,
               "declaring %s gave %d",
--- a/test/support/Deployment.h
+++ b/test/support/Deployment.h
@@ -8,9 +8,12 @@
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
 #include "support/ChildProcess.h"
+#include "support/CuttableLink.h"
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,8 +26,22 @@
   unsigned services_ = 1;
   unsigned entries_ = 3;
   std::vector<std::string> engineArguments_;
+  // Whether one process runs all engines, each on a port of its own. Engine()
+  // is then the process for index 0 only.
+  bool hasOneEngineProcess_ = false;
   // Where entry instances reach the platform, when a link stands between.
   Address platformLink_;
+  // Puts a link of the deployment between entry instances and platform.
+  bool hasPlatformLink_ = false;
+  // Puts a link in front of each engine; the list names the link's address.
+  bool hasEngineLinks_ = false;
+  // Keeps entry instances out of the list, so that none learns of another.
+  bool areEntriesIsolated_ = false;
+  // The same for each entry instance by itself; called at its start with the
+  // loop of the deployment and the address of the platform.
+  std::function<Address(EventLoop&, const Address&, unsigned aEntry)> linkFor_;
+  // Lines that are added to the settings of each entry instance.
+  std::string settings_;
 };
 
 // Tokens that the settings and resources of a deployment accept.
@@ -47,8 +64,12 @@
   EventLoop& Loop() { return loop_; }
   HttpClient& Client() { return client_; }
 
+  // With hasPlatformLink_.
+  CuttableLink& PlatformLink() { return *platformLink_; }
   ChildProcess& Platform() { return *platform_; }
   ChildProcess& Engine(unsigned aIndex) { return *engines_.at(aIndex); }
+  // With hasEngineLinks_.
+  CuttableLink& EngineLink(unsigned aIndex) { return *links_.at(aIndex); }
   ChildProcess& Service(unsigned aIndex) { return *services_.at(aIndex); }
   ChildProcess& Entry(unsigned aIndex) { return *entries_.at(aIndex); }
 
@@ -57,6 +78,7 @@
   Address ServiceAddress(unsigned aIndex) const;
   Address CallerAddress(unsigned aIndex) const;
   Address OperatorAddress(unsigned aIndex) const;
+  Address PeerAddress(unsigned aIndex) const;
   unsigned Engines() const { return options_.engines_; }
   unsigned Services() const { return options_.services_; }
   unsigned Entries() const { return static_cast<unsigned>(entries_.size()); }
@@ -69,6 +91,11 @@
   // into the platform's list.
   void StartEntry(unsigned aIndex);
 
+  // The same with the addresses for callers and for peers given.
+  void StartEntryAt(unsigned aIndex,
+                    const Address& aCallers,
+                    const Address& aPeers);
+
   // Waits until all entry instances that run are ready.
   void WaitUntilReady();
 
@@ -89,6 +116,9 @@
   // Handles events until aDone, with a limit of real time. Returns aDone().
   bool WaitFor(const std::function<bool()>& aDone, int aSeconds);
 
+  // Puts an instance into the platform's list.
+  void List(const nlohmann::json& aInstance);
+
   // Marks a backend server or an entry instance in the platform's list.
   void SetState(const std::string& aId, const std::string& aState);
 
@@ -102,8 +132,11 @@
 
 private:
   void StartServers();
-  void List(const nlohmann::json& aInstance);
-  std::string WriteSettings(unsigned aIndex);
+  void StartEnginesTogether();
+  void ListEngine(unsigned aIndex, const std::string& aAddress);
+  std::string WriteSettings(unsigned aIndex,
+                            const Address& aCallers,
+                            const Address& aPeers);
   void DeclareResources();
 
   DeploymentOptions options_;
@@ -113,7 +146,9 @@
   std::string directory_;
   Address platformAddress_;
   std::unique_ptr<ChildProcess> platform_;
+  std::unique_ptr<CuttableLink> platformLink_;
   std::vector<std::unique_ptr<ChildProcess>> engines_;
+  std::vector<std::unique_ptr<CuttableLink>> links_;
   std::vector<std::unique_ptr<ChildProcess>> services_;
   std::vector<std::unique_ptr<ChildProcess>> entries_;
   // Last entry put into the platform's list, by id.
