--- a/src/configuration/ConfigurationTask.cpp
+++ b/src/configuration/ConfigurationTask.cpp
@@ -86,13 +86,6 @@
 
 void
 ConfigurationTask::Start(std::vector<PeerIdentity> aSeeds)
-{
-  SetSeeds(std::move(aSeeds));
-  Tick();
-}
-
-void
-ConfigurationTask::SetSeeds(std::vector<PeerIdentity> aSeeds)
 {
   seeds_ = std::move(aSeeds);
   seeds_.erase(std::remove_if(seeds_.begin(),
@@ -102,6 +95,7 @@
                                        membership_.Self().instance_;
                               }),
                seeds_.end());
+  Tick();
 }
 
 void
