--- a/test/failure/OnceTest.cpp
+++ b/test/failure/OnceTest.cpp
@@ -165,15 +165,13 @@
   std::mt19937 random(
     seed == nullptr ? kFixedSeed
                     : static_cast<unsigned>(std::strtoul(seed, nullptr, 10)));
-  std::vector<Cell> cells;
-  cells.reserve(std::size(kFaults) * kMomentsPerFault);
-  for (std::size_t fault = 0; fault < std::size(kFaults); ++fault) {
-    std::size_t moment = random() % std::size(kMoments);
-    for (std::size_t count = 0; count < kMomentsPerFault; ++count) {
-      cells.push_back({ fault, moment });
-      moment = (moment + 1 + random() % (std::size(kMoments) - 1)) %
-               std::size(kMoments);
-    }
+  std::vector<Cell> cells(std::size(kFaults) * kMomentsPerFault);
+  for (std::size_t index = 0; index < cells.size(); ++index) {
+    const bool isFirst = index % kMomentsPerFault == 0;
+    const std::size_t step =
+      isFirst ? random() : 1 + random() % (std::size(kMoments) - 1);
+    const std::size_t moment = isFirst ? step : cells[index - 1].moment_ + step;
+    cells[index] = { index / kMomentsPerFault, moment % std::size(kMoments) };
   }
   return cells;
 }
@@ -184,6 +182,7 @@
             const std::vector<unsigned>& aEntries)
 {
   std::vector<Address> addresses;
+  addresses.reserve(aEntries.size());
   for (const unsigned entry : aEntries) {
     addresses.push_back(aDeployment.CallerAddress(entry));
   }
