Split the HTTP server and client by concept

Change: Listener, HttpServerState, ServerExchange, HttpClientState and ClientCall have files of their own; no behaviour changes.

Conclusion: each header names one concept again.

--- /dev/null
+++ b/src/runtime/ClientCall.h
@@ -0,0 +1,57 @@
+#pragma once
+
+// A call of an HttpClient over one request of evhttp.
+
+#include "runtime/HttpClient.h"
+#include "runtime/HttpClientState.h"
+
+#include <memory>
+#include <utility>
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace sycamoreward {
+
+class ClientCall final : public HttpCall
+{
+public:
+  ClientCall(std::weak_ptr<HttpClient::State> aState,
+             const HttpClientRequest& aRequest,
+             HttpCallbacks aCallbacks)
+    : state_(std::move(aState))
+    , request_(aRequest)
+    , callbacks_(std::move(aCallbacks))
+  {
+  }
+
+  void Begin();
+  void Cancel() override;
+  void PauseReading() override;
+  void ResumeReading() override;
+  // Frees the connection without a callback; the client goes away.
+  evhttp_connection* Detach();
+
+private:
+  void MarkConnected();
+  void HandleHead(evhttp_request* aRequest);
+  void HandleData(evhttp_request* aRequest);
+  void HandleDone(evhttp_request* aRequest);
+  void ArmSilenceTimer(Duration aDelay);
+  void CheckSilence();
+  void Finish(HttpEnd aEnd, bool aIsReusable);
+  bool IsConnected() const;
+
+  std::weak_ptr<HttpClient::State> state_;
+  HttpClientRequest request_;
+  HttpCallbacks callbacks_;
+  evhttp_connection* connection_ = nullptr;
+  EventLoop::TimerId silenceTimer_ = 0;
+  MonotonicTime lastByte_{};
+  bool wasConnected_ = false;
+  bool hasHead_ = false;
+  bool isPaused_ = false;
+  bool isDone_ = false;
+};
+
+} // namespace sycamoreward
