--- a/include/sycamoreward/EntryInstance.h
+++ b/include/sycamoreward/EntryInstance.h
@@ -35,8 +35,10 @@
   // over or have ended, at the latest shortly before the notice's deadline.
   void OnReclaimed(std::function<void()> aOnDone);
 
-private:
+  // Opaque; defined in the library.
   struct State;
+
+private:
   std::unique_ptr<State> state_;
 };
 
