--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export RC_PARAMS ?= seed=20261204 max_success=200
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
-.PHONY: all configure test lint format format-check tidy bench capacity soak \
+.PHONY: all configure test lint format format-check tidy bench measures capacity soak \
   fuzz test-threads demo clean install
 
 all: configure
@@ -59,6 +59,12 @@
 bench: all
 	examples/bench/run.sh $(BUILD)/bin
 
+# Simulated measures against their baselines, without those in KNOWN-RED.txt.
+measures: all
+	$(BUILD)/bin/test-performance -j2 --timeout 300 --filter 'RoutingPerformance/*'
+	$(BUILD)/bin/test-performance --timeout 300 --filter 'Cost/ReclaimableInstancesHalveTheCost'
+	@cat KNOWN-RED.txt
+
 capacity: all
 	$(BUILD)/bin/test-performance -j1 --timeout 600 --filter 'Capacity/*'
 
