Revert the priority of stream parts

A reply with a length stopped after 8,072 bytes on the second read of its connection and was reported as silent.

Ruled out: a busy event source that starves the low priority (the process was at 18% of a core). Not found: why reading stops after the priority of a connection is changed within its read callback.

Conclusion: reverted, since a stalled reply is worse than a late one.

--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -8,8 +8,6 @@
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
-#include <utility>
-
 namespace sycamoreward {
 
 namespace {
@@ -175,12 +173,6 @@
   }
   const char* data =
     reinterpret_cast<const char*>(evbuffer_pullup(input, ev_ssize_t(length)));
-  // The first part decides on the time to the first byte; the others wait for
-  // requests that begin.
-  if (std::exchange(hasData_, true)) {
-    bufferevent_priority_set(evhttp_connection_get_bufferevent(connection_),
-                             int(EventPriority::Bulk));
-  }
   if (callbacks_.onData_) {
     callbacks_.onData_(std::string_view(data, length));
   }
--- a/src/runtime/ClientCall.h
+++ b/src/runtime/ClientCall.h
@@ -50,7 +50,6 @@
   MonotonicTime lastByte_{};
   bool wasConnected_ = false;
   bool hasHead_ = false;
-  bool hasData_ = false;
   bool isPaused_ = false;
   bool isDone_ = false;
 };
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-constexpr int kPriorities = 3;
-// Each look costs about as much as there are streams ready: with 32 the gaps
-// between tokens grew from 38 to 105 ms at the 99th percentile, with 400 they
-// fell.
-constexpr int kBulkEventsInARow = 400;
-
 void
 PrepareProcessOnce()
 {
@@ -54,17 +48,8 @@
   // Interest in a socket that is set and cleared within one round costs no
   // system call. No socket here is duplicated, which the flag would not allow.
   event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
-  // A new request passes the loop about eight times until its first byte is
-  // sent, and hundreds of streams are ready in each round. The loop looks for
-  // other events in between.
-  event_config_set_max_dispatch_interval(
-    config, nullptr, kBulkEventsInARow, int(EventPriority::Bulk));
   base_ = event_base_new_with_config(config);
   event_config_free(config);
-  if (base_ != nullptr) {
-    // Events are created with the priority in the middle, which is Normal.
-    event_base_priority_init(base_, kPriorities);
-  }
   wakeFd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (base_ == nullptr || wakeFd_ < 0) {
     throw InternalError("start event loop", "", "Can't create an event loop.");
--- a/src/runtime/EventLoop.h
+++ b/src/runtime/EventLoop.h
@@ -18,15 +18,6 @@
 
 namespace sycamoreward {
 
-// Order in which a loop handles events that are ready at the same time.
-enum class EventPriority
-{
-  // Connections, requests and timers.
-  Normal = 1,
-  // Parts of streams after the first one.
-  Bulk = 2
-};
-
 class EventLoop
 {
 public:
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -70,8 +70,6 @@
   if (aMayReuse && !idle.empty()) {
     evhttp_connection* connection = idle.back();
     idle.pop_back();
-    bufferevent_priority_set(evhttp_connection_get_bufferevent(connection),
-                             int(EventPriority::Normal));
     return connection;
   }
   evhttp_connection* connection = evhttp_connection_base_new(
