--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -1,7 +1,8 @@
 #include "entry/EntryState.h"
 
+#include "ledger/Partition.h"
+
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace sycamoreward {
@@ -16,13 +17,7 @@
 std::string
 RandomToken(std::mt19937_64& aRandom)
 {
-  char text[33];
-  snprintf(text,
-           sizeof text,
-           "%016llx%016llx",
-           static_cast<unsigned long long>(aRandom()),
-           static_cast<unsigned long long>(aRandom()));
-  return text;
+  return HexOf(aRandom()) + HexOf(aRandom());
 }
 
 std::mt19937_64
--- a/src/requests/TraceParent.cpp
+++ b/src/requests/TraceParent.cpp
@@ -1,7 +1,8 @@
 #include "requests/TraceParent.h"
 
+#include "ledger/Partition.h"
+
 #include <algorithm>
-#include <cstdio>
 
 namespace sycamoreward {
 
@@ -28,14 +29,6 @@
   return IsHex(aText) && aText.find_first_not_of('0') != std::string::npos;
 }
 
-std::string
-Hex(std::uint64_t aValue)
-{
-  char text[kParentDigits + 1];
-  std::snprintf(text, sizeof text, "%016llx", (unsigned long long)aValue);
-  return text;
-}
-
 } // namespace
 
 TraceParent
@@ -57,13 +50,14 @@
     }
   }
   // The low bit is set because an id of zeros is invalid.
-  return TraceParent{ Hex(aRandom()) + Hex(aRandom() | 1), "", "01" };
+  return TraceParent{ HexOf(aRandom()) + HexOf(aRandom() | 1), "", "01" };
 }
 
 std::string
 WriteTraceParent(const TraceParent& aTrace, std::uint64_t aSpanId)
 {
-  return "00-" + aTrace.traceId_ + "-" + Hex(aSpanId | 1) + "-" + aTrace.flags_;
+  return "00-" + aTrace.traceId_ + "-" + HexOf(aSpanId | 1) + "-" +
+         aTrace.flags_;
 }
 
 } // namespace sycamoreward
--- a/test/failure/ConfigurationProcessTest.cpp
+++ b/test/failure/ConfigurationProcessTest.cpp
@@ -1,9 +1,9 @@
 // Changes of the configuration in a deployment of six entry instances in three
 // failure domains as processes, with a fault at each change.
 
+#include "caller/RecordingCaller.h"
 #include "support/ControlWorld.h"
 #include "support/DeploymentHistory.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 
--- a/test/failure/CtlJournalTest.cpp
+++ b/test/failure/CtlJournalTest.cpp
@@ -1,11 +1,11 @@
 // The commands of sycamorewardctl that read the ledger, against real processes.
 
+#include "caller/RecordingCaller.h"
 #include "ledger/LogRow.h"
 #include "ledger/Partition.h"
 #include "store/DynamoTable.h"
 #include "support/Deployment.h"
 #include "support/DeploymentHistory.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 
--- a/test/failure/MembershipProcessTest.cpp
+++ b/test/failure/MembershipProcessTest.cpp
@@ -1,8 +1,8 @@
 // Which entry instances callers are told to use, in a deployment of six as
 // processes, when instances die, freeze, leave or lose their address.
 
+#include "caller/RecordingCaller.h"
 #include "support/Deployment.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 
--- a/test/failure/OnceTest.cpp
+++ b/test/failure/OnceTest.cpp
@@ -2,10 +2,10 @@
 // each moment of a certificate's life. A certificate must be issued at most
 // once, and "not run" must be true.
 
+#include "caller/RecordingCaller.h"
 #include "support/CertificateDesk.h"
 #include "support/Deployment.h"
 #include "support/DeploymentHistory.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
--- a/test/failure/OutageTest.cpp
+++ b/test/failure/OutageTest.cpp
@@ -2,9 +2,9 @@
 // repeatable work goes on, unrepeatable work is refused as not run, and the
 // backlog is recorded afterwards within the write budget.
 
+#include "caller/RecordingCaller.h"
 #include "support/Deployment.h"
 #include "support/DeploymentHistory.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 
--- a/test/failure/ServeTest.cpp
+++ b/test/failure/ServeTest.cpp
@@ -1,9 +1,9 @@
 // Requests through real processes, from the caller to the backend server and
 // back, without faults.
 
+#include "caller/RecordingCaller.h"
 #include "support/Deployment.h"
 #include "support/DeploymentHistory.h"
-#include "support/RecordingCaller.h"
 
 #include <criterion/criterion.h>
 
--- a/test/support/DeploymentHistory.h
+++ b/test/support/DeploymentHistory.h
@@ -3,8 +3,8 @@
 // Collects what callers, servers and the ledger of a deployment saw, and judges
 // it.
 
+#include "caller/RecordingCaller.h"
 #include "support/Deployment.h"
-#include "support/RecordingCaller.h"
 #include "verify/History.h"
 
 namespace sycamoreward {
--- a/test/support/FaultScene.h
+++ b/test/support/FaultScene.h
@@ -3,8 +3,8 @@
 // A deployment with a recording caller, for tests that cause a fault while
 // requests run.
 
+#include "caller/RecordingCaller.h"
 #include "support/Deployment.h"
-#include "support/RecordingCaller.h"
 
 #include <cstdint>
 #include <map>
--- a/test/support/RecordingCaller.h
+++ /dev/null
@@ -1,3 +0,0 @@
-#pragma once
-
-#include "caller/RecordingCaller.h" // IWYU pragma: export
