--- /dev/null
+++ b/src/edge/ChannelPool.cpp
@@ -0,0 +1,120 @@
+#include "edge/ChannelPool.h"
+
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// How often connections that servers are about to close are closed here.
+constexpr Duration kSweep = std::chrono::milliseconds(500);
+
+} // namespace
+
+ChannelPool::ChannelPool(EventLoop& aLoop)
+  : loop_(aLoop)
+{
+  Sweep();
+}
+
+ChannelPool::~ChannelPool()
+{
+  loop_.CancelTimer(timer_);
+  for (auto& [server, channels] : idle_) {
+    for (Idle& idle : channels) {
+      idle.channel_->Cut();
+    }
+  }
+}
+
+ChannelPool::Lease
+ChannelPool::Take(const ServerId& aServer,
+                  const Address& aAddress,
+                  Duration aMaxIdle)
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  auto& channels = idle_[aServer];
+  if (!channels.empty()) {
+    const Idle idle = channels.back();
+    const bool isFresh = now - idle.since_ <= aMaxIdle &&
+                         now < idle.channel_->ReusableUntil() &&
+                         idle.channel_->CanReuse();
+    if (isFresh) {
+      channels.pop_back();
+      idle.channel_->OnIdleEnd(nullptr);
+      return { idle.channel_, true };
+    }
+  }
+  ++opened_;
+  auto channel = std::make_shared<http::BackendChannel>(loop_, aAddress);
+  channel->SetUp();
+  return { channel, false };
+}
+
+void
+ChannelPool::Return(const ServerId& aServer,
+                    const std::shared_ptr<http::BackendChannel>& aChannel)
+{
+  if (!aChannel->CanReuse() ||
+      aChannel->ReusableUntil() <= loop_.GetClock().Now()) {
+    aChannel->Cut();
+    return;
+  }
+  aChannel->OnIdleEnd([this,
+                       aServer,
+                       weak = std::weak_ptr<http::BackendChannel>(aChannel)] {
+    auto& channels = idle_[aServer];
+    const auto channel = weak.lock();
+    channels.erase(std::remove_if(channels.begin(),
+                                  channels.end(),
+                                  [&](const Idle& aIdle) {
+                                    return aIdle.channel_ == channel;
+                                  }),
+                   channels.end());
+  });
+  idle_[aServer].push_back({ aChannel, loop_.GetClock().Now() });
+}
+
+void
+ChannelPool::Drop(const ServerId& aServer)
+{
+  const auto found = idle_.find(aServer);
+  if (found == idle_.end()) {
+    return;
+  }
+  for (Idle& idle : found->second) {
+    idle.channel_->Cut();
+  }
+  idle_.erase(found);
+}
+
+std::size_t
+ChannelPool::IdleCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [server, channels] : idle_) {
+    count += channels.size();
+  }
+  return count;
+}
+
+void
+ChannelPool::Sweep()
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  for (auto& [server, channels] : idle_) {
+    for (auto idle = channels.begin(); idle != channels.end();) {
+      if (now >= idle->channel_->ReusableUntil()) {
+        idle->channel_->Cut();
+        idle = channels.erase(idle);
+      } else {
+        ++idle;
+      }
+    }
+  }
+  timer_ = loop_.CallAfter(kSweep, [this] { Sweep(); });
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/ChannelPool.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// Idle connections to backend servers, the last used one first.
+
+#include "base/Address.h"
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "http/BackendChannel.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace sycamoreward {
+class EventLoop;
+} // namespace sycamoreward
+
+namespace sycamoreward::edge {
+
+class ChannelPool
+{
+public:
+  struct Lease
+  {
+    std::shared_ptr<http::BackendChannel> channel_;
+    // The connection has carried a request before.
+    bool isReused_ = false;
+  };
+
+  explicit ChannelPool(EventLoop& aLoop);
+  ~ChannelPool();
+  ChannelPool(const ChannelPool&) = delete;
+  ChannelPool& operator=(const ChannelPool&) = delete;
+
+  // An idle connection that was used within aMaxIdle, or a new one.
+  Lease Take(const ServerId& aServer, const Address& aAddress, Duration aMaxIdle);
+
+  // Keeps a connection for reuse, or closes it when that is not possible.
+  void Return(const ServerId& aServer,
+              const std::shared_ptr<http::BackendChannel>& aChannel);
+
+  // Closes the idle connections to a server that is gone.
+  void Drop(const ServerId& aServer);
+
+  std::uint64_t Opened() const { return opened_; }
+  std::size_t IdleCount() const;
+
+private:
+  struct Idle
+  {
+    std::shared_ptr<http::BackendChannel> channel_;
+    MonotonicTime since_;
+  };
+
+  void Sweep();
+
+  EventLoop& loop_;
+  // Last used last.
+  std::map<ServerId, std::vector<Idle>> idle_;
+  std::uint64_t opened_ = 0;
+  std::uint64_t timer_ = 0;
+};
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/DemandRate.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// Rate of an amount that arrives in pieces, averaged over the last seconds.
+
+#include "base/Clock.h"
+
+#include <cmath>
+
+namespace sycamoreward::edge {
+
+struct DemandRate
+{
+  // Long enough to smooth clumps of arrivals, short enough to follow a wave of
+  // the traffic of some tens of seconds.
+  static constexpr Duration kSpan = std::chrono::seconds(4);
+
+  double perSecond_ = 0;
+  MonotonicTime at_;
+
+  double Rate(MonotonicTime aNow) const
+  {
+    return perSecond_ *
+           std::exp(-double((aNow - at_).count()) / double(kSpan.count()));
+  }
+};
+
+// Enters an amount.
+inline void
+AddDemand(DemandRate& aRate, double aAmount, MonotonicTime aNow)
+{
+  constexpr double kSpanSeconds = double(DemandRate::kSpan.count()) / 1e6;
+  aRate.perSecond_ = aRate.Rate(aNow) + aAmount / kSpanSeconds;
+  aRate.at_ = aNow;
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Deployment.h
@@ -0,0 +1,137 @@
+#pragma once
+
+// What the operators have declared, as the request path uses it: routes,
+// services, workspaces and the limits of callers.
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "http/CallerServer.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamoreward::edge {
+
+enum class RouteKind
+{
+  // May run more than once.
+  Idempotent,
+  // Runs at most once.
+  Once,
+  // An event stream; runs at most once unless the route is resumable.
+  Stream
+};
+
+struct WeightedService
+{
+  ServiceName service_;
+  double weight_ = 1;
+};
+
+struct Route
+{
+  std::string name_;
+  std::string host_;
+  // Begins and ends with a slash.
+  std::string prefix_;
+  RouteKind kind_ = RouteKind::Once;
+  // Longest time that a caller is kept waiting.
+  Duration timeout_ = std::chrono::seconds(5);
+  // Time to the whole answer, or to the first event of a stream, within which
+  // the answer has its full value.
+  Duration objective_ = std::chrono::seconds(1);
+  // Longest pause between events of a stream that is still on time.
+  Duration longestPause_ = std::chrono::seconds(1);
+  // 0 is the most urgent.
+  int priority_ = 5;
+  std::uint32_t maxAttempts_ = 1;
+  bool isPublic_ = false;
+  bool isResumable_ = false;
+  // Requests on the route name the parts of their prompt.
+  bool hasPrompt_ = false;
+  std::vector<WeightedService> services_;
+};
+
+// A service that runs language models.
+struct EngineSpec
+{
+  std::uint32_t slots_ = 1;
+  // Tokens that fit into the memory of an engine.
+  std::uint64_t memoryTokens_ = 0;
+};
+
+// Bounds of the engines that may be ordered, for each failure domain.
+struct ScalingSpec
+{
+  std::uint32_t min_ = 0;
+  std::uint32_t max_ = 0;
+  // From an order to the first request.
+  Duration bootTime_ = std::chrono::seconds(5);
+  // Price of a reclaimable engine as a part of that of another one.
+  double reclaimablePrice_ = 1;
+  std::map<FailureDomainId, double> prices_;
+};
+
+struct ServiceSpec
+{
+  ServiceName name_;
+  std::string healthPath_;
+  // Connections that a server accepts from all callers together.
+  std::uint32_t maxConnections_ = 64;
+  std::optional<EngineSpec> engine_;
+  std::optional<ScalingSpec> scaling_;
+};
+
+struct WorkspaceSpec
+{
+  WorkspaceId id_;
+  std::vector<std::string> keys_;
+  // Goes before the priority of the route.
+  std::optional<int> priority_;
+  // Allotment over all instances, in requests or tokens; 0 for no limit.
+  double ratePerSecond_ = 0;
+  double burst_ = 0;
+  bool countsTokens_ = false;
+  // Tokens of a request that doesn't say them.
+  std::uint64_t defaultTokens_ = 0;
+};
+
+struct Deployment
+{
+  Revision version_;
+  std::vector<Route> routes_;
+  std::vector<ServiceSpec> services_;
+  std::vector<WorkspaceSpec> workspaces_;
+  http::CallerLimits limits_;
+};
+
+// A deployment with the look-ups of the request path.
+class RouteTable
+{
+public:
+  explicit RouteTable(Deployment aDeployment);
+
+  const Deployment& Declared() const { return deployment_; }
+  // The route of aHost with the longest prefix that begins aPath, or null.
+  const Route* FindRoute(const std::string& aHost,
+                         std::string_view aPath) const;
+  // The workspace that holds aKey, or null.
+  const WorkspaceSpec* FindWorkspace(const std::string& aKey) const;
+  const ServiceSpec* FindService(const ServiceName& aName) const;
+  bool HasWorkspaces() const { return !deployment_.workspaces_.empty(); }
+
+private:
+  Deployment deployment_;
+  // Indexes of the routes of a host, longest prefix first.
+  std::map<std::string, std::vector<std::size_t>> byHost_;
+  std::map<std::string, std::size_t> byKey_;
+  std::map<ServiceName, std::size_t> byService_;
+};
+
+// Picks one of the services by weight; aDraw is from 0 to 1.
+const ServiceName&
+PickService(const Route& aRoute, double aDraw);
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/DutyTask.h
@@ -0,0 +1,99 @@
+#pragma once
+
+// Carries out the duties of the whole system while this instance holds them:
+// the usage report of each window and the orders of engines.
+
+#include "base/Clock.h"
+#include "edge/Cloud.h"
+#include "edge/DutyLease.h"
+#include "edge/EdgeState.h"
+#include "edge/EnginePlan.h"
+#include "edge/ReportExchange.h"
+#include "edge/RowStore.h"
+
+#include <map>
+#include <set>
+
+namespace sycamoreward::edge {
+
+class DutyTask
+{
+public:
+  DutyTask(EdgeState& aState,
+           RowStore& aStore,
+           Cloud& aCloud,
+           Incarnation aIncarnation);
+  ~DutyTask();
+  DutyTask(const DutyTask&) = delete;
+  DutyTask& operator=(const DutyTask&) = delete;
+
+  // Begins; aReports must outlive the task.
+  void Start(ReportExchange& aReports);
+  // Takes no further step: the process ends.
+  void Stop();
+
+  FencingToken HeldEpoch() const
+  {
+    return isStopped_ ? FencingToken(0) : lease_.held_;
+  }
+
+private:
+  struct WindowReport
+  {
+    UsageReport report_;
+    // The counts are in the store, so that a successor sends the same.
+    bool isFixed_ = false;
+    bool isSent_ = false;
+    bool isAsking_ = false;
+    MonotonicTime nextTry_;
+  };
+  struct Order
+  {
+    std::uint32_t sent_ = 0;
+    bool isKnown_ = false;
+    bool isAsking_ = false;
+    MonotonicTime nextTry_;
+    Duration backoff_{ 0 };
+  };
+  using OrderKey = std::tuple<ServiceName, FailureDomainId, bool>;
+
+  void Tick();
+  void CheckPause();
+  void CheckLease();
+  void OnLeaseRow(const StoreReply& aReply);
+  void TakeLease(const LeaseRow& aRow);
+  std::size_t OwnRank() const;
+
+  void CheckUsage();
+  void FixUsage(std::uint64_t aWindow);
+  void OnUsageFixed(std::uint64_t aWindow, const StoreReply& aReply);
+  void SendUsage(std::uint64_t aWindow);
+
+  void CheckOrders();
+  void PlanService(const ServiceSpec& aService);
+  void SendOrder(const OrderKey& aKey, std::uint32_t aCount);
+  void OnOrderReply(const OrderKey& aKey, CloudStatus aStatus);
+
+  bool Holds() const { return lease_.held_.Value() != 0 && !isStopped_; }
+  DutyHolder Holder() const { return { state_.self_, lease_.held_ }; }
+  void LoseLease(const char* aReason);
+
+  EdgeState& state_;
+  RowStore& store_;
+  Cloud& cloud_;
+  ReportExchange* reports_ = nullptr;
+  DutyLease lease_;
+  bool isStopped_ = false;
+  std::uint64_t timer_ = 0;
+  MonotonicTime lastTick_;
+  WallTime lastWall_;
+  std::map<std::uint64_t, WindowReport> windows_;
+  std::map<ServiceName, EnginePlan> plans_;
+  std::map<OrderKey, Order> orders_;
+  // Reclaimable engines that were seen to leave.
+  std::set<ServerId> leaving_;
+  double refused_ = 0;
+  MonotonicTime lastPlan_;
+};
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Edge.cpp
@@ -0,0 +1,320 @@
+#include "edge/Edge.h"
+
+#include "base/Error.h"
+#include "edge/MemberRow.h"
+#include "edge/RequestRun.h"
+#include "runtime/EventLoop.h"
+
+namespace sycamoreward::edge {
+
+namespace {
+
+constexpr const char* kMemberTable = "members";
+// How often the list of instances is read. Instances that start make
+// themselves known to all others, so the list only fills gaps.
+constexpr Duration kMemberInterval = std::chrono::seconds(10);
+constexpr Duration kMemberRetry = std::chrono::milliseconds(400);
+constexpr Duration kTick = std::chrono::milliseconds(500);
+// The first reading of the list of servers follows the start by this time: all
+// servers of a deployment register in the same seconds.
+constexpr Duration kServerGather = std::chrono::milliseconds(150);
+// Time after the start in which reports of the other instances have come.
+constexpr Duration kPeersHeard = std::chrono::milliseconds(800);
+// A draining instance closes idle connections after this time: callers that
+// ask for addresses have left by then.
+constexpr Duration kDrainAccept = std::chrono::milliseconds(3500);
+// End of the drain before the platform kills the process.
+constexpr Duration kDrainReserve = std::chrono::milliseconds(500);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(100);
+// Detection of a connection to another instance that has gone silent, and of
+// instances that can't be reached.
+constexpr Duration kPeerPing = std::chrono::milliseconds(1000);
+constexpr Duration kPeerSilence = std::chrono::milliseconds(2500);
+constexpr Duration kPeerConnect = std::chrono::milliseconds(1500);
+
+PeerNetworkOptions
+NetworkOptions(const Address& aListen)
+{
+  PeerNetworkOptions options;
+  options.listen_ = aListen;
+  options.connectTimeout_ = kPeerConnect;
+  options.pingAfter_ = kPeerPing;
+  options.silenceLimit_ = kPeerSilence;
+  return options;
+}
+
+} // namespace
+
+Edge::Edge(EventLoop& aLoop,
+           const EdgeOptions& aOptions,
+           const WireCodec& aWire,
+           const RowCodec& aRows,
+           RowStore& aStore,
+           Cloud& aCloud,
+           DecisionLog& aLog,
+           EdgeMetrics& aMetrics)
+  : loop_(aLoop)
+  , options_(aOptions)
+  , rows_(aRows)
+  , store_(aStore)
+  , log_(aLog)
+  , metrics_(aMetrics)
+  , state_(aLoop, aWire, aOptions.bounds_, aLog, aMetrics, aOptions.seed_)
+  , network_(aLoop, NetworkOptions(aOptions.peers_), aOptions.self_)
+  , duties_((state_.self_ = aOptions.self_.instance_, state_),
+            aStore,
+            aCloud,
+            aOptions.self_.incarnation_)
+  , reports_(state_, network_, aOptions.self_, [this] {
+    return SelfStatus{ IsReady(), isDraining_, duties_.HeldEpoch() };
+  })
+  , started_(aLoop.GetClock().Now())
+{
+  state_.domain_ = aOptions.self_.failureDomain_;
+  duties_.Start(reports_);
+  deploymentWatch_ = std::make_unique<TableWatch>(
+    aLoop,
+    aStore,
+    aLog,
+    TableWatchOptions{ rows_.deploymentTable_ },
+    TableWatch::Callbacks{ [this] { OnDeploymentRows(); }, nullptr });
+  TableWatchOptions serverOptions{ rows_.serverTable_ };
+  serverOptions.gather_ = kServerGather;
+  serverWatch_ = std::make_unique<TableWatch>(
+    aLoop,
+    aStore,
+    aLog,
+    serverOptions,
+    TableWatch::Callbacks{
+      [this] { OnServerRows(); },
+      [this](Duration aOutage) { OnStoreRecovered(aOutage); } });
+  callers_ = std::make_unique<http::CallerServer>(
+    aLoop,
+    aOptions.callers_,
+    [this](std::shared_ptr<http::CallerExchange> aExchange) {
+      std::make_shared<RequestRun>(state_, std::move(aExchange))->Start();
+    });
+  WriteMember();
+  Tick();
+}
+
+Edge::~Edge()
+{
+  for (const std::uint64_t timer :
+       { tickTimer_, memberTimer_, lapseTimer_, drainTimer_ }) {
+    loop_.CancelTimer(timer);
+  }
+}
+
+bool
+Edge::IsReady() const
+{
+  const bool hasPeers = loop_.GetClock().Now() - started_ >= kPeersHeard;
+  return !isDraining_ && hasPeers && state_.routes_ != nullptr &&
+         serverWatch_ != nullptr && serverWatch_->HasSnapshot();
+}
+
+std::vector<Address>
+Edge::Addresses() const
+{
+  return ChooseAddresses(reports_.Instances());
+}
+
+void
+Edge::OnDeploymentRows()
+{
+  const auto& rows = deploymentWatch_->Rows();
+  const auto found = rows.find(rows_.deploymentKey_);
+  if (found == rows.end()) {
+    return;
+  }
+  try {
+    Deployment deployment = rows_.decodeDeployment_(found->second.value_);
+    const Revision version = deployment.version_;
+    const http::CallerLimits limits = deployment.limits_;
+    if (ApplyDeployment(state_, std::move(deployment))) {
+      callers_->SetLimits(limits);
+      LogLine line("deployment_in_force");
+      line.Add("version", version.Value())
+        .Add("routes",
+             std::uint64_t(state_.routes_->Declared().routes_.size()));
+      log_.WriteImportant(line);
+      // Servers of services that were not known before are entered now.
+      OnServerRows();
+    }
+  } catch (const UserError& error) {
+    LogLine line("deployment_refused");
+    line.Add("error", error.what());
+    log_.WriteImportant(line);
+  }
+}
+
+void
+Edge::OnServerRows()
+{
+  if (serverWatch_ == nullptr || !serverWatch_->HasSnapshot()) {
+    return;
+  }
+  const MonotonicTime now = loop_.GetClock().Now();
+  std::map<ServerId, BackendServer> listed;
+  std::uint64_t unusable = 0;
+  for (const auto& [key, row] : serverWatch_->Rows()) {
+    auto server = rows_.decodeServer_(key, row.value_, now);
+    if (!server.has_value()) {
+      ++unusable;
+      continue;
+    }
+    const auto known = servers_.servers_.find(server->id_);
+    if (known != servers_.servers_.end()) {
+      // The time of a cold start counts from the first entry.
+      server->listed_ = known->second.listed_;
+    }
+    listed.emplace(server->id_, *server);
+  }
+  ApplyListed(servers_, listed, now);
+  ApplyServers(state_, servers_.servers_);
+  LogLine line("servers_listed");
+  line.Add("listed", std::uint64_t(listed.size()))
+    .Add("used", std::uint64_t(servers_.servers_.size()))
+    .Add("unusable", unusable);
+  log_.WriteImportant(line);
+}
+
+void
+Edge::OnStoreRecovered(Duration /*aOutage*/)
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  HoldMissing(servers_, state_.bounds_.lapseTime_, now);
+  loop_.CancelTimer(lapseTimer_);
+  lapseTimer_ = loop_.CallAfter(state_.bounds_.lapseTime_,
+                                [this] { OnServerRows(); });
+}
+
+void
+Edge::WriteMember()
+{
+  StoreWrite write;
+  write.rows_.push_back({ kMemberTable,
+                          options_.self_.instance_.Value(),
+                          EncodeMember(options_.self_),
+                          0,
+                          false });
+  store_.Write(write, [this](const StoreReply& aReply) {
+    isMemberWritten_ = aReply.status_ == StoreStatus::Ok;
+    memberTimer_ = loop_.CallAfter(isMemberWritten_ ? Duration(0) : kMemberRetry,
+                                   [this] {
+                                     if (isMemberWritten_) {
+                                       ReadMembers();
+                                     } else {
+                                       WriteMember();
+                                     }
+                                   });
+  });
+}
+
+void
+Edge::ReadMembers()
+{
+  store_.Read(kMemberTable, "", [this](const StoreReply& aReply) {
+    const bool isRead = aReply.status_ == StoreStatus::Ok;
+    if (isRead) {
+      OnMembers(aReply);
+    }
+    // Until all instances of a common start are known the list is read often.
+    const bool isStarting =
+      loop_.GetClock().Now() - started_ < std::chrono::seconds(2);
+    memberTimer_ = loop_.CallAfter(
+      !isRead || isStarting ? kMemberRetry : kMemberInterval,
+      [this] { ReadMembers(); });
+  });
+}
+
+void
+Edge::OnMembers(const StoreReply& aReply)
+{
+  std::vector<PeerIdentity> members;
+  for (const StoreRow& row : aReply.rows_) {
+    if (const auto member = DecodeMember(row.value_)) {
+      members.push_back(*member);
+    }
+  }
+  reports_.SetMembers(members);
+}
+
+void
+Edge::Tick()
+{
+  state_.wallOffset_ = reports_.WallOffset();
+  const bool isReady = IsReady();
+  if (isReady != wasReady_) {
+    wasReady_ = isReady;
+    LogLine line(isReady ? "ready" : "not_ready");
+    line.Add("instances", std::uint64_t(reports_.LiveCount()));
+    log_.WriteImportant(line);
+  }
+  tickTimer_ = loop_.CallAfter(kTick, [this] { Tick(); });
+}
+
+std::string
+Edge::MetricsText()
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  const auto age = [now](MonotonicTime aTime) {
+    return double((now - aTime).count()) / 1e6;
+  };
+  metrics_.Set("running_requests", double(state_.running_));
+  metrics_.Set("live_instances", double(reports_.LiveCount()));
+  metrics_.Set("deployment_version",
+               state_.routes_ == nullptr
+                 ? 0
+                 : double(state_.routes_->Declared().version_.Value()));
+  metrics_.Set("deployment_age_seconds", age(deploymentWatch_->LastHeard()));
+  metrics_.Set("server_list_age_seconds", age(serverWatch_->LastHeard()));
+  metrics_.Set("duty_epoch", double(duties_.HeldEpoch().Value()));
+  metrics_.Set("channels_opened", double(state_.channels_.Opened()));
+  metrics_.Set("channels_idle", double(state_.channels_.IdleCount()));
+  metrics_.Set("caller_connections", double(callers_->ConnectionCount()));
+  metrics_.Set("log_lines_dropped", double(log_.Dropped()));
+  metrics_.Set("wall_clock_offset_seconds",
+               double(state_.wallOffset_.count()) / 1e6);
+  return metrics_.Text();
+}
+
+void
+Edge::Drain(std::function<void()> aDone)
+{
+  if (isDraining_) {
+    return;
+  }
+  isDraining_ = true;
+  drainStarted_ = loop_.GetClock().Now();
+  onDrained_ = std::move(aDone);
+  duties_.Stop();
+  callers_->StartDrain();
+  reports_.SendNow();
+  LogLine line("drain_started");
+  line.Add("running", std::uint64_t(state_.running_));
+  log_.WriteImportant(line);
+  CheckDrained();
+}
+
+void
+Edge::CheckDrained()
+{
+  const Duration elapsed = loop_.GetClock().Now() - drainStarted_;
+  if (elapsed >= kDrainAccept) {
+    callers_->StopAccepting();
+  }
+  const bool isDone =
+    elapsed >= kDrainAccept && callers_->ConnectionCount() == 0;
+  if (isDone || elapsed >= state_.bounds_.grace_ - kDrainReserve) {
+    LogLine line("drain_ended");
+    line.Add("running", std::uint64_t(state_.running_));
+    log_.WriteImportant(line);
+    onDrained_();
+    return;
+  }
+  drainTimer_ = loop_.CallAfter(kDrainCheck, [this] { CheckDrained(); });
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Edge.h
@@ -0,0 +1,113 @@
+#pragma once
+
+// One entry instance on a platform that keeps the deployment, the list of
+// backend servers and the list of instances in its store.
+
+#include "edge/AddressAnswer.h"
+#include "edge/Cloud.h"
+#include "edge/DutyTask.h"
+#include "edge/EdgeState.h"
+#include "edge/ReportExchange.h"
+#include "edge/RowStore.h"
+#include "edge/ServerList.h"
+#include "edge/TableWatch.h"
+#include "http/CallerServer.h"
+#include "peer/WebSocketPeerNetwork.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sycamoreward::edge {
+
+// How the rows of the platform are read.
+struct RowCodec
+{
+  std::string deploymentTable_;
+  std::string deploymentKey_;
+  std::string serverTable_;
+  // Throws UserError when the row is malformed.
+  Deployment (*decodeDeployment_)(const std::string& aValue);
+  // Empty when the row names no backend server that can be used.
+  std::optional<BackendServer> (*decodeServer_)(const std::string& aKey,
+                                                const std::string& aValue,
+                                                MonotonicTime aNow);
+};
+
+struct EdgeOptions
+{
+  PeerIdentity self_;
+  SystemBounds bounds_;
+  // Address of the inner protocol, and of the callers' requests.
+  Address peers_;
+  Address callers_;
+  // Seed of random choices.
+  std::uint64_t seed_ = 0;
+};
+
+class Edge
+{
+public:
+  // Throws InternalError when an address can't be bound. All references must
+  // outlive the instance.
+  Edge(EventLoop& aLoop,
+       const EdgeOptions& aOptions,
+       const WireCodec& aWire,
+       const RowCodec& aRows,
+       RowStore& aStore,
+       Cloud& aCloud,
+       DecisionLog& aLog,
+       EdgeMetrics& aMetrics);
+  ~Edge();
+  Edge(const Edge&) = delete;
+  Edge& operator=(const Edge&) = delete;
+
+  // Whether the instance takes requests.
+  bool IsReady() const;
+  // Addresses for callers.
+  std::vector<Address> Addresses() const;
+  // Metrics in Prometheus text format.
+  std::string MetricsText();
+
+  // Leaves: takes no new connections after a while, finishes what runs and
+  // calls aDone.
+  void Drain(std::function<void()> aDone);
+
+private:
+  void OnDeploymentRows();
+  void OnServerRows();
+  void OnStoreRecovered(Duration aOutage);
+  void ReadMembers();
+  void WriteMember();
+  void OnMembers(const StoreReply& aReply);
+  void Tick();
+  void CheckDrained();
+
+  EventLoop& loop_;
+  EdgeOptions options_;
+  RowCodec rows_;
+  RowStore& store_;
+  DecisionLog& log_;
+  EdgeMetrics& metrics_;
+  EdgeState state_;
+  ServerList servers_;
+  WebSocketPeerNetwork network_;
+  DutyTask duties_;
+  ReportExchange reports_;
+  std::unique_ptr<TableWatch> deploymentWatch_;
+  std::unique_ptr<TableWatch> serverWatch_;
+  std::unique_ptr<http::CallerServer> callers_;
+  MonotonicTime started_;
+  bool wasReady_ = false;
+  bool isMemberWritten_ = false;
+  bool isDraining_ = false;
+  MonotonicTime drainStarted_;
+  std::function<void()> onDrained_;
+  std::uint64_t tickTimer_ = 0;
+  std::uint64_t memberTimer_ = 0;
+  std::uint64_t lapseTimer_ = 0;
+  std::uint64_t drainTimer_ = 0;
+};
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/EdgeState.cpp
@@ -0,0 +1,127 @@
+#include "edge/EdgeState.h"
+
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Start of the estimate of the read rate, in tokens a millisecond; observed
+// values replace it within seconds.
+constexpr double kInitialReadRate = 30;
+// Start of the estimate of the time of a plain request, in milliseconds.
+constexpr double kInitialWorkMs = 40;
+// Part of an engine's memory that is taken to hold prompt parts; the rest is
+// used by running requests.
+constexpr double kPartsMemory = 0.75;
+// Part of the system's retry budget that the instances use: windows slide, and
+// an instance counts its requests before they reach a server.
+constexpr double kBudgetPart = 0.7;
+
+void
+UpdatePool(PoolView& aPool, const ServiceSpec& aSpec)
+{
+  aPool.service_ = aSpec.name_;
+  aPool.isEngine_ = aSpec.engine_.has_value();
+  aPool.maxConnections_ = aSpec.maxConnections_;
+  aPool.memoryTokens_ =
+    aSpec.engine_.has_value() ? aSpec.engine_->memoryTokens_ : 0;
+  if (aPool.readRate_ <= 0) {
+    aPool.readRate_ = kInitialReadRate;
+  }
+  if (aPool.workMs_ <= 0) {
+    aPool.workMs_ = kInitialWorkMs;
+  }
+}
+
+void
+UpdateBudgets(EdgeState& aState)
+{
+  const double reserve = aState.bounds_.retryReserve_ * kBudgetPart /
+                         double(std::max<std::size_t>(aState.instances_, 1));
+  for (auto& [service, budget] : aState.budgets_) {
+    budget.part_ = aState.bounds_.retryPart_ * kBudgetPart;
+    budget.reserve_ = reserve;
+    budget.available_ = std::min(budget.available_, reserve);
+  }
+}
+
+void
+UpdateAllotments(EdgeState& aState, const Deployment& aDeployment)
+{
+  const MonotonicTime now = aState.loop_.GetClock().Now();
+  for (const WorkspaceSpec& workspace : aDeployment.workspaces_) {
+    Allotment& allotment = aState.allotments_[workspace.id_];
+    if (allotment.rate_ != workspace.ratePerSecond_ ||
+        allotment.burst_ != workspace.burst_) {
+      SetLimits(allotment, workspace.ratePerSecond_, workspace.burst_, now);
+    }
+  }
+}
+
+} // namespace
+
+bool
+ApplyDeployment(EdgeState& aState, Deployment aDeployment)
+{
+  aState.deploymentHeard_ = aState.loop_.GetClock().Now();
+  if (aState.routes_ != nullptr &&
+      aDeployment.version_ <= aState.routes_->Declared().version_) {
+    return false;
+  }
+  for (const ServiceSpec& service : aDeployment.services_) {
+    UpdatePool(aState.pools_[service.name_], service);
+    if (aState.budgets_.count(service.name_) == 0) {
+      RetryBudget budget = MakeRetryBudget(aState.bounds_.retryPart_);
+      // Full at the start; UpdateBudgets cuts it to the share.
+      budget.available_ = aState.bounds_.retryReserve_;
+      aState.budgets_[service.name_] = budget;
+    }
+  }
+  UpdateBudgets(aState);
+  UpdateAllotments(aState, aDeployment);
+  aState.routes_ = std::make_shared<const RouteTable>(std::move(aDeployment));
+  return true;
+}
+
+void
+ApplyServers(EdgeState& aState,
+             const std::map<ServerId, BackendServer>& aServers)
+{
+  for (auto& [service, pool] : aState.pools_) {
+    for (auto entry = pool.servers_.begin(); entry != pool.servers_.end();) {
+      const auto listed = aServers.find(entry->first);
+      const bool isGone =
+        listed == aServers.end() || listed->second.service_ != service ||
+        listed->second.incarnation_ != entry->second.server_.incarnation_ ||
+        listed->second.address_ != entry->second.server_.address_;
+      if (isGone) {
+        aState.channels_.Drop(entry->first);
+        entry = pool.servers_.erase(entry);
+      } else {
+        ++entry;
+      }
+    }
+  }
+  for (const auto& [id, server] : aServers) {
+    PoolView& pool = aState.pools_[server.service_];
+    BackendView& view = pool.servers_[id];
+    view.server_ = server;
+    view.parts_.SetLimit(
+      std::uint64_t(double(pool.memoryTokens_) * kPartsMemory));
+  }
+  aState.serversHeard_ = aState.loop_.GetClock().Now();
+}
+
+void
+SetInstanceCount(EdgeState& aState, std::size_t aInstances)
+{
+  if (aState.instances_ != aInstances) {
+    aState.instances_ = std::max<std::size_t>(aInstances, 1);
+    UpdateBudgets(aState);
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/EdgeState.h
@@ -0,0 +1,113 @@
+#pragma once
+
+// What the requests of one instance share. Used on one event loop.
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "edge/Allotment.h"
+#include "edge/ChannelPool.h"
+#include "edge/DecisionLog.h"
+#include "edge/DemandRate.h"
+#include "edge/Deployment.h"
+#include "edge/EdgeMetrics.h"
+#include "edge/PoolView.h"
+#include "edge/UsageCounts.h"
+#include "edge/WireCodec.h"
+#include "retries/RetryBudget.h"
+#include "runtime/EventLoop.h"
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace sycamoreward::edge {
+
+// Bounds that the platform sets for the whole system.
+struct SystemBounds
+{
+  // Extra attempts for each request of a service, over all instances.
+  double retryPart_ = 0.2;
+  // Extra attempts beyond that within the platform's window.
+  double retryReserve_ = 50;
+  // Time in which all instances apply a new deployment.
+  Duration applyTime_ = std::chrono::seconds(2);
+  // From SIGTERM to SIGKILL.
+  Duration grace_ = std::chrono::seconds(8);
+  // Time in which one holder of a duty follows another.
+  Duration leaseTime_ = std::chrono::seconds(3);
+  Duration usageWindow_ = std::chrono::seconds(5);
+  // Longest time for which an answer to an address query is used.
+  Duration addressTime_ = std::chrono::seconds(5);
+  // A backend server's entry is missing for this long after an outage of the
+  // store although the server lives.
+  Duration lapseTime_ = std::chrono::milliseconds(2000);
+};
+
+struct EdgeState
+{
+  EdgeState(EventLoop& aLoop,
+            const WireCodec& aCodec,
+            const SystemBounds& aBounds,
+            DecisionLog& aLog,
+            EdgeMetrics& aMetrics,
+            std::uint64_t aSeed)
+    : loop_(aLoop)
+    , codec_(aCodec)
+    , bounds_(aBounds)
+    , log_(aLog)
+    , metrics_(aMetrics)
+    , channels_(aLoop)
+    , random_(aSeed)
+  {
+    usage_.window_ = aBounds.usageWindow_;
+  }
+
+  EventLoop& loop_;
+  WireCodec codec_;
+  SystemBounds bounds_;
+  DecisionLog& log_;
+  EdgeMetrics& metrics_;
+  InstanceId self_;
+  FailureDomainId domain_;
+  // Null until the first deployment is known.
+  std::shared_ptr<const RouteTable> routes_;
+  std::map<ServiceName, PoolView> pools_;
+  std::map<WorkspaceId, Allotment> allotments_;
+  std::map<ServiceName, RetryBudget> budgets_;
+  UsageCounts usage_;
+  ChannelPool channels_;
+  std::mt19937_64 random_;
+  // Entry instances that share what is bounded for the whole system.
+  std::size_t instances_ = 1;
+  std::size_t running_ = 0;
+  // Prompt tokens that engines had to read for requests of this instance.
+  std::map<ServiceName, DemandRate> demand_;
+  // Requests refused for lack of capacity since the start.
+  std::uint64_t refused_ = 0;
+  // Middle of the wall clocks of the instances, against this one's.
+  Duration wallOffset_{ 0 };
+  // Age of the list of backend servers and of the deployment, for the log.
+  MonotonicTime serversHeard_;
+  MonotonicTime deploymentHeard_;
+  std::uint64_t nextWork_ = 1;
+
+  // Wall time as the instances agree on it.
+  WallTime AgreedWall() const { return loop_.GetClock().Wall() + wallOffset_; }
+  double Draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+};
+
+// Applies a newer deployment. False when it is not newer than the known one.
+bool
+ApplyDeployment(EdgeState& aState, Deployment aDeployment);
+
+// Replaces the list of backend servers; what is known of those that stay is
+// kept.
+void
+ApplyServers(EdgeState& aState,
+             const std::map<ServerId, BackendServer>& aServers);
+
+// Sets the share of this instance in what is bounded for the whole system.
+void
+SetInstanceCount(EdgeState& aState, std::size_t aInstances);
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/EventSplitter.cpp
@@ -0,0 +1,63 @@
+#include "edge/EventSplitter.h"
+
+namespace sycamoreward::edge {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// Length of the part of aText that ends with an empty line; 0 without one.
+std::size_t
+WholeLength(std::string_view aText)
+{
+  const std::size_t lines = aText.rfind("\n\n");
+  const std::size_t crLines = aText.rfind("\r\n\r\n");
+  std::size_t length = 0;
+  if (lines != std::string_view::npos) {
+    length = lines + 2;
+  }
+  if (crLines != std::string_view::npos && crLines + 4 > length) {
+    length = crLines + 4;
+  }
+  return length;
+}
+
+// The value of the last id field in whole events.
+std::string_view
+FindLastId(std::string_view aEvents)
+{
+  std::size_t at = aEvents.size();
+  while (at != 0) {
+    at = aEvents.rfind(kIdField, at - 1);
+    if (at == std::string_view::npos) {
+      return {};
+    }
+    if (at == 0 || aEvents[at - 1] == '\n') {
+      std::string_view value = aEvents.substr(at + kIdField.size());
+      value = value.substr(0, value.find_first_of("\r\n"));
+      if (!value.empty() && value.front() == ' ') {
+        value.remove_prefix(1);
+      }
+      return value;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+std::string
+EventSplitter::Take(std::string_view aBytes)
+{
+  partial_.append(aBytes);
+  const std::size_t length = WholeLength(partial_);
+  std::string events = partial_.substr(0, length);
+  partial_.erase(0, length);
+  const std::string_view id = FindLastId(events);
+  if (!id.empty()) {
+    lastId_ = id;
+  }
+  return events;
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/KnownParts.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// The prompt parts that a server is thought to hold in memory, from the
+// requests that this instance sent there.
+
+#include "edge/WireCodec.h"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+namespace sycamoreward::edge {
+
+class KnownParts
+{
+public:
+  // aLimit is the number of tokens after which the least recently used parts
+  // are taken to be gone.
+  explicit KnownParts(std::uint64_t aLimit = 0)
+    : limit_(aLimit)
+  {
+  }
+
+  void SetLimit(std::uint64_t aLimit) { limit_ = aLimit; }
+  bool Has(std::uint64_t aPart) const { return parts_.count(aPart) != 0; }
+  // Notes that the server has read or used aPart.
+  void Touch(const PromptPart& aPart);
+
+private:
+  struct Known
+  {
+    std::uint32_t tokens_ = 0;
+    std::list<std::uint64_t>::iterator place_;
+  };
+
+  std::uint64_t limit_;
+  std::uint64_t tokens_ = 0;
+  // Least recently used first.
+  std::list<std::uint64_t> order_;
+  std::unordered_map<std::uint64_t, Known> parts_;
+};
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Placement.cpp
@@ -0,0 +1,233 @@
+#include "edge/Placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Part of a prompt part that the server of that rendezvous rank is expected to
+// lack when this instance has not sent it there itself.
+constexpr double kUnheldPart[] = { 0.4, 0.8 };
+// Part of the shared first part of prompts that a server is expected to lack:
+// few of them exist, so most servers hold all.
+constexpr double kUnheldFirstPart = 0.5;
+// Cost of a failed attempt, in milliseconds, against the failure rate.
+constexpr double kFailureCostMs = 1500;
+// A server is left out while others remain above this rate.
+constexpr double kFailureLimit = 0.6;
+// Each running request makes the steps of an engine a little longer, and a new
+// prompt delays its tokens.
+constexpr double kRunningCostMs = 0.6;
+// Costs within this distance count as equal; several instances that read the
+// same reports would otherwise choose the same server.
+constexpr double kEqualMs = 6;
+// Part of a server's connections that all instances together use.
+constexpr double kConnectionPart = 0.9;
+// Network and first step.
+constexpr double kBaseMs = 15;
+// Extra time to a server in another failure domain, both ways.
+constexpr double kOtherDomainMs = 7;
+// A stream holds a slot for about this time.
+constexpr double kStreamMs = 1000;
+
+double
+Milliseconds(Duration aDuration)
+{
+  return double(aDuration.count()) / 1000.0;
+}
+
+Duration
+FromMilliseconds(double aMilliseconds)
+{
+  return Duration(Duration::rep(aMilliseconds * 1000.0));
+}
+
+std::uint64_t
+RendezvousScore(std::uint64_t aSession, const ServerId& aServer)
+{
+  return XXH64(aServer.Value().data(), aServer.Value().size(), aSession);
+}
+
+// Rank of each server for the session, by rendezvous hashing.
+std::map<ServerId, std::size_t>
+RankServers(const PoolView& aPool, std::uint64_t aSession)
+{
+  std::vector<std::pair<std::uint64_t, const ServerId*>> scores;
+  for (const auto& [id, view] : aPool.servers_) {
+    if (!view.server_.isDraining_) {
+      scores.emplace_back(RendezvousScore(aSession, id), &id);
+    }
+  }
+  std::sort(scores.begin(), scores.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first > aRight.first;
+  });
+  std::map<ServerId, std::size_t> ranks;
+  for (std::size_t rank = 0; rank < scores.size(); ++rank) {
+    ranks[*scores[rank].second] = rank;
+  }
+  return ranks;
+}
+
+std::uint32_t
+ConnectionShare(const PoolView& aPool, std::size_t aInstances)
+{
+  const double share = aPool.maxConnections_ * kConnectionPart /
+                       double(std::max<std::size_t>(aInstances, 1));
+  return std::max<std::uint32_t>(2, std::uint32_t(share));
+}
+
+bool
+CanTake(const PoolView& aPool,
+        const BackendView& aView,
+        const PlacementQuery& aQuery)
+{
+  return !aView.server_.isDraining_ &&
+         aQuery.tried_.count(aView.server_.id_) == 0 &&
+         aView.running_ < ConnectionShare(aPool, aQuery.instances_);
+}
+
+// Wait for a slot, when all are taken.
+double
+SlotWaitMs(const BackendView& aView, double aTimeMs)
+{
+  const double slots = std::max<std::uint32_t>(aView.server_.slots_, 1);
+  const double excess = RunningRequests(aView) + 1 - slots;
+  return excess <= 0 ? 0 : excess * aTimeMs / slots;
+}
+
+// Slowness that is still left of a cold start, in milliseconds.
+double
+ColdMs(const BackendView& aView, MonotonicTime aNow)
+{
+  const Duration left =
+    aView.server_.coldFor_ - (aNow - aView.server_.listed_);
+  return std::max(0.0, Milliseconds(left)) * 0.1;
+}
+
+Placement
+Estimate(const PoolView& aPool,
+         const BackendView& aView,
+         const PlacementQuery& aQuery,
+         std::size_t aRank)
+{
+  Placement placement;
+  placement.server_ = aView.server_.id_;
+  placement.running_ = RunningRequests(aView);
+  placement.failureRate_ = FailureRate(aView, aQuery.now_);
+  const double slowness = Slowness(aView, aQuery.now_);
+  double wait = kBaseMs;
+  if (aView.server_.domain_ != aQuery.ownDomain_) {
+    wait += kOtherDomainMs;
+  }
+  if (aPool.isEngine_) {
+    placement.unread_ = UnreadTokens(aView, aQuery.now_);
+    placement.tokens_ = UnheldTokens(aView, aQuery, aRank);
+    const double perToken = slowness / std::max(aPool.readRate_, 1.0);
+    const double queue = placement.unread_ * perToken;
+    const double reading = placement.tokens_ * perToken;
+    placement.readStart_ = aQuery.now_ + FromMilliseconds(queue);
+    placement.readEnd_ = placement.readStart_ + FromMilliseconds(reading);
+    wait += queue + reading + SlotWaitMs(aView, kStreamMs);
+  } else {
+    wait += aPool.workMs_ * slowness + SlotWaitMs(aView, aPool.workMs_ * slowness);
+    placement.readStart_ = aQuery.now_;
+    placement.readEnd_ = aQuery.now_;
+  }
+  placement.waitMs_ = wait + ColdMs(aView, aQuery.now_);
+  return placement;
+}
+
+double
+Cost(const PoolView& aPool, const Placement& aPlacement)
+{
+  double cost = aPlacement.waitMs_ + aPlacement.failureRate_ * kFailureCostMs;
+  if (aPool.isEngine_) {
+    cost += aPlacement.running_ * kRunningCostMs;
+  }
+  return cost;
+}
+
+} // namespace
+
+std::uint64_t
+SessionPart(const std::vector<PromptPart>& aParts)
+{
+  // The last part belongs to the request alone.
+  return aParts.size() < 2 ? 0 : aParts[aParts.size() - 2].id_;
+}
+
+double
+UnheldTokens(const BackendView& aView,
+             const PlacementQuery& aQuery,
+             std::size_t aRank)
+{
+  double unheld = 0;
+  double listed = 0;
+  // A part is of use only while all parts before it are held.
+  bool isHeld = true;
+  for (std::size_t index = 0; index < aQuery.parts_.size(); ++index) {
+    const PromptPart& part = aQuery.parts_[index];
+    listed += part.tokens_;
+    isHeld = isHeld && aView.parts_.Has(part.id_);
+    if (isHeld) {
+      continue;
+    }
+    const bool isLast = index + 1 == aQuery.parts_.size();
+    double missing = 1;
+    if (!isLast && aRank < std::size(kUnheldPart)) {
+      missing = kUnheldPart[aRank];
+    } else if (!isLast && index == 0) {
+      missing = kUnheldFirstPart;
+    }
+    unheld += missing * part.tokens_;
+  }
+  return unheld + std::max(0.0, aQuery.promptTokens_ - listed);
+}
+
+Placement
+ChooseServer(const PoolView& aPool, const PlacementQuery& aQuery)
+{
+  const auto ranks = RankServers(aPool, SessionPart(aQuery.parts_));
+  std::vector<std::pair<double, Placement>> candidates;
+  // Servers that fail are used when there is no other.
+  for (const bool takesFailing : { false, true }) {
+    for (const auto& [id, view] : aPool.servers_) {
+      const bool isFailing = view.avoidUntil_ > aQuery.now_ ||
+                             FailureRate(view, aQuery.now_) > kFailureLimit;
+      if (!CanTake(aPool, view, aQuery) || (isFailing && !takesFailing)) {
+        continue;
+      }
+      const auto rank = ranks.find(id);
+      const Placement placement =
+        Estimate(aPool,
+                 view,
+                 aQuery,
+                 rank == ranks.end() ? aPool.servers_.size() : rank->second);
+      candidates.emplace_back(Cost(aPool, placement), placement);
+    }
+    if (!candidates.empty()) {
+      break;
+    }
+  }
+  if (candidates.empty()) {
+    return {};
+  }
+  double best = std::numeric_limits<double>::max();
+  for (const auto& [cost, placement] : candidates) {
+    best = std::min(best, cost);
+  }
+  std::vector<const Placement*> equal;
+  for (const auto& [cost, placement] : candidates) {
+    if (cost <= best + kEqualMs) {
+      equal.push_back(&placement);
+    }
+  }
+  const auto index = std::size_t(aQuery.draw_ * double(equal.size()));
+  return *equal[std::min(index, equal.size() - 1)];
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/PoolView.cpp
@@ -0,0 +1,140 @@
+#include "edge/PoolView.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Weight of a new observation.
+constexpr double kFailureWeight = 0.25;
+constexpr double kSlownessWeight = 0.3;
+constexpr double kReadRateWeight = 0.05;
+constexpr double kWorkWeight = 0.05;
+// Observations lose half of their weight in this time. An outage of a server
+// takes seconds, so a shorter one would send requests there again too soon.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(3);
+constexpr Duration kSlownessHalfLife = std::chrono::seconds(2);
+constexpr double kMinSlowness = 0.5;
+constexpr double kMaxSlowness = 10;
+// Reports of a server's slowness change several times a second.
+constexpr Duration kReportedSlownessAge = std::chrono::milliseconds(700);
+// Prompts smaller than this say little of the read rate.
+constexpr double kReadRateMinTokens = 2000;
+// Part of a prompt that is unread until the first event has come, however late
+// it is.
+constexpr double kMinUnreadPart = 0.1;
+// Fixed part of the time to the first event: connection, first step, network.
+constexpr double kFirstEventBaseMs = 15;
+
+double
+Milliseconds(Duration aDuration)
+{
+  return double(aDuration.count()) / 1000.0;
+}
+
+double
+Fade(Duration aAge, Duration aHalfLife)
+{
+  return std::exp2(-double(std::max<Duration::rep>(aAge.count(), 0)) /
+                   double(aHalfLife.count()));
+}
+
+} // namespace
+
+double
+OwnUnreadTokens(const BackendView& aView, MonotonicTime aNow)
+{
+  double tokens = 0;
+  for (const auto& [work, prompt] : aView.unread_) {
+    const double span = Milliseconds(prompt.end_ - prompt.start_);
+    const double left = Milliseconds(prompt.end_ - aNow);
+    const double part =
+      span <= 0 ? 1.0 : std::clamp(left / span, kMinUnreadPart, 1.0);
+    tokens += prompt.tokens_ * part;
+  }
+  return tokens;
+}
+
+double
+UnreadTokens(const BackendView& aView, MonotonicTime aNow)
+{
+  return OwnUnreadTokens(aView, aNow) + aView.peerUnreadTokens_;
+}
+
+double
+RunningRequests(const BackendView& aView)
+{
+  return aView.running_ + aView.peerRunning_;
+}
+
+double
+FailureRate(const BackendView& aView, MonotonicTime aNow)
+{
+  return aView.failureRate_ * Fade(aNow - aView.failureAt_, kFailureHalfLife);
+}
+
+double
+Slowness(const BackendView& aView, MonotonicTime aNow)
+{
+  const double fade = Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+  double slowness = 1 + (aView.slowness_ - 1) * fade;
+  if (aView.load_.has_value() &&
+      aNow - aView.load_->at_ < kReportedSlownessAge) {
+    slowness = std::max(slowness, aView.load_->slowness_);
+  }
+  return slowness;
+}
+
+void
+NoteResult(BackendView& aView, bool aFailed, MonotonicTime aNow)
+{
+  const double rate = FailureRate(aView, aNow);
+  aView.failureRate_ = rate + kFailureWeight * ((aFailed ? 1.0 : 0.0) - rate);
+  aView.failureAt_ = aNow;
+}
+
+void
+NoteFirstEvent(PoolView& aPool,
+               BackendView& aView,
+               std::uint64_t aWork,
+               MonotonicTime aSent,
+               MonotonicTime aNow)
+{
+  const auto found = aView.unread_.find(aWork);
+  if (found == aView.unread_.end()) {
+    return;
+  }
+  const UnreadPrompt prompt = found->second;
+  aView.unread_.erase(found);
+  const double expected = Milliseconds(prompt.end_ - aSent) + kFirstEventBaseMs;
+  const double observed = Milliseconds(aNow - aSent);
+  const double ratio =
+    std::clamp(observed / expected, kMinSlowness, kMaxSlowness);
+  const double known = 1 + (aView.slowness_ - 1) *
+                             Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+  aView.slowness_ = known + kSlownessWeight * (ratio - known);
+  aView.slownessAt_ = aNow;
+  const bool wasAlone = prompt.start_ == aSent;
+  if (wasAlone && prompt.tokens_ >= kReadRateMinTokens) {
+    const double rate =
+      prompt.tokens_ / std::max(observed - kFirstEventBaseMs, 1.0);
+    aPool.readRate_ += kReadRateWeight * (rate - aPool.readRate_);
+  }
+}
+
+void
+NoteWork(PoolView& aPool, BackendView& aView, Duration aTime, MonotonicTime aNow)
+{
+  const double observed = Milliseconds(aTime);
+  const double ratio = std::clamp(
+    observed / std::max(aPool.workMs_, 1.0), kMinSlowness, kMaxSlowness);
+  const double known = 1 + (aView.slowness_ - 1) *
+                             Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+  aView.slowness_ = known + kSlownessWeight * (ratio - known);
+  aView.slownessAt_ = aNow;
+  aPool.workMs_ += kWorkWeight * (observed - aPool.workMs_);
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/RequestRun.cpp
@@ -0,0 +1,766 @@
+#include "edge/RequestRun.h"
+
+#include "base/Error.h"
+#include "edge/Admission.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Bytes of a plain answer that are kept until it is whole, so that a broken
+// one can be asked for again.
+constexpr std::uint64_t kMostKeptBytes = 64 * 1024;
+// Unsent bytes for a caller above which the server's answer is read no further.
+constexpr std::size_t kMostUnsentBytes = 256 * 1024;
+// An unrepeatable request uses only connections that carried another one
+// shortly before: a server that closes an idle connection at the same moment
+// leaves open whether the request ran.
+constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(1500);
+constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(30);
+// Retry-After while no deployment or no server is known: the time in which an
+// instance that has just started learns them.
+constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(400);
+// Attempts that servers refuse before the caller is refused.
+constexpr std::uint32_t kMostSends = 3;
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+const char*
+StatusReason(int aStatus)
+{
+  switch (aStatus) {
+    case kBadRequest:
+      return "Bad Request";
+    case kUnauthorized:
+      return "Unauthorized";
+    case kNotFound:
+      return "Not Found";
+    case kTooManyRequests:
+      return "Too Many Requests";
+    case kBadGateway:
+      return "Bad Gateway";
+    case kUnavailable:
+      return "Service Unavailable";
+    default:
+      return "Gateway Timeout";
+  }
+}
+
+std::string
+ErrorBody(const char* aReason, const char* aRan)
+{
+  return std::string("{\"code\":\"") + aReason + "\",\"ran\":\"" + aRan +
+         "\"}\n";
+}
+
+double
+Milliseconds(Duration aDuration)
+{
+  return double(aDuration.count()) / 1000.0;
+}
+
+} // namespace
+
+RequestRun::RequestRun(EdgeState& aState,
+                       std::shared_ptr<http::CallerExchange> aExchange)
+  : state_(aState)
+  , exchange_(std::move(aExchange))
+{
+}
+
+Duration
+RequestRun::Elapsed() const
+{
+  return state_.loop_.GetClock().Now() - exchange_->received_;
+}
+
+Duration
+RequestRun::Remaining() const
+{
+  return deadline_ - state_.loop_.GetClock().Now();
+}
+
+void
+RequestRun::Start()
+{
+  ++state_.running_;
+  const auto self = shared_from_this();
+  http::CallerExchange::Callbacks callbacks;
+  callbacks.onGone_ = [self] { self->OnCallerGone(); };
+  callbacks.onFlushed_ = [self] {
+    if (self->channel_ != nullptr) {
+      self->channel_->ResumeReading();
+    }
+  };
+  exchange_->SetCallbacks(std::move(callbacks));
+  if (Accept() && CheckAllotment() && Choose("first")) {
+    SendAttempt("first");
+  }
+}
+
+bool
+RequestRun::Accept()
+{
+  try {
+    request_ = state_.codec_.decodeRequest_(exchange_->head_);
+  } catch (const UserError& error) {
+    Fail(kBadRequest, "bad_request");
+    return false;
+  }
+  routes_ = state_.routes_;
+  if (routes_ == nullptr) {
+    Refuse(kUnavailable, "no_deployment", kStartingRetryAfter);
+    return false;
+  }
+  route_ = routes_->FindRoute(request_.host_, exchange_->head_.target_);
+  if (route_ == nullptr || route_->services_.empty()) {
+    Fail(kNotFound, "no_route");
+    return false;
+  }
+  if (routes_->HasWorkspaces() && !route_->isPublic_) {
+    workspace_ = routes_->FindWorkspace(request_.key_);
+    if (workspace_ == nullptr) {
+      Fail(kUnauthorized, "unknown_key");
+      return false;
+    }
+  }
+  service_ = PickService(*route_, state_.Draw());
+  const Duration patience =
+    std::min(request_.patience_.value_or(route_->timeout_), route_->timeout_);
+  deadline_ = exchange_->received_ + patience;
+  deadlineTimer_ =
+    state_.loop_.CallAfter(Remaining(), [self = shared_from_this()] {
+      self->deadlineTimer_ = 0;
+      self->OnDeadline();
+    });
+  return true;
+}
+
+bool
+RequestRun::CheckAllotment()
+{
+  CountRequest(state_.budgets_[service_]);
+  if (workspace_ == nullptr) {
+    return true;
+  }
+  allotted_ = 1;
+  if (workspace_->countsTokens_) {
+    allotted_ = request_.hasTokens_
+                  ? double(request_.promptTokens_ + request_.outputTokens_)
+                  : double(workspace_->defaultTokens_);
+  }
+  Allotment& allotment = state_.allotments_[workspace_->id_];
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (TakeAllotment(allotment, allotted_, now)) {
+    return true;
+  }
+  const Duration wait = TimeUntil(allotment, allotted_, now);
+  allotted_ = 0;
+  // Spread, so that refused callers don't return together.
+  const double factor = 1 + state_.Draw();
+  Refuse(kTooManyRequests,
+         "allotment_used",
+         Duration(Duration::rep(double(wait.count()) * factor)));
+  return false;
+}
+
+bool
+RequestRun::Choose(const char* aCause)
+{
+  PoolView& pool = state_.pools_[service_];
+  PlacementQuery query;
+  query.parts_ = request_.parts_;
+  query.promptTokens_ = double(request_.promptTokens_);
+  query.ownDomain_ = state_.domain_;
+  query.tried_ = tried_;
+  query.instances_ = state_.instances_;
+  query.now_ = state_.loop_.GetClock().Now();
+  query.draw_ = state_.Draw();
+  placement_ = ChooseServer(pool, query);
+  if (placement_.server_.Value().empty()) {
+    Refuse(kUnavailable, "no_server", kStartingRetryAfter);
+    return false;
+  }
+  AdmissionQuery admission;
+  admission.waitMs_ = placement_.waitMs_;
+  admission.ownMs_ =
+    pool.isEngine_ ? placement_.tokens_ / std::max(pool.readRate_, 1.0)
+                   : pool.workMs_;
+  admission.elapsed_ = Elapsed();
+  admission.remaining_ = Remaining();
+  admission.objective_ = route_->objective_;
+  admission.draw_ = state_.Draw();
+  const AdmissionDecision decision = DecideAdmission(admission);
+  if (pool.isEngine_ && sends_ == 0) {
+    AddDemand(state_.demand_[service_], placement_.tokens_, query.now_);
+  }
+  // Work that a server has begun already is finished while time is left.
+  if (decision.isAccepted_ || runs_ > 0) {
+    LogLine line("placed");
+    line.Add("request", request_.id_.Value())
+      .Add("cause", aCause)
+      .Add("server", placement_.server_.Value())
+      .Add("expectedMs", placement_.waitMs_)
+      .Add("tokens", placement_.tokens_)
+      .Add("unread", placement_.unread_)
+      .Add("running", placement_.running_)
+      .Add("failureRate", placement_.failureRate_)
+      .Add("listAgeMs", Milliseconds(query.now_ - state_.serversHeard_))
+      .Add("deployment", routes_->Declared().version_.Value());
+    state_.log_.Write(line);
+    return true;
+  }
+  ++state_.refused_;
+  Refuse(kUnavailable, decision.reason_, decision.retryAfter_);
+  return false;
+}
+
+http::RequestHead
+RequestRun::ServerHead() const
+{
+  http::RequestHead head = exchange_->head_;
+  http::RemoveConnectionFields(head);
+  head.Remove("content-length");
+  head.Remove("expect");
+  ServerRequest fields;
+  fields.patience_ = Remaining();
+  fields.expected_ = placement_.server_;
+  if (workspace_ != nullptr) {
+    fields.workspace_ = workspace_->id_;
+  }
+  if (route_->hasPrompt_) {
+    fields.priority_ = workspace_ != nullptr && workspace_->priority_.has_value()
+                         ? *workspace_->priority_
+                         : route_->priority_;
+  }
+  if (answerState_ == AnswerState::Passed && !events_.LastId().empty()) {
+    fields.lastEvent_ = events_.LastId();
+  }
+  state_.codec_.encodeRequest_(head, fields);
+  if (!exchange_->body_.empty() || exchange_->head_.Count("content-length") > 0 ||
+      exchange_->head_.Count("transfer-encoding") > 0) {
+    head.fields_.push_back(
+      { "Content-Length", std::to_string(exchange_->body_.size()) });
+  }
+  return head;
+}
+
+BackendView*
+RequestRun::ServerOfAttempt()
+{
+  const auto pool = state_.pools_.find(service_);
+  if (pool == state_.pools_.end()) {
+    return nullptr;
+  }
+  const auto found = pool->second.servers_.find(placement_.server_);
+  const bool isSame = found != pool->second.servers_.end() &&
+                      found->second.server_.incarnation_ == serverStart_;
+  return isSame ? &found->second : nullptr;
+}
+
+void
+RequestRun::SendAttempt(const char* aCause)
+{
+  PoolView& pool = state_.pools_[service_];
+  BackendView& view = pool.servers_[placement_.server_];
+  serverStart_ = view.server_.incarnation_;
+  work_ = state_.nextWork_++;
+  sent_ = state_.loop_.GetClock().Now();
+  ++view.running_;
+  if (pool.isEngine_) {
+    view.unread_[work_] = { placement_.tokens_,
+                            placement_.readStart_,
+                            placement_.readEnd_ };
+    for (const PromptPart& part : request_.parts_) {
+      view.parts_.Touch(part);
+    }
+  }
+  tried_.insert(placement_.server_);
+  ++sends_;
+  ++runs_;
+  isNotRun_ = false;
+  state_.metrics_.CountAttempt(service_, aCause);
+  const bool isRepeatable =
+    route_->kind_ == RouteKind::Idempotent || route_->isResumable_;
+  const auto lease = state_.channels_.Take(
+    placement_.server_,
+    view.server_.address_,
+    isRepeatable ? kMaxIdleRepeatable : kMaxIdleOnce);
+  channel_ = lease.channel_;
+  isReused_ = lease.isReused_;
+  const auto self = shared_from_this();
+  http::BackendChannel::Callbacks callbacks;
+  callbacks.isOwn_ = [self](const http::ResponseHead& aHead) {
+    return self->IsOwnAnswer(aHead);
+  };
+  callbacks.onHead_ = [self](http::ResponseHead aHead,
+                             const http::Framing& aFraming) {
+    self->OnHead(std::move(aHead), aFraming);
+  };
+  callbacks.onBody_ = [self](std::string_view aBytes) { self->OnBody(aBytes); };
+  callbacks.onEnd_ = [self] { self->OnEnd(); };
+  callbacks.onFailed_ = [self](http::ChannelFailure aFailure) {
+    self->OnFailed(aFailure);
+  };
+  channel_->Send(exchange_->head_.method_,
+                 http::Serialize(ServerHead()),
+                 exchange_->body_,
+                 std::move(callbacks));
+  // A connection across failure domains takes some milliseconds; a server that
+  // does not accept one in this time has lost power or is cut off.
+  constexpr Duration kConnectLimit = std::chrono::milliseconds(400);
+  if (!isReused_) {
+    connectTimer_ = state_.loop_.CallAfter(kConnectLimit, [self] {
+      self->connectTimer_ = 0;
+      self->OnConnectTimeout();
+    });
+  }
+  // Several times the expected wait, since engines read longer prompts first
+  // and their machines are slow at times.
+  constexpr double kSilenceFactor = 3;
+  constexpr double kSilenceBaseMs = 500;
+  const double silenceMs = placement_.waitMs_ * kSilenceFactor + kSilenceBaseMs;
+  silenceTimer_ = state_.loop_.CallAfter(
+    Duration(Duration::rep(silenceMs * 1000)), [self] {
+      self->silenceTimer_ = 0;
+      self->OnSilence();
+    });
+}
+
+void
+RequestRun::CancelAttemptTimers()
+{
+  state_.loop_.CancelTimer(connectTimer_);
+  state_.loop_.CancelTimer(silenceTimer_);
+  connectTimer_ = 0;
+  silenceTimer_ = 0;
+}
+
+void
+RequestRun::ReleaseServer(bool aKeep)
+{
+  CancelAttemptTimers();
+  if (channel_ == nullptr) {
+    return;
+  }
+  const auto channel = std::move(channel_);
+  channel_.reset();
+  if (aKeep) {
+    state_.channels_.Return(placement_.server_, channel);
+  } else {
+    channel->Cut();
+  }
+  if (BackendView* view = ServerOfAttempt()) {
+    view->running_ -= view->running_ > 0 ? 1 : 0;
+    view->unread_.erase(work_);
+  }
+}
+
+bool
+RequestRun::MayRepeat() const
+{
+  return route_->kind_ == RouteKind::Idempotent || route_->isResumable_;
+}
+
+bool
+RequestRun::CanTryAgain() const
+{
+  const std::uint32_t mostRuns = std::max<std::uint32_t>(route_->maxAttempts_, 1);
+  const bool isAllowed =
+    runs_ == 0 || (MayRepeat() && runs_ < mostRuns);
+  const auto budget = state_.budgets_.find(service_);
+  return isAllowed && sends_ < kMostSends + mostRuns &&
+         Remaining() > Duration(0) && budget != state_.budgets_.end() &&
+         HasRetry(budget->second);
+}
+
+void
+RequestRun::TryAgain(const char* aCause)
+{
+  TakeRetry(state_.budgets_[service_]);
+  if (Choose(aCause)) {
+    SendAttempt(aCause);
+  }
+}
+
+bool
+RequestRun::IsOwnAnswer(const http::ResponseHead& aHead) const
+{
+  const ServerAnswer answer =
+    state_.codec_.decodeAnswer_(aHead, state_.loop_.GetClock().Now());
+  if (answer.id_.Value().empty()) {
+    // Servers name the request in each answer that they stand for.
+    return aHead.status_ >= 300 && !isReused_;
+  }
+  return answer.id_ == request_.id_;
+}
+
+void
+RequestRun::OnHead(http::ResponseHead aHead, const http::Framing& aFraming)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  state_.loop_.CancelTimer(connectTimer_);
+  connectTimer_ = 0;
+  const ServerAnswer answer = state_.codec_.decodeAnswer_(aHead, now);
+  BackendView* view = ServerOfAttempt();
+  if (view != nullptr && answer.load_.has_value()) {
+    view->load_ = answer.load_;
+  }
+  isNotRun_ = answer.isNotRun_ || answer.isOtherServer_;
+  const bool isServerError = aHead.status_ >= 500;
+  if (view != nullptr && route_->kind_ != RouteKind::Stream && !isNotRun_ &&
+      !isServerError) {
+    NoteWork(state_.pools_[service_], *view, now - sent_, now);
+  }
+  if (view != nullptr && answer.isOtherServer_) {
+    // The address belongs to another server now; the list will say so.
+    view->avoidUntil_ = now + std::chrono::seconds(2);
+  }
+  const bool isPassing = answerState_ == AnswerState::Passed;
+  answerHead_ = std::move(aHead);
+  answerFraming_ = aFraming;
+  if (isPassing) {
+    // A resumed stream: only events are passed on.
+    if (isNotRun_ || answerHead_.status_ != 200) {
+      AbortAnswer("resume_refused");
+    }
+    return;
+  }
+  const bool isRetried =
+    isNotRun_ || (isServerError && MayRepeat() && CanTryAgain());
+  if (isRetried) {
+    answerState_ = AnswerState::Discarded;
+    return;
+  }
+  const bool isShort =
+    aFraming.end_ == http::BodyEnd::None ||
+    (aFraming.end_ == http::BodyEnd::Length &&
+     aFraming.length_ <= kMostKeptBytes) ||
+    aFraming.end_ == http::BodyEnd::Close;
+  const bool isStream =
+    route_->kind_ == RouteKind::Stream && answerHead_.status_ == 200;
+  if (isShort && !isStream) {
+    answerState_ = AnswerState::Kept;
+    kept_.clear();
+    if (!isServerError) {
+      NoteBegun();
+    }
+    return;
+  }
+  answerState_ = AnswerState::Passed;
+  PassHead(answerHead_, aFraming);
+}
+
+void
+RequestRun::PassHead(const http::ResponseHead& aHead,
+                     const http::Framing& aFraming)
+{
+  http::ResponseHead head = aHead;
+  http::RemoveConnectionFields(head);
+  head.Remove("content-length");
+  http::Framing framing = aFraming;
+  // A resumed stream has another length than its first part said.
+  if (framing.end_ == http::BodyEnd::Close ||
+      (framing.end_ == http::BodyEnd::Length && route_->isResumable_)) {
+    framing = { http::BodyEnd::Chunked, 0 };
+  }
+  exchange_->Start(std::move(head), framing);
+}
+
+void
+RequestRun::NoteBegun()
+{
+  if (hasBegun_) {
+    return;
+  }
+  hasBegun_ = true;
+  firstByte_ = state_.loop_.GetClock().Now();
+  state_.metrics_.ObserveFirstByte(service_, Elapsed());
+  state_.metrics_.ObserveExpectedWait(service_, placement_.waitMs_);
+  if (workspace_ != nullptr) {
+    CountBegun(state_.usage_, workspace_->id_, state_.AgreedWall());
+  }
+}
+
+void
+RequestRun::OnBody(std::string_view aBytes)
+{
+  switch (answerState_) {
+    case AnswerState::Discarded:
+    case AnswerState::None:
+      return;
+    case AnswerState::Kept:
+      kept_.append(aBytes);
+      if (kept_.size() > kMostKeptBytes) {
+        answerState_ = AnswerState::Passed;
+        PassHead(answerHead_, answerFraming_);
+        exchange_->Send(kept_);
+        kept_.clear();
+      }
+      return;
+    case AnswerState::Passed:
+      PassBody(aBytes);
+      return;
+  }
+}
+
+void
+RequestRun::PassBody(std::string_view aBytes)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (BackendView* view = ServerOfAttempt()) {
+    NoteFirstEvent(state_.pools_[service_], *view, work_, sent_, now);
+  }
+  NoteBegun();
+  if (route_->isResumable_) {
+    exchange_->Send(events_.Take(aBytes));
+  } else {
+    exchange_->Send(aBytes);
+  }
+  if (exchange_->Unsent() > kMostUnsentBytes && channel_ != nullptr) {
+    channel_->PauseReading();
+  }
+}
+
+void
+RequestRun::PassKept()
+{
+  http::ResponseHead head = answerHead_;
+  http::RemoveConnectionFields(head);
+  head.Remove("content-length");
+  exchange_->Answer(std::move(head), kept_);
+}
+
+void
+RequestRun::OnEnd()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  BackendView* view = ServerOfAttempt();
+  const bool isFailure = isNotRun_ || answerHead_.status_ >= 500;
+  if (view != nullptr) {
+    NoteResult(*view, isFailure, now);
+  }
+  ReleaseServer(true);
+  switch (answerState_) {
+    case AnswerState::Discarded: {
+      answerState_ = AnswerState::None;
+      if (isNotRun_) {
+        --runs_;
+      }
+      if (CanTryAgain()) {
+        TryAgain(isNotRun_ ? "refused_by_server" : "server_error");
+      } else if (runs_ == 0) {
+        Refuse(kUnavailable, "refused_by_server", kStartingRetryAfter);
+      } else {
+        Fail(kBadGateway, "server_error");
+      }
+      return;
+    }
+    case AnswerState::Kept:
+      PassKept();
+      Complete();
+      return;
+    case AnswerState::Passed:
+      if (events_.HasPartial()) {
+        AbortAnswer("partial_event");
+        return;
+      }
+      exchange_->Finish();
+      Complete();
+      return;
+    case AnswerState::None:
+      return;
+  }
+}
+
+void
+RequestRun::OnFailed(http::ChannelFailure aFailure)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (BackendView* view = ServerOfAttempt()) {
+    NoteResult(*view, true, now);
+    if (aFailure == http::ChannelFailure::NotConnected) {
+      view->avoidUntil_ = now + std::chrono::milliseconds(700);
+    }
+  }
+  const bool isUnsent = aFailure == http::ChannelFailure::NotConnected;
+  LogLine line("attempt_failed");
+  line.Add("request", request_.id_.Value())
+    .Add("server", placement_.server_.Value())
+    .Add("failure", http::ToText(aFailure))
+    .Add("reused", isReused_)
+    .Add("afterMs", Milliseconds(now - sent_));
+  state_.log_.WriteImportant(line);
+  ReleaseServer(false);
+  if (isUnsent || (answerState_ == AnswerState::Discarded && isNotRun_)) {
+    --runs_;
+  }
+  if (answerState_ == AnswerState::Passed) {
+    events_.DropPartial();
+    const bool canResume =
+      route_->isResumable_ && !events_.LastId().empty() && CanTryAgain();
+    if (canResume) {
+      TryAgain("resume");
+    } else {
+      AbortAnswer(http::ToText(aFailure));
+    }
+    return;
+  }
+  answerState_ = AnswerState::None;
+  kept_.clear();
+  if (CanTryAgain()) {
+    TryAgain(http::ToText(aFailure));
+  } else if (runs_ == 0) {
+    Refuse(kUnavailable, http::ToText(aFailure), kStartingRetryAfter);
+  } else {
+    Fail(kBadGateway, http::ToText(aFailure));
+  }
+}
+
+void
+RequestRun::OnConnectTimeout()
+{
+  if (channel_ != nullptr && !channel_->IsConnected()) {
+    OnFailed(http::ChannelFailure::NotConnected);
+  }
+}
+
+void
+RequestRun::OnSilence()
+{
+  if (channel_ == nullptr || hasBegun_ || answerState_ != AnswerState::None) {
+    return;
+  }
+  if (MayRepeat() && CanTryAgain()) {
+    OnFailed(http::ChannelFailure::NoAnswer);
+    return;
+  }
+  // The request can't be repeated: the server keeps it, and others are warned.
+  if (BackendView* view = ServerOfAttempt()) {
+    NoteResult(*view, true, state_.loop_.GetClock().Now());
+  }
+}
+
+void
+RequestRun::OnDeadline()
+{
+  if (isEnded_) {
+    return;
+  }
+  const bool wasConnected = channel_ != nullptr && channel_->IsConnected();
+  if (channel_ != nullptr && !wasConnected) {
+    --runs_;
+  }
+  ReleaseServer(false);
+  if (answerState_ == AnswerState::Passed) {
+    AbortAnswer("time_limit");
+  } else if (runs_ == 0) {
+    Refuse(kUnavailable, "time_limit", kStartingRetryAfter);
+  } else {
+    Fail(kGatewayTimeout, "time_limit");
+  }
+}
+
+void
+RequestRun::OnCallerGone()
+{
+  if (isEnded_) {
+    return;
+  }
+  ReleaseServer(false);
+  End("caller_left", 0, false);
+}
+
+void
+RequestRun::Refuse(int aStatus, const char* aReason, Duration aRetryAfter)
+{
+  if (answerState_ == AnswerState::Passed) {
+    AbortAnswer(aReason);
+    return;
+  }
+  if (runs_ > 0) {
+    Fail(kBadGateway, aReason);
+    return;
+  }
+  if (allotted_ > 0 && workspace_ != nullptr) {
+    ReturnAllotment(state_.allotments_[workspace_->id_], allotted_);
+  }
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = StatusReason(aStatus);
+  head.fields_.push_back({ "Content-Type", "application/json" });
+  state_.codec_.encodeRetryAfter_(head, aRetryAfter);
+  exchange_->Answer(std::move(head), ErrorBody(aReason, "not_run"));
+  End(aReason, aStatus, true);
+}
+
+void
+RequestRun::Fail(int aStatus, const char* aReason)
+{
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = StatusReason(aStatus);
+  head.fields_.push_back({ "Content-Type", "application/json" });
+  exchange_->Answer(std::move(head),
+                    ErrorBody(aReason, runs_ == 0 ? "not_run" : "unknown"));
+  End(aReason, aStatus, true);
+}
+
+void
+RequestRun::AbortAnswer(const char* aReason)
+{
+  ReleaseServer(false);
+  exchange_->Abort();
+  End(aReason, 0, true);
+}
+
+void
+RequestRun::Complete()
+{
+  state_.metrics_.ObserveTotal(service_, Elapsed());
+  End("completed", answerHead_.status_, answerHead_.status_ >= 500);
+}
+
+void
+RequestRun::End(const char* aReason, int aStatus, bool aIsFailure)
+{
+  if (isEnded_) {
+    return;
+  }
+  isEnded_ = true;
+  --state_.running_;
+  CancelAttemptTimers();
+  state_.loop_.CancelTimer(deadlineTimer_);
+  exchange_->SetCallbacks({});
+  state_.metrics_.CountEnd(service_, aReason);
+  const Duration wait =
+    hasBegun_ ? firstByte_ - exchange_->received_ : Duration(0);
+  LogLine line("request_end");
+  line.Add("request", request_.id_.Value())
+    .Add("outcome", aReason)
+    .Add("status", aStatus)
+    .Add("route", route_ == nullptr ? "" : route_->name_.c_str())
+    .Add("workspace",
+         workspace_ == nullptr ? "" : workspace_->id_.Value().c_str())
+    .Add("server", placement_.server_.Value())
+    .Add("sends", std::uint64_t(sends_))
+    .Add("runs", std::uint64_t(runs_))
+    .Add("expectedMs", placement_.waitMs_)
+    .Add("firstByteMs", Milliseconds(wait))
+    .Add("totalMs", Milliseconds(Elapsed()));
+  if (aIsFailure) {
+    state_.log_.WriteImportant(line);
+  } else {
+    state_.log_.Write(line);
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/RequestRun.h
@@ -0,0 +1,119 @@
+#pragma once
+
+// One request of a caller from its arrival to its answer: accept, admit,
+// choose a server, send, pass the answer on, and end. The decisions are made
+// by Placement, Admission, Allotment and the retry budget; this class carries
+// them out.
+
+#include "edge/EdgeState.h"
+#include "edge/EventSplitter.h"
+#include "edge/Placement.h"
+#include "http/CallerServer.h"
+#include "runtime/EventLoop.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace sycamoreward::edge {
+
+class RequestRun : public std::enable_shared_from_this<RequestRun>
+{
+public:
+  RequestRun(EdgeState& aState, std::shared_ptr<http::CallerExchange> aExchange);
+
+  // Handles the request; the object lives until it has ended.
+  void Start();
+
+private:
+  // What is known of the current attempt's answer.
+  enum class AnswerState
+  {
+    None,
+    // The body of an answer that is not passed on is read to its end.
+    Discarded,
+    // A short answer is kept until it is whole.
+    Kept,
+    Passed
+  };
+
+  // Each returns false when it has ended the request.
+  bool Accept();
+  bool CheckAllotment();
+  bool Choose(const char* aCause);
+
+  void SendAttempt(const char* aCause);
+  http::RequestHead ServerHead() const;
+  void TryAgain(const char* aCause);
+  bool CanTryAgain() const;
+  bool MayRepeat() const;
+
+  bool IsOwnAnswer(const http::ResponseHead& aHead) const;
+  void OnHead(http::ResponseHead aHead, const http::Framing& aFraming);
+  void OnBody(std::string_view aBytes);
+  void OnEnd();
+  void OnFailed(http::ChannelFailure aFailure);
+  void OnConnectTimeout();
+  void OnSilence();
+  void OnDeadline();
+  void OnCallerGone();
+
+  void PassHead(const http::ResponseHead& aHead, const http::Framing& aFraming);
+  void PassBody(std::string_view aBytes);
+  void PassKept();
+  void NoteBegun();
+
+  // Takes the request off its server. aKeep returns the connection for reuse.
+  void ReleaseServer(bool aKeep);
+  BackendView* ServerOfAttempt();
+  void CancelAttemptTimers();
+
+  // Answers with an error of the system's own. aRan is "not_run" only when no
+  // server can have run the request.
+  void Refuse(int aStatus, const char* aReason, Duration aRetryAfter);
+  void Fail(int aStatus, const char* aReason);
+  void AbortAnswer(const char* aReason);
+  void Complete();
+  void End(const char* aReason, int aStatus, bool aIsFailure);
+
+  Duration Elapsed() const;
+  Duration Remaining() const;
+
+  EdgeState& state_;
+  std::shared_ptr<http::CallerExchange> exchange_;
+  CallerRequest request_;
+  std::shared_ptr<const RouteTable> routes_;
+  const Route* route_ = nullptr;
+  const WorkspaceSpec* workspace_ = nullptr;
+  ServiceName service_;
+  MonotonicTime deadline_;
+  double allotted_ = 0;
+  EventLoop::TimerId deadlineTimer_ = 0;
+  bool isEnded_ = false;
+
+  // Attempts that a server may have run, and all that were sent.
+  std::uint32_t runs_ = 0;
+  std::uint32_t sends_ = 0;
+  std::set<ServerId> tried_;
+
+  // The current attempt.
+  Placement placement_;
+  Incarnation serverStart_;
+  std::uint64_t work_ = 0;
+  MonotonicTime sent_;
+  std::shared_ptr<http::BackendChannel> channel_;
+  bool isReused_ = false;
+  EventLoop::TimerId connectTimer_ = 0;
+  EventLoop::TimerId silenceTimer_ = 0;
+  AnswerState answerState_ = AnswerState::None;
+  bool isNotRun_ = false;
+  http::ResponseHead answerHead_;
+  http::Framing answerFraming_;
+  std::string kept_;
+  EventSplitter events_;
+  bool hasBegun_ = false;
+  bool isSilenceNoted_ = false;
+  MonotonicTime firstByte_;
+};
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/ServerList.cpp
@@ -0,0 +1,35 @@
+#include "edge/ServerList.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+void
+ApplyListed(ServerList& aList,
+            const std::map<ServerId, BackendServer>& aListed,
+            MonotonicTime aNow)
+{
+  std::map<ServerId, BackendServer> servers = aListed;
+  if (aNow < aList.holdUntil_) {
+    for (const auto& [id, server] : aList.servers_) {
+      // A server that announced its end is not missing by mistake. An address
+      // that another one has taken belongs to that one.
+      const bool isReplaced =
+        std::any_of(aListed.begin(), aListed.end(), [&](const auto& aEntry) {
+          return aEntry.second.address_ == server.address_;
+        });
+      if (!server.isDraining_ && !isReplaced) {
+        servers.emplace(id, server);
+      }
+    }
+  }
+  aList.servers_ = std::move(servers);
+}
+
+void
+HoldMissing(ServerList& aList, Duration aLapseTime, MonotonicTime aNow)
+{
+  aList.holdUntil_ = std::max(aList.holdUntil_, aNow + aLapseTime);
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/TableWatch.cpp
@@ -0,0 +1,193 @@
+#include "edge/TableWatch.h"
+
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Pauses between calls that fail. The upper bound keeps the time to notice the
+// return of the store well under the time that instances have to apply changes.
+constexpr Duration kMinBackoff = std::chrono::milliseconds(150);
+constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
+
+} // namespace
+
+TableWatch::TableWatch(EventLoop& aLoop,
+                       RowStore& aStore,
+                       DecisionLog& aLog,
+                       TableWatchOptions aOptions,
+                       Callbacks aCallbacks)
+  : loop_(aLoop)
+  , store_(aStore)
+  , log_(aLog)
+  , options_(std::move(aOptions))
+  , callbacks_(std::move(aCallbacks))
+  , lastHeard_(aLoop.GetClock().Now())
+  , awaySince_(lastHeard_)
+{
+  ReadPage("");
+}
+
+TableWatch::~TableWatch()
+{
+  loop_.CancelTimer(timer_);
+}
+
+void
+TableWatch::Schedule(Duration aDelay, std::function<void()> aStep)
+{
+  loop_.CancelTimer(timer_);
+  timer_ = loop_.CallAfter(aDelay, std::move(aStep));
+}
+
+void
+TableWatch::ReadAgain(Duration aDelay)
+{
+  ++step_;
+  readsWhole_ = true;
+  Schedule(aDelay, [this] { ReadPage(""); });
+}
+
+void
+TableWatch::ReadPage(const std::string& aAfter)
+{
+  if (aAfter.empty()) {
+    pages_.clear();
+    pagesVersion_ = 0;
+  }
+  store_.Read(options_.table_,
+              aAfter,
+              [this, step = ++step_](const StoreReply& aReply) {
+                if (step == step_) {
+                  OnPage(aReply);
+                }
+              });
+}
+
+void
+TableWatch::OnPage(const StoreReply& aReply)
+{
+  if (aReply.status_ != StoreStatus::Ok) {
+    OnFailure();
+    return;
+  }
+  NoteAnswer();
+  // Changes since the first page are told by the watch.
+  if (pages_.empty()) {
+    pagesVersion_ = aReply.version_;
+  }
+  for (const StoreRow& row : aReply.rows_) {
+    pages_[row.key_] = row;
+  }
+  if (aReply.hasMore_ && !aReply.rows_.empty()) {
+    ReadPage(aReply.rows_.back().key_);
+    return;
+  }
+  rows_ = std::move(pages_);
+  pages_.clear();
+  version_ = pagesVersion_;
+  hasSnapshot_ = true;
+  readsWhole_ = false;
+  LogLine line("table_read");
+  line.Add("table", options_.table_)
+    .Add("rows", std::uint64_t(rows_.size()))
+    .Add("version", version_);
+  log_.WriteImportant(line);
+  const std::uint64_t step = step_;
+  callbacks_.onChange_();
+  if (step == step_) {
+    Schedule(options_.gather_, [this] { Watch(); });
+  }
+}
+
+void
+TableWatch::Watch()
+{
+  store_.Watch(options_.table_,
+               version_,
+               options_.wait_,
+               [this, step = ++step_](const StoreReply& aReply) {
+                 if (step == step_) {
+                   OnChanges(aReply);
+                 }
+               });
+}
+
+void
+TableWatch::OnChanges(const StoreReply& aReply)
+{
+  if (aReply.status_ == StoreStatus::HistoryGone) {
+    NoteAnswer();
+    LogLine line("table_history_gone");
+    line.Add("table", options_.table_).Add("version", version_);
+    log_.WriteImportant(line);
+    ReadAgain(kMinBackoff);
+    return;
+  }
+  if (aReply.status_ != StoreStatus::Ok) {
+    OnFailure();
+    return;
+  }
+  NoteAnswer();
+  version_ = std::max(version_, aReply.version_);
+  for (const StoreRow& row : aReply.rows_) {
+    if (row.isDeleted_) {
+      rows_.erase(row.key_);
+    } else {
+      rows_[row.key_] = row;
+    }
+  }
+  const std::uint64_t step = step_;
+  if (!aReply.rows_.empty()) {
+    callbacks_.onChange_();
+  }
+  if (step == step_) {
+    Schedule(aReply.rows_.empty() ? Duration(0) : options_.gather_,
+             [this] { Watch(); });
+  }
+}
+
+void
+TableWatch::OnFailure()
+{
+  if (!isAway_) {
+    isAway_ = true;
+    awaySince_ = lastHeard_;
+    LogLine line("store_lost");
+    line.Add("table", options_.table_).Add("version", version_);
+    log_.WriteImportant(line);
+  }
+  backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
+  Schedule(backoff_, [this] {
+    if (readsWhole_) {
+      ReadPage("");
+    } else {
+      Watch();
+    }
+  });
+}
+
+void
+TableWatch::NoteAnswer()
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  lastHeard_ = now;
+  backoff_ = Duration(0);
+  if (!isAway_) {
+    return;
+  }
+  isAway_ = false;
+  const Duration outage = now - awaySince_;
+  LogLine line("store_regained");
+  line.Add("table", options_.table_)
+    .Add("outageMs", double(outage.count()) / 1000);
+  log_.WriteImportant(line);
+  if (callbacks_.onRecovered_) {
+    callbacks_.onRecovered_(outage);
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/http/BackendChannel.cpp
@@ -0,0 +1,269 @@
+#include "http/BackendChannel.h"
+
+#include "base/Error.h"
+#include "runtime/EventLoop.h"
+
+namespace sycamoreward::http {
+
+namespace {
+
+// No server of the kinds in use sends a larger head.
+constexpr std::size_t kMostHeadBytes = 32 * 1024;
+constexpr std::size_t kReadStep = 64 * 1024;
+// Use of an idle connection ends this long before the server closes it, so
+// that a request does not cross the close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+// Idle time of a server that states none.
+constexpr Duration kDefaultIdleTime = std::chrono::milliseconds(2500);
+
+// The idle time stated by "Keep-Alive: timeout=SECONDS".
+Duration
+IdleTime(const ResponseHead& aHead)
+{
+  const std::string* value = aHead.Find("keep-alive");
+  if (value == nullptr) {
+    return kDefaultIdleTime;
+  }
+  const std::size_t at = value->find("timeout=");
+  if (at == std::string::npos) {
+    return kDefaultIdleTime;
+  }
+  std::string_view digits = std::string_view(*value).substr(at + 8);
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const auto seconds = ParseDecimal(digits);
+  return seconds.has_value()
+           ? Duration(std::chrono::seconds(std::min<std::uint64_t>(*seconds, 60)))
+           : kDefaultIdleTime;
+}
+
+} // namespace
+
+const char*
+ToText(ChannelFailure aFailure)
+{
+  switch (aFailure) {
+    case ChannelFailure::NotConnected:
+      return "not_connected";
+    case ChannelFailure::NoAnswer:
+      return "no_answer";
+    case ChannelFailure::CutAnswer:
+      return "cut_answer";
+    case ChannelFailure::MalformedAnswer:
+      return "malformed_answer";
+  }
+  return "unknown";
+}
+
+BackendChannel::BackendChannel(EventLoop& aLoop, const Address& aAddress)
+  : loop_(aLoop)
+  , channel_(Channel::Connect(aLoop, aAddress))
+{
+}
+
+void
+BackendChannel::SetUp()
+{
+  Channel::Callbacks callbacks;
+  const std::weak_ptr<BackendChannel> weak = weak_from_this();
+  callbacks.onData_ = [weak] {
+    if (const auto self = weak.lock()) {
+      self->Read();
+    }
+  };
+  callbacks.onClosed_ = [weak](bool aWasReset) {
+    if (const auto self = weak.lock()) {
+      self->HandleClosed(aWasReset);
+    }
+  };
+  channel_->SetCallbacks(std::move(callbacks));
+}
+
+void
+BackendChannel::Send(std::string aMethod,
+                     std::string aHead,
+                     std::string_view aBody,
+                     Callbacks aCallbacks)
+{
+  callbacks_ = std::make_shared<const Callbacks>(std::move(aCallbacks));
+  method_ = std::move(aMethod);
+  state_ = State::Head;
+  isReusable_ = false;
+  if (aBody.size() < kReadStep) {
+    // One write, so that small requests leave in one packet.
+    aHead.append(aBody);
+    channel_->Write(aHead);
+  } else {
+    channel_->Write(aHead);
+    channel_->Write(aBody);
+  }
+  if (channel_->IsClosed()) {
+    loop_.Post([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->HandleClosed(true);
+      }
+    });
+  }
+}
+
+bool
+BackendChannel::CanReuse() const
+{
+  return state_ == State::Idle && isReusable_ && !channel_->IsClosed() &&
+         channel_->Unread() == 0;
+}
+
+void
+BackendChannel::Cut()
+{
+  state_ = State::Ended;
+  callbacks_.reset();
+  onIdleEnd_ = nullptr;
+  channel_->Reset();
+}
+
+void
+BackendChannel::Read()
+{
+  const auto self = shared_from_this();
+  bool hasProgress = true;
+  while (hasProgress) {
+    switch (state_) {
+      case State::Head:
+        hasProgress = ReadHead();
+        break;
+      case State::Body:
+      case State::SkippedBody:
+        hasProgress = ReadBody();
+        break;
+      case State::Idle:
+        // Bytes without a request belong to no request; the connection can't
+        // be trusted any more.
+        HandleClosed(true);
+        hasProgress = false;
+        break;
+      case State::Ended:
+        hasProgress = false;
+        break;
+    }
+  }
+}
+
+bool
+BackendChannel::ReadHead()
+{
+  const std::string_view bytes = channel_->Peek(kMostHeadBytes);
+  const std::size_t end = FindHeadEnd(bytes);
+  if (end == std::string_view::npos) {
+    if (bytes.size() >= kMostHeadBytes) {
+      Fail(ChannelFailure::MalformedAnswer);
+    }
+    return false;
+  }
+  try {
+    head_ = ParseResponseHead(bytes.substr(0, end));
+    framing_ = ResponseFraming(head_, method_);
+  } catch (const UserError&) {
+    Fail(ChannelFailure::MalformedAnswer);
+    return false;
+  }
+  channel_->Consume(end);
+  if (head_.status_ < 200) {
+    return true;
+  }
+  body_ = BodyDecoder(framing_, BodyDecoder::Trailer::Ignored);
+  const auto callbacks = callbacks_;
+  if (!callbacks->isOwn_(head_)) {
+    state_ = body_.IsDone() ? State::Head : State::SkippedBody;
+    return true;
+  }
+  state_ = State::Body;
+  callbacks->onHead_(head_, framing_);
+  return true;
+}
+
+bool
+BackendChannel::ReadBody()
+{
+  if (body_.IsDone()) {
+    if (state_ == State::SkippedBody) {
+      state_ = State::Head;
+      return true;
+    }
+    End();
+    return false;
+  }
+  const std::string_view bytes = channel_->Peek(kReadStep);
+  if (bytes.empty()) {
+    return false;
+  }
+  std::string content;
+  try {
+    channel_->Consume(body_.Take(bytes, content));
+  } catch (const UserError&) {
+    Fail(ChannelFailure::MalformedAnswer);
+    return false;
+  }
+  if (state_ == State::Body && !content.empty()) {
+    const auto callbacks = callbacks_;
+    callbacks->onBody_(content);
+  }
+  return true;
+}
+
+void
+BackendChannel::End()
+{
+  const bool isKept = head_.isHttp11_ && !head_.HasConnectionToken("close") &&
+                      framing_.end_ != BodyEnd::Close;
+  // Unsent bytes of the request would be read as the next one; unread bytes
+  // belong to no request.
+  isReusable_ =
+    isKept && channel_->Unsent() == 0 && channel_->Unread() == 0;
+  reusableUntil_ = loop_.GetClock().Now() + IdleTime(head_) - kIdleMargin;
+  state_ = State::Idle;
+  const auto callbacks = std::move(callbacks_);
+  callbacks_.reset();
+  callbacks->onEnd_();
+}
+
+void
+BackendChannel::HandleClosed(bool aWasReset)
+{
+  const auto self = shared_from_this();
+  switch (state_) {
+    case State::Head:
+      Fail(channel_->IsConnected() ? ChannelFailure::NoAnswer
+                                   : ChannelFailure::NotConnected);
+      return;
+    case State::SkippedBody:
+      Fail(ChannelFailure::NoAnswer);
+      return;
+    case State::Body:
+      if (framing_.end_ == BodyEnd::Close && !aWasReset) {
+        End();
+      } else {
+        Fail(ChannelFailure::CutAnswer);
+      }
+      return;
+    case State::Idle: {
+      const auto onIdleEnd = std::move(onIdleEnd_);
+      Cut();
+      if (onIdleEnd) {
+        onIdleEnd();
+      }
+      return;
+    }
+    case State::Ended:
+      return;
+  }
+}
+
+void
+BackendChannel::Fail(ChannelFailure aFailure)
+{
+  const auto callbacks = callbacks_;
+  Cut();
+  callbacks->onFailed_(aFailure);
+}
+
+} // namespace sycamoreward::http
--- /dev/null
+++ b/src/http/Channel.cpp
@@ -0,0 +1,268 @@
+#include "http/Channel.h"
+
+#include "peer/SocketAddress.h"
+#include "runtime/EventLoop.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sycamoreward::http {
+
+namespace {
+
+// Time that the other side has to read the last bytes and close.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+// Unacknowledged bytes and unanswered keep-alive probes end a connection after
+// this time; without it a connection to a machine without power hangs.
+constexpr int kUserTimeoutMs = 3000;
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  // A missing option only makes detection slower.
+  (void)setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
+}
+
+void
+SetSocketOptions(int aSocket)
+{
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+} // namespace
+
+Channel::Channel(EventLoop& aLoop, bufferevent* aEvent)
+  : loop_(aLoop)
+  , event_(aEvent)
+  , callbacks_(std::make_shared<const Callbacks>())
+{
+  bufferevent_setcb(
+    event_,
+    [](bufferevent*, void* aSelf) {
+      const auto self = static_cast<Channel*>(aSelf)->shared_from_this();
+      if (self->isLingering_) {
+        evbuffer* input = bufferevent_get_input(self->event_);
+        evbuffer_drain(input, evbuffer_get_length(input));
+      } else if (const auto callbacks = self->callbacks_; callbacks->onData_) {
+        callbacks->onData_();
+      }
+    },
+    [](bufferevent*, void* aSelf) {
+      const auto self = static_cast<Channel*>(aSelf)->shared_from_this();
+      if (self->isLingering_) {
+        shutdown(bufferevent_getfd(self->event_), SHUT_WR);
+      } else if (const auto callbacks = self->callbacks_;
+                 callbacks->onFlushed_) {
+        callbacks->onFlushed_();
+      }
+    },
+    [](bufferevent*, short aWhat, void* aSelf) {
+      static_cast<Channel*>(aSelf)->HandleEvent(aWhat);
+    },
+    this);
+}
+
+std::shared_ptr<Channel>
+Channel::Connect(EventLoop& aLoop, const Address& aAddress)
+{
+  sockaddr_storage storage{};
+  const socklen_t length = FillSocketAddress(aAddress, storage);
+  const int descriptor = socket(
+    storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  bufferevent* event =
+    bufferevent_socket_new(aLoop.Base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+  std::shared_ptr<Channel> channel(new Channel(aLoop, event));
+  bool isStarted = false;
+  if (descriptor >= 0) {
+    SetSocketOptions(descriptor);
+    isStarted = bufferevent_socket_connect(
+                  event, reinterpret_cast<sockaddr*>(&storage), int(length)) ==
+                0;
+  }
+  if (isStarted) {
+    bufferevent_enable(event, EV_READ | EV_WRITE);
+  } else {
+    // The failure is told after the caller has set its callbacks.
+    aLoop.Post([weak = std::weak_ptr<Channel>(channel)] {
+      if (const auto self = weak.lock()) {
+        self->HandleEvent(BEV_EVENT_ERROR);
+      }
+    });
+  }
+  return channel;
+}
+
+std::shared_ptr<Channel>
+Channel::Accept(EventLoop& aLoop, int aSocket)
+{
+  SetSocketOptions(aSocket);
+  bufferevent* event =
+    bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  std::shared_ptr<Channel> channel(new Channel(aLoop, event));
+  channel->isConnected_ = true;
+  bufferevent_enable(event, EV_READ | EV_WRITE);
+  return channel;
+}
+
+Channel::~Channel()
+{
+  Release();
+}
+
+void
+Channel::SetCallbacks(Callbacks aCallbacks)
+{
+  callbacks_ = std::make_shared<const Callbacks>(std::move(aCallbacks));
+}
+
+void
+Channel::Release()
+{
+  isClosed_ = true;
+  if (event_ != nullptr) {
+    bufferevent_free(event_);
+    event_ = nullptr;
+  }
+}
+
+void
+Channel::HandleEvent(short aWhat)
+{
+  const auto self = shared_from_this();
+  if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+    isConnected_ = true;
+    if (const auto callbacks = callbacks_; callbacks->onConnected_) {
+      callbacks->onConnected_();
+    }
+    return;
+  }
+  if (isLingering_) {
+    isLingering_ = false;
+    Release();
+    return;
+  }
+  if (isClosed_) {
+    return;
+  }
+  isClosed_ = true;
+  if (const auto callbacks = callbacks_; callbacks->onClosed_) {
+    callbacks->onClosed_((aWhat & BEV_EVENT_EOF) == 0);
+  }
+}
+
+std::string_view
+Channel::Peek(std::size_t aMost)
+{
+  if (event_ == nullptr) {
+    return {};
+  }
+  evbuffer* input = bufferevent_get_input(event_);
+  const std::size_t count = std::min(aMost, evbuffer_get_length(input));
+  if (count == 0) {
+    return {};
+  }
+  const unsigned char* bytes = evbuffer_pullup(input, ev_ssize_t(count));
+  return { reinterpret_cast<const char*>(bytes), count };
+}
+
+std::size_t
+Channel::Unread() const
+{
+  return event_ == nullptr
+           ? 0
+           : evbuffer_get_length(bufferevent_get_input(event_));
+}
+
+void
+Channel::Consume(std::size_t aCount)
+{
+  if (event_ != nullptr) {
+    evbuffer_drain(bufferevent_get_input(event_), aCount);
+  }
+}
+
+void
+Channel::Write(std::string_view aBytes)
+{
+  if (event_ != nullptr && !aBytes.empty()) {
+    bufferevent_write(event_, aBytes.data(), aBytes.size());
+  }
+}
+
+std::size_t
+Channel::Unsent() const
+{
+  return event_ == nullptr
+           ? 0
+           : evbuffer_get_length(bufferevent_get_output(event_));
+}
+
+void
+Channel::PauseReading()
+{
+  if (event_ != nullptr) {
+    bufferevent_disable(event_, EV_READ);
+  }
+}
+
+void
+Channel::ResumeReading()
+{
+  if (event_ != nullptr) {
+    bufferevent_enable(event_, EV_READ);
+  }
+}
+
+void
+Channel::CloseAfterFlush()
+{
+  SetCallbacks({});
+  if (event_ == nullptr) {
+    return;
+  }
+  if (isClosed_) {
+    Release();
+    return;
+  }
+  isClosed_ = true;
+  isLingering_ = true;
+  ResumeReading();
+  evbuffer* input = bufferevent_get_input(event_);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  if (Unsent() == 0) {
+    shutdown(bufferevent_getfd(event_), SHUT_WR);
+  }
+  loop_.CallAfter(kLingerTime, [self = shared_from_this()] {
+    self->isLingering_ = false;
+    self->Release();
+  });
+}
+
+void
+Channel::Reset()
+{
+  SetCallbacks({});
+  if (event_ == nullptr) {
+    return;
+  }
+  const linger cut{ 1, 0 };
+  (void)setsockopt(
+    bufferevent_getfd(event_), SOL_SOCKET, SO_LINGER, &cut, sizeof cut);
+  Release();
+}
+
+} // namespace sycamoreward::http
--- a/src/peer/MessageCodec.cpp
+++ b/src/peer/MessageCodec.cpp
@@ -22,7 +22,8 @@
   "Hello",    "Beat",       "Probe",    "ProbeReply",
   "FeedPull", "FeedDelta",  "Register", "Registered",
   "Record",   "Recorded",   "Lookup",   "LookupReply",
-  "Follow",   "AnswerPart", "HandOver", "HandOverReply"
+  "Follow",   "AnswerPart", "HandOver", "HandOverReply",
+  "Reports"
 };
 
 [[noreturn]] void
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -253,4 +253,48 @@
   aArchive("reason", aValue.reason_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, ServerUse& aValue)
+{
+  aArchive("server", aValue.server_);
+  aArchive("running", aValue.running_);
+  aArchive("unread", aValue.unreadTokens_);
+  aArchive("slowness", aValue.slownessPercent_);
+  aArchive("slownessAge", aValue.slownessAgeMs_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, WindowUse& aValue)
+{
+  aArchive("window", aValue.window_);
+  aArchive("counts", aValue.counts_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, InstanceReport& aValue)
+{
+  aArchive("identity", aValue.identity_);
+  aArchive("sequence", aValue.sequence_);
+  aArchive("sent", aValue.sent_);
+  aArchive("ready", aValue.isReady_);
+  aArchive("leaving", aValue.isLeaving_);
+  aArchive("deployment", aValue.deployment_);
+  aArchive("dutyEpoch", aValue.dutyEpoch_);
+  aArchive("servers", aValue.servers_);
+  aArchive("used", aValue.used_);
+  aArchive("begun", aValue.begun_);
+  aArchive("demand", aValue.demand_);
+  aArchive("refused", aValue.refused_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Reports& aValue)
+{
+  aArchive("reports", aValue.reports_);
+}
+
 } // namespace sycamoreward
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -173,6 +173,54 @@
   std::string reason_;
 };
 
+// What one entry instance has at a backend server, and knows of it.
+struct ServerUse
+{
+  ServerId server_;
+  std::uint64_t running_ = 0;
+  // Prompt tokens that the server has not read yet.
+  std::uint64_t unreadTokens_ = 0;
+  // The server's last statement of how long its work takes, in percent of the
+  // usual time, and the age of the statement; 0 for none.
+  std::uint64_t slownessPercent_ = 0;
+  std::uint64_t slownessAgeMs_ = 0;
+};
+
+// Requests that began to run in a window of wall time, by workspace.
+struct WindowUse
+{
+  std::uint64_t window_ = 0;
+  std::map<std::string, std::uint64_t> counts_;
+};
+
+// What an entry instance tells the others several times a second.
+struct InstanceReport
+{
+  PeerIdentity identity_;
+  // Counts the reports of one start.
+  std::uint64_t sequence_ = 0;
+  WallTime sent_;
+  bool isReady_ = false;
+  bool isLeaving_ = false;
+  Revision deployment_;
+  // Epoch of the duties that the instance holds; 0 for none.
+  FencingToken dutyEpoch_;
+  std::vector<ServerUse> servers_;
+  // Amounts taken from allotments since the start, by workspace.
+  std::map<std::string, std::uint64_t> used_;
+  std::vector<WindowUse> begun_;
+  // Prompt tokens a second that engines had to read, by service, and requests
+  // refused for lack of capacity since the start.
+  std::map<std::string, std::uint64_t> demand_;
+  std::uint64_t refused_ = 0;
+};
+
+// Reports of the sender, or of instances that it speaks for.
+struct Reports
+{
+  std::vector<InstanceReport> reports_;
+};
+
 using Message = std::variant<Hello,
                              Beat,
                              Probe,
@@ -188,6 +236,7 @@
                              Follow,
                              AnswerPart,
                              HandOver,
-                             HandOverReply>;
+                             HandOverReply,
+                             Reports>;
 
 } // namespace sycamoreward
