Tell prompts to other instances at once and take requests for 2 s while draining

Change: the drain takes requests for 2 s; a load report follows each prompt within 12 ms; the slowness that a server states goes before the observed one.

--- a/src/edge/Allotment.cpp
+++ b/src/edge/Allotment.cpp
@@ -42,7 +42,8 @@
   const double gained = aAllotment.rate_ * Seconds(aNow - aAllotment.at_);
   const double silent = SilentUse(aAllotment, aAllotment.at_, aNow);
   aAllotment.level_ =
-    std::min(aAllotment.burst_, aAllotment.level_ + gained - silent);
+    std::min(aAllotment.burst_ + aAllotment.tolerance_,
+             aAllotment.level_ + gained - silent);
   // A debt beyond one burst would refuse a workspace long after its excess.
   aAllotment.level_ = std::max(aAllotment.level_, -aAllotment.burst_);
   aAllotment.at_ = aNow;
@@ -51,7 +52,11 @@
 } // namespace
 
 void
-SetLimits(Allotment& aAllotment, double aRate, double aBurst, MonotonicTime aNow)
+SetLimits(Allotment& aAllotment,
+          double aRate,
+          double aBurst,
+          double aTolerance,
+          MonotonicTime aNow)
 {
   const bool isNew = aAllotment.rate_ == 0;
   if (!isNew) {
@@ -59,7 +64,9 @@
   }
   aAllotment.rate_ = aRate;
   aAllotment.burst_ = aBurst;
-  aAllotment.level_ = isNew ? aBurst : std::min(aAllotment.level_, aBurst);
+  aAllotment.tolerance_ = aTolerance;
+  const double most = aBurst + aTolerance;
+  aAllotment.level_ = isNew ? most : std::min(aAllotment.level_, most);
   aAllotment.at_ = aNow;
 }
 
@@ -84,7 +91,8 @@
 ReturnAllotment(Allotment& aAllotment, double aAmount)
 {
   // used_ stays: peers take a fall for a restart.
-  aAllotment.level_ = std::min(aAllotment.burst_, aAllotment.level_ + aAmount);
+  aAllotment.level_ = std::min(aAllotment.burst_ + aAllotment.tolerance_,
+                               aAllotment.level_ + aAmount);
 }
 
 void
--- a/src/edge/Allotment.h
+++ b/src/edge/Allotment.h
@@ -25,6 +25,9 @@
 {
   double rate_ = 0;
   double burst_ = 0;
+  // Amount beyond the burst that the platform's tolerance allows.
+  double tolerance_ = 0;
+  // What can be taken now; from -burst to burst + tolerance.
   double level_ = 0;
   MonotonicTime at_;
   // Use of this instance since its start.
@@ -32,11 +35,12 @@
   std::map<InstanceId, AllotmentPeer> peers_;
 };
 
-// Sets the limits; the level is kept, within the new burst.
+// Sets the limits; the level is kept, within the new ones.
 void
 SetLimits(Allotment& aAllotment,
           double aRate,
           double aBurst,
+          double aTolerance,
           MonotonicTime aNow);
 
 // Takes aAmount. False, with no change, when the allotment is used up.
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -20,9 +20,10 @@
 constexpr Duration kServerGather = std::chrono::milliseconds(150);
 // Time after the start in which reports of the other instances have come.
 constexpr Duration kPeersHeard = std::chrono::milliseconds(800);
-// A draining instance closes idle connections after this time: callers that
-// ask for addresses have left by then.
-constexpr Duration kDrainAccept = std::chrono::milliseconds(3500);
+// A draining instance takes no more requests after this time. Callers that ask
+// for addresses have left by then, and what was taken has most of the time
+// until the platform kills the process.
+constexpr Duration kDrainAccept = std::chrono::milliseconds(2000);
 // End of the drain before the platform kills the process.
 constexpr Duration kDrainReserve = std::chrono::milliseconds(500);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(100);
@@ -71,6 +72,7 @@
   , started_(aLoop.GetClock().Now())
 {
   state_.domain_ = aOptions.self_.failureDomain_;
+  state_.onPromptSent_ = [this](double aTokens) { reports_.NoteSent(aTokens); };
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
     aLoop,
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -48,6 +48,20 @@
   }
 }
 
+// Part of the platform's tolerance that requests may use. The rest covers use
+// of other instances that has not been reported yet.
+constexpr double kTolerancePart = 0.55;
+
+double
+AllotmentTolerance(const SystemBounds& aBounds, const WorkspaceSpec& aWorkspace)
+{
+  const double seconds = double(aBounds.allotmentWindow_.count()) / 1e6;
+  const double inWindow =
+    aWorkspace.ratePerSecond_ * seconds + aWorkspace.burst_;
+  return kTolerancePart *
+         (inWindow * aBounds.allotmentExcess_ + aBounds.allotmentSlack_);
+}
+
 void
 UpdateAllotments(EdgeState& aState, const Deployment& aDeployment)
 {
@@ -56,7 +70,11 @@
     Allotment& allotment = aState.allotments_[workspace.id_];
     if (allotment.rate_ != workspace.ratePerSecond_ ||
         allotment.burst_ != workspace.burst_) {
-      SetLimits(allotment, workspace.ratePerSecond_, workspace.burst_, now);
+      SetLimits(allotment,
+                workspace.ratePerSecond_,
+                workspace.burst_,
+                AllotmentTolerance(aState.bounds_, workspace),
+                now);
     }
   }
 }
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -16,6 +16,7 @@
 #include "retries/RetryBudget.h"
 #include "runtime/EventLoop.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -36,6 +37,11 @@
   // Time in which one holder of a duty follows another.
   Duration leaseTime_ = std::chrono::seconds(3);
   Duration usageWindow_ = std::chrono::seconds(5);
+  // The platform counts allotments in windows of this length and tolerates an
+  // excess of a part of the allotment and of a fixed amount.
+  Duration allotmentWindow_ = std::chrono::seconds(8);
+  double allotmentExcess_ = 0;
+  double allotmentSlack_ = 0;
   // Longest time for which an answer to an address query is used.
   Duration addressTime_ = std::chrono::seconds(5);
   // A backend server's entry is missing for this long after an outage of the
@@ -91,6 +97,9 @@
   MonotonicTime deploymentHeard_;
   std::uint64_t nextWork_ = 1;
 
+  // Called with the tokens of each prompt that was sent to an engine.
+  std::function<void(double aTokens)> onPromptSent_;
+
   // Wall time as the instances agree on it.
   WallTime AgreedWall() const { return loop_.GetClock().Wall() + wallOffset_; }
   double Draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -78,13 +78,14 @@
 double
 Slowness(const BackendView& aView, MonotonicTime aNow)
 {
-  const double fade = Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
-  double slowness = 1 + (aView.slowness_ - 1) * fade;
+  // What the server states is exact while it is fresh; what was observed also
+  // contains the queue at the server.
   if (aView.load_.has_value() &&
       aNow - aView.load_->at_ < kReportedSlownessAge) {
-    slowness = std::max(slowness, aView.load_->slowness_);
+    return std::max(aView.load_->slowness_, kMinSlowness);
   }
-  return slowness;
+  return 1 + (aView.slowness_ - 1) *
+               Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
 }
 
 void
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -11,6 +11,13 @@
 // Reading a long prompt takes an engine 200 to 300 ms, so that reports have to
 // be younger to keep two instances from choosing the same engine.
 constexpr Duration kReportInterval = std::chrono::milliseconds(150);
+// A prompt of this many tokens keeps an engine busy for longer than a message
+// between instances takes.
+constexpr double kNotedTokens = 300;
+// Prompts sent within this time are told with one message.
+constexpr Duration kNoteDelay = std::chrono::milliseconds(12);
+// With more instances than this, prompts are told with the next report only.
+constexpr std::size_t kMostNotedPeers = 10;
 // An instance without a report for this time is not given to callers, and its
 // load is not counted.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
@@ -50,6 +57,7 @@
 ReportExchange::~ReportExchange()
 {
   state_.loop_.CancelTimer(timer_);
+  state_.loop_.CancelTimer(soonTimer_);
 }
 
 void
@@ -71,38 +79,49 @@
 ReportExchange::Tick()
 {
   DropSilent();
-  Send();
+  Send(false);
   timer_ = state_.loop_.CallAfter(kReportInterval, [this] { Tick(); });
 }
 
 void
-ReportExchange::Send()
+ReportExchange::NoteSent(double aTokens)
+{
+  if (aTokens < kNotedTokens || soonTimer_ != 0 ||
+      peers_.size() > kMostNotedPeers) {
+    return;
+  }
+  soonTimer_ = state_.loop_.CallAfter(kNoteDelay, [this] {
+    soonTimer_ = 0;
+    Send(true);
+  });
+}
+
+void
+ReportExchange::Send(bool aIsLoadOnly)
 {
   if (peers_.empty()) {
     return;
   }
+  InstanceReport report;
+  report.identity_ = self_;
+  report.sequence_ = ++sequence_;
+  report.isLoadOnly_ = aIsLoadOnly;
+  report.sent_ = state_.loop_.GetClock().Wall();
+  AddServers(report);
+  if (!aIsLoadOnly) {
+    AddCounts(report);
+  }
   Reports message;
-  message.reports_.push_back(MakeReport());
+  message.reports_.push_back(std::move(report));
   for (const auto& [id, peer] : peers_) {
     network_.Send(peer.identity_, message);
   }
 }
 
-InstanceReport
-ReportExchange::MakeReport()
+void
+ReportExchange::AddServers(InstanceReport& aReport) const
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
-  const SelfStatus status = status_();
-  InstanceReport report;
-  report.identity_ = self_;
-  report.sequence_ = ++sequence_;
-  report.sent_ = state_.loop_.GetClock().Wall();
-  report.isReady_ = status.isReady_;
-  report.isLeaving_ = status.isLeaving_;
-  report.dutyEpoch_ = status.dutyEpoch_;
-  if (state_.routes_ != nullptr) {
-    report.deployment_ = state_.routes_->Declared().version_;
-  }
   for (const auto& [service, pool] : state_.pools_) {
     for (const auto& [id, view] : pool.servers_) {
       ServerUse use;
@@ -111,19 +130,33 @@
       use.unreadTokens_ = ToCount(OwnUnreadTokens(view, now));
       if (view.load_.has_value() && now - view.load_->at_ < kSlownessAge) {
         use.slownessPercent_ = ToCount(view.load_->slowness_ * 100);
-        use.slownessAgeMs_ = ToCount(double((now - view.load_->at_).count()) / 1000);
+        use.slownessAgeMs_ =
+          ToCount(double((now - view.load_->at_).count()) / 1000);
       }
       if (use.running_ > 0 || use.unreadTokens_ > 0 ||
           use.slownessPercent_ > 0) {
-        report.servers_.push_back(use);
+        aReport.servers_.push_back(use);
       }
     }
-    if (pool.isEngine_) {
-      report.demand_[service.Value()] = ToCount(state_.demand_[service].Rate(now));
-    }
+  }
+}
+
+void
+ReportExchange::AddCounts(InstanceReport& aReport) const
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  const SelfStatus status = status_();
+  aReport.isReady_ = status.isReady_;
+  aReport.isLeaving_ = status.isLeaving_;
+  aReport.dutyEpoch_ = status.dutyEpoch_;
+  if (state_.routes_ != nullptr) {
+    aReport.deployment_ = state_.routes_->Declared().version_;
+  }
+  for (const auto& [service, demand] : state_.demand_) {
+    aReport.demand_[service.Value()] = ToCount(demand.Rate(now));
   }
   for (const auto& [workspace, allotment] : state_.allotments_) {
-    report.used_[workspace.Value()] = ToCount(allotment.used_);
+    aReport.used_[workspace.Value()] = ToCount(allotment.used_);
   }
   const auto& own = state_.usage_.own_;
   std::uint64_t skipped =
@@ -133,10 +166,9 @@
       --skipped;
       continue;
     }
-    report.begun_.push_back({ window, counts });
+    aReport.begun_.push_back({ window, counts });
   }
-  report.refused_ = state_.refused_;
-  return report;
+  aReport.refused_ = state_.refused_;
 }
 
 BackendView*
@@ -197,7 +229,11 @@
     (identity.incarnation_ < peer.identity_.incarnation_ ||
      (identity.incarnation_ == peer.identity_.incarnation_ &&
       aReport.sequence_ <= peer.report_.sequence_));
-  if (isOld) {
+  // The counters of a new start come with its first whole report.
+  const bool isUnknown =
+    aReport.isLoadOnly_ && (!peer.hasReport_ || peer.identity_.incarnation_ !=
+                                                  identity.incarnation_);
+  if (isOld || isUnknown) {
     return;
   }
   const MonotonicTime now = state_.loop_.GetClock().Now();
@@ -208,10 +244,15 @@
     state_.log_.WriteImportant(line);
   }
   EnterServers(peer.report_, aReport);
+  peer.heard_ = now;
+  if (aReport.isLoadOnly_) {
+    peer.report_.servers_ = aReport.servers_;
+    peer.report_.sequence_ = aReport.sequence_;
+    return;
+  }
   peer.identity_ = identity;
   peer.report_ = aReport;
   peer.hasReport_ = true;
-  peer.heard_ = now;
   peer.wallOffset_ = aReport.sent_ - state_.loop_.GetClock().Wall();
   for (const auto& [workspace, used] : aReport.used_) {
     NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -50,7 +50,11 @@
   // Middle of the wall clocks of the live instances, against this one's.
   Duration WallOffset() const;
 
-  void SendNow() { Send(); }
+  void SendNow() { Send(false); }
+
+  // A prompt of aTokens was sent to an engine. Others are told soon, so that
+  // they don't choose the same engine for the next one.
+  void NoteSent(double aTokens);
 
 private:
   struct Peer
@@ -63,8 +67,9 @@
   };
 
   void Tick();
-  void Send();
-  InstanceReport MakeReport();
+  void Send(bool aIsLoadOnly);
+  void AddServers(InstanceReport& aReport) const;
+  void AddCounts(InstanceReport& aReport) const;
   void Enter(const InstanceReport& aReport);
   void EnterServers(const InstanceReport& aOld, const InstanceReport& aNew);
   void DropSilent();
@@ -78,6 +83,7 @@
   std::map<InstanceId, Peer> peers_;
   std::uint64_t sequence_ = 0;
   std::uint64_t timer_ = 0;
+  std::uint64_t soonTimer_ = 0;
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -17,7 +17,7 @@
 // An unrepeatable request uses only connections that carried another one
 // shortly before: a server that closes an idle connection at the same moment
 // leaves open whether the request ran.
-constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(1500);
+constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(4000);
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(30);
 // Retry-After while no deployment or no server is known: the time in which an
 // instance that has just started learns them.
@@ -163,6 +163,16 @@
     return true;
   }
   const Duration wait = TimeUntil(allotment, allotted_, now);
+  LogLine line("allotment_refused");
+  line.Add("request", request_.id_.Value())
+    .Add("workspace", workspace_->id_.Value())
+    .Add("amount", allotted_)
+    .Add("level", allotment.level_)
+    .Add("rate", allotment.rate_)
+    .Add("burst", allotment.burst_)
+    .Add("tolerance", allotment.tolerance_)
+    .Add("peers", std::uint64_t(allotment.peers_.size()));
+  state_.log_.WriteImportant(line);
   allotted_ = 0;
   // Spread, so that refused callers don't return together.
   const double factor = 1 + state_.Draw();
@@ -282,6 +292,9 @@
     for (const PromptPart& part : request_.parts_) {
       view.parts_.Touch(part);
     }
+    if (state_.onPromptSent_) {
+      state_.onPromptSent_(placement_.tokens_);
+    }
   }
   tried_.insert(placement_.server_);
   ++sends_;
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -278,6 +278,7 @@
 {
   aArchive("identity", aValue.identity_);
   aArchive("sequence", aValue.sequence_);
+  aArchive("loadOnly", aValue.isLoadOnly_);
   aArchive("sent", aValue.sent_);
   aArchive("ready", aValue.isReady_);
   aArchive("leaving", aValue.isLeaving_);
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -199,6 +199,8 @@
   PeerIdentity identity_;
   // Counts the reports of one start.
   std::uint64_t sequence_ = 0;
+  // Only servers_ is filled: the instance has just sent a long prompt.
+  bool isLoadOnly_ = false;
   WallTime sent_;
   bool isReady_ = false;
   bool isLeaving_ = false;
