Count prompts as unread until their first event and replace engines that can't be had

Change: only the prompt being read may count as partly read. A refused order keeps what is present; reserved engines fill what reclaimable ones can't.

Ruled out: less urgent admission alone (the wait was underestimated, not the bound).

--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -21,11 +21,11 @@
 // Reserved engines of each failure domain that stay. They serve the most
 // urgent requests while reclaimable ones are started elsewhere.
 constexpr std::uint32_t kReservedBase = 1;
-// Extra reserved engines in a domain that has lost its reclaimable ones.
-constexpr std::uint32_t kReservedAfterLoss = 2;
-// Time after a loss in which no reclaimable engine is ordered there, and in
-// which the reserved ones are kept.
-constexpr Duration kAfterLoss = std::chrono::seconds(6);
+// Time after a loss in which no further reclaimable engine is ordered there.
+constexpr Duration kAfterLoss = std::chrono::seconds(3);
+constexpr std::uint32_t kMostDoublings = 2;
+// A loss that lies back further than this starts the doubling anew.
+constexpr Duration kForgetLoss = std::chrono::seconds(30);
 // One reserved engine of a domain is sent away in this time, so that the
 // sessions that it holds move one by one.
 constexpr Duration kLowerInterval = std::chrono::milliseconds(700);
@@ -35,7 +35,9 @@
 bool
 HasLately(const DomainPlan& aDomain, MonotonicTime aNow)
 {
-  return aDomain.hasLost_ && aNow - aDomain.lost_ < kAfterLoss;
+  const auto doublings = std::min(aDomain.losses_, kMostDoublings);
+  return aDomain.hasLost_ &&
+         aNow - aDomain.lost_ < kAfterLoss * (std::int64_t(1) << doublings);
 }
 
 double
@@ -68,21 +70,54 @@
     return aTarget;
   }
   const bool isReplaced = aPresent.reclaimable_ + 1 >= aReclaimable;
-  if (!isReplaced || aNow - aDomain.lowered_ < kLowerInterval ||
-      HasLately(aDomain, aNow)) {
+  if (!isReplaced || aNow - aDomain.lowered_ < kLowerInterval) {
     return ordered;
   }
   aDomain.lowered_ = aNow;
   return ordered - 1;
 }
 
+// Sets the reclaimable engines of each domain and returns how many engines of
+// that kind can be expected. Where they can't be had, those that are present
+// are kept.
+double
+OrderReclaimable(EnginePlan& aPlan,
+                 const EnginePlanInputs& aInputs,
+                 double aNeeded)
+{
+  std::uint32_t open = 0;
+  double expected = 0;
+  for (const auto& [id, counts] : aInputs.present_) {
+    DomainPlan& domain = aPlan.domains_[id];
+    if (HasLately(domain, aInputs.now_)) {
+      expected += counts.reclaimable_;
+      domain.ordered_.reclaimable_ = counts.reclaimable_;
+    } else {
+      ++open;
+    }
+  }
+  const double share = (aNeeded - expected) / double(std::max(open, 1u));
+  for (const auto& [id, counts] : aInputs.present_) {
+    DomainPlan& domain = aPlan.domains_[id];
+    if (HasLately(domain, aInputs.now_)) {
+      continue;
+    }
+    const std::uint32_t room =
+      aInputs.max_ - std::min(aInputs.max_, domain.ordered_.reserved_);
+    domain.ordered_.reclaimable_ =
+      std::uint32_t(std::clamp(std::ceil(share), 0.0, double(room)));
+    expected += domain.ordered_.reclaimable_;
+  }
+  return expected;
+}
+
 } // namespace
 
 void
 UpdatePlan(EnginePlan& aPlan, const EnginePlanInputs& aInputs)
 {
-  const auto domains = std::uint32_t(std::max<std::size_t>(
-    aInputs.present_.size(), 1));
+  const double domains =
+    double(std::max<std::size_t>(aInputs.present_.size(), 1));
   if (!aPlan.isStarted_) {
     aPlan.isStarted_ = true;
     aPlan.neededAt_ = aInputs.now_;
@@ -92,35 +127,20 @@
   }
   const double needed =
     std::max(NeededEngines(aPlan, aInputs), kFewestPerDomain * domains);
-  const bool usesReclaimable = aInputs.reclaimablePrice_ <= kWorthwhilePrice;
-  std::uint32_t open = 0;
-  for (const auto& [id, counts] : aInputs.present_) {
-    open += HasLately(aPlan.domains_[id], aInputs.now_) ? 0 : 1;
+  const std::uint32_t base = std::max(kReservedBase, aInputs.min_);
+  double expected = 0;
+  if (aInputs.reclaimablePrice_ <= kWorthwhilePrice) {
+    expected = OrderReclaimable(aPlan, aInputs, needed - base * domains);
   }
+  const double missing = std::max(0.0, (needed - expected) / domains);
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
-    const bool hasLost = HasLately(domain, aInputs.now_);
-    const std::uint32_t base =
-      std::max(hasLost ? kReservedBase + kReservedAfterLoss : kReservedBase,
-               aInputs.min_);
-    std::uint32_t reclaimable = 0;
-    if (usesReclaimable && !hasLost) {
-      const double share = needed / double(std::max(open, 1u)) - kReservedBase;
-      const double room = double(aInputs.max_) - double(base);
-      reclaimable =
-        std::uint32_t(std::clamp(std::ceil(share), 0.0, std::max(room, 0.0)));
-    }
-    std::uint32_t reserved = base;
-    if (!usesReclaimable) {
-      reserved = std::uint32_t(std::clamp(
-        std::ceil(needed / domains), double(base), double(aInputs.max_)));
-    }
-    domain.ordered_.reserved_ = std::min(
-      aInputs.max_,
-      ReservedOrder(domain, counts, reserved, reclaimable, aInputs.now_));
     const std::uint32_t room =
-      aInputs.max_ - std::min(aInputs.max_, domain.ordered_.reserved_);
-    domain.ordered_.reclaimable_ = std::min(reclaimable, room);
+      aInputs.max_ - std::min(aInputs.max_, domain.ordered_.reclaimable_);
+    const std::uint32_t target = std::min(
+      room, std::max(base, std::uint32_t(std::ceil(missing))));
+    domain.ordered_.reserved_ = ReservedOrder(
+      domain, counts, target, domain.ordered_.reclaimable_, aInputs.now_);
   }
 }
 
@@ -128,6 +148,11 @@
 NoteLost(EnginePlan& aPlan, const FailureDomainId& aDomain, MonotonicTime aNow)
 {
   DomainPlan& domain = aPlan.domains_[aDomain];
+  if (HasLately(domain, aNow)) {
+    return;
+  }
+  const bool isNew = !domain.hasLost_ || aNow - domain.lost_ > kForgetLoss;
+  domain.losses_ = isNew ? 0 : domain.losses_ + 1;
   domain.lost_ = aNow;
   domain.hasLost_ = true;
 }
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -45,6 +45,8 @@
   // an order for them was refused.
   MonotonicTime lost_;
   bool hasLost_ = false;
+  // Losses in a row, each of which doubles the time without orders.
+  std::uint32_t losses_ = 0;
   // When the number of reserved engines was last lowered.
   MonotonicTime lowered_;
 };
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -22,9 +22,9 @@
 constexpr Duration kReportedSlownessAge = std::chrono::milliseconds(700);
 // Prompts smaller than this say little of the read rate.
 constexpr double kReadRateMinTokens = 2000;
-// Part of a prompt that is unread until the first event has come, however late
-// it is.
-constexpr double kMinUnreadPart = 0.1;
+// Part of a prompt that may count as read before its first event has come,
+// however late it is.
+constexpr double kMostReadPart = 0.8;
 // Fixed part of the time to the first event: connection, first step, network.
 constexpr double kFirstEventBaseMs = 15;
 
@@ -47,14 +47,24 @@
 OwnUnreadTokens(const BackendView& aView, MonotonicTime aNow)
 {
   double tokens = 0;
+  const UnreadPrompt* next = nullptr;
   for (const auto& [work, prompt] : aView.unread_) {
-    const double span = Milliseconds(prompt.end_ - prompt.start_);
-    const double left = Milliseconds(prompt.end_ - aNow);
-    const double part =
-      span <= 0 ? 1.0 : std::clamp(left / span, kMinUnreadPart, 1.0);
-    tokens += prompt.tokens_ * part;
+    tokens += prompt.tokens_;
+    if (next == nullptr || prompt.end_ < next->end_) {
+      next = &prompt;
+    }
   }
-  return tokens;
+  if (next == nullptr) {
+    return 0;
+  }
+  // Only the prompt that is read now may be partly read. One that is late
+  // keeps all that follow it waiting, so none of them counts as read.
+  const MonotonicTime start = std::max(next->start_, aView.firstEventAt_);
+  const double span = Milliseconds(next->end_ - next->start_);
+  const double read =
+    span <= 0 ? 0.0
+              : std::clamp(Milliseconds(aNow - start) / span, 0.0, kMostReadPart);
+  return tokens - next->tokens_ * read;
 }
 
 double
@@ -109,6 +119,7 @@
   }
   const UnreadPrompt prompt = found->second;
   aView.unread_.erase(found);
+  aView.firstEventAt_ = aNow;
   const double expected = Milliseconds(prompt.end_ - aSent) + kFirstEventBaseMs;
   const double observed = Milliseconds(aNow - aSent);
   const double ratio =
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -29,6 +29,8 @@
   // Requests of this instance that run or wait there.
   std::uint32_t running_ = 0;
   std::map<std::uint64_t, UnreadPrompt> unread_;
+  // When a first event last came from the server.
+  MonotonicTime firstEventAt_;
   // The same of all other instances, from their reports.
   double peerUnreadTokens_ = 0;
   double peerRunning_ = 0;
