Let a few instances gather reports and read the store for the others

Cause: with 80 instances each told each other one everything; their processors were full, and each watched the store's tables (6,234 calls in 20 s).

Change: above ten instances three collectors, the strongest, gather reports once a second and answer with a digest of sums and of changed rows; others read the store only while no collector answers.

--- a/src/edge/AddressAnswer.cpp
+++ b/src/edge/AddressAnswer.cpp
@@ -1,5 +1,6 @@
 #include "edge/AddressAnswer.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace sycamoreward::edge {
@@ -10,10 +11,20 @@
 Select(const std::vector<KnownInstance>& aInstances,
        const std::function<bool(const KnownInstance&)>& aIsFit)
 {
-  std::vector<Address> addresses;
+  std::vector<const KnownInstance*> fit;
   for (const KnownInstance& instance : aInstances) {
-    if (aIsFit(instance) && addresses.size() < kMostAddresses) {
-      addresses.push_back(instance.callers_);
+    if (aIsFit(instance)) {
+      fit.push_back(&instance);
+    }
+  }
+  std::stable_sort(
+    fit.begin(), fit.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->strength_ > aRight->strength_;
+    });
+  std::vector<Address> addresses;
+  for (const KnownInstance* instance : fit) {
+    if (addresses.size() < kMostAddresses) {
+      addresses.push_back(instance->callers_);
     }
   }
   return addresses;
--- a/src/edge/AddressAnswer.h
+++ b/src/edge/AddressAnswer.h
@@ -5,6 +5,7 @@
 #include "base/Address.h"
 #include "base/Ids.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
   InstanceId id_;
   FailureDomainId domain_;
   Address callers_;
+  std::uint64_t strength_ = 0;
   // It said that it is ready, and does not leave.
   bool isReady_ = false;
   bool isLeaving_ = false;
@@ -25,7 +27,8 @@
 // Most addresses that a caller takes.
 constexpr std::size_t kMostAddresses = 64;
 
-// Addresses in the order of preference. When no instance is known to be ready
+// Addresses in the order of preference, those of strong machines first, since
+// only kMostAddresses are taken. When no instance is known to be ready
 // those that are not known to leave are given: a caller that gets no address
 // has nowhere to go.
 std::vector<Address>
--- a/src/edge/Allotment.cpp
+++ b/src/edge/Allotment.cpp
@@ -110,8 +110,8 @@
   if (aAllotment.rate_ > 0) {
     Refill(aAllotment, aNow);
   }
-  // Fewer than before: the peer has started again.
-  const double use = aUsed >= peer.used_ ? aUsed - peer.used_ : aUsed;
+  // Fewer than before: the peer has started again, or a sum lacks an instance.
+  const double use = std::max(0.0, aUsed - peer.used_);
   const Duration span = aNow - peer.heard_;
   if (span > Duration(0)) {
     const double rate = use / Seconds(span);
--- a/src/edge/ChannelPool.cpp
+++ b/src/edge/ChannelPool.cpp
@@ -100,6 +100,13 @@
   return count;
 }
 
+bool
+ChannelPool::HasIdle(const ServerId& aServer) const
+{
+  const auto found = idle_.find(aServer);
+  return found != idle_.end() && !found->second.empty();
+}
+
 void
 ChannelPool::Sweep()
 {
--- a/src/edge/ChannelPool.h
+++ b/src/edge/ChannelPool.h
@@ -44,6 +44,7 @@
 
   std::uint64_t Opened() const { return opened_; }
   std::size_t IdleCount() const;
+  bool HasIdle(const ServerId& aServer) const;
 
 private:
   struct Idle
--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -138,24 +138,13 @@
   lastWall_ = wall;
 }
 
-std::size_t
-DutyTask::OwnRank() const
-{
-  std::size_t rank = 0;
-  for (const KnownInstance& instance : reports_->Instances()) {
-    const bool isBefore = instance.id_ < state_.self_;
-    rank += instance.isHeard_ && !instance.isLeaving_ && isBefore ? 1 : 0;
-  }
-  return rank;
-}
-
 void
 DutyTask::CheckLease()
 {
   const FencingToken before = lease_.held_;
   const LeaseStep step = NextStep(lease_,
                                   reports_->PeerDutyEpoch(),
-                                  OwnRank(),
+                                  reports_->DutyRank(),
                                   state_.bounds_.leaseTime_,
                                   state_.loop_.GetClock().Now());
   if (before.Value() != 0 && lease_.held_.Value() == 0) {
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -62,7 +62,6 @@
   void CheckLease();
   void OnLeaseRow(const StoreReply& aReply);
   void TakeLease(const LeaseRow& aRow);
-  std::size_t OwnRank() const;
 
   void CheckUsage();
   void FixUsage(std::uint64_t aWindow);
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -12,9 +12,13 @@
 constexpr const char* kMemberTable = "members";
 // How often the list of instances is read. Instances that start make
 // themselves known to all others, so the list only fills gaps.
-constexpr Duration kMemberInterval = std::chrono::seconds(10);
+constexpr Duration kMemberInterval = std::chrono::seconds(15);
+constexpr Duration kCommonStart = std::chrono::milliseconds(1200);
 constexpr Duration kMemberRetry = std::chrono::milliseconds(400);
 constexpr Duration kTick = std::chrono::milliseconds(500);
+// Larger rows are read from the store by each instance: a collector's link
+// would take seconds to send them to all.
+constexpr std::size_t kMostRelayedBytes = 16 * 1024;
 // The first reading of the list of servers follows the start by this time: all
 // servers of a deployment register in the same seconds.
 constexpr Duration kServerGather = std::chrono::milliseconds(150);
@@ -96,10 +100,86 @@
     [this](std::shared_ptr<http::CallerExchange> aExchange) {
       std::make_shared<RequestRun>(state_, std::move(aExchange))->Start();
     });
+  SetUpRelay();
   WriteMember();
   Tick();
 }
 
+void
+Edge::SetUpRelay()
+{
+  RowRelay relay;
+  relay.versions_ = [this] {
+    return std::map<std::string, std::uint64_t>{
+      { rows_.deploymentTable_, deploymentWatch_->Version() },
+      { rows_.serverTable_, serverWatch_->Version() }
+    };
+  };
+  relay.collect_ = [this](const auto& aVersions, Digest& aDigest) {
+    CollectRows(aVersions, aDigest);
+  };
+  relay.enter_ = [this](const Digest& aDigest) { EnterRows(aDigest); };
+  reports_.SetRelay(std::move(relay));
+}
+
+void
+Edge::CollectRows(const std::map<std::string, std::uint64_t>& aVersions,
+                  Digest& aDigest) const
+{
+  const std::pair<const std::string*, const TableWatch*> tables[] = {
+    { &rows_.deploymentTable_, deploymentWatch_.get() },
+    { &rows_.serverTable_, serverWatch_.get() }
+  };
+  for (const auto& [table, watch] : tables) {
+    const auto since = aVersions.find(*table);
+    if (since == aVersions.end() || watch->Version() == 0 || watch->IsAway()) {
+      continue;
+    }
+    std::vector<StoreRow> rows;
+    aDigest.rowVersions_[*table] = watch->Version();
+    if (!watch->ChangesSince(since->second, rows)) {
+      // The receiver has to read the table itself.
+      aDigest.rowVersions_[*table] = 0;
+      continue;
+    }
+    for (const StoreRow& row : rows) {
+      if (row.value_.size() > kMostRelayedBytes) {
+        aDigest.rowVersions_[*table] = 0;
+        break;
+      }
+      aDigest.rows_.push_back(
+        { *table, row.key_, row.value_, row.version_, row.isDeleted_ });
+    }
+  }
+}
+
+void
+Edge::EnterRows(const Digest& aDigest)
+{
+  const std::pair<const std::string*, TableWatch*> tables[] = {
+    { &rows_.deploymentTable_, deploymentWatch_.get() },
+    { &rows_.serverTable_, serverWatch_.get() }
+  };
+  for (const auto& [table, watch] : tables) {
+    const auto version = aDigest.rowVersions_.find(*table);
+    if (version == aDigest.rowVersions_.end()) {
+      continue;
+    }
+    if (version->second == 0) {
+      watch->ReadAgain(Duration(0));
+      continue;
+    }
+    std::vector<StoreRow> rows;
+    for (const RelayedRow& row : aDigest.rows_) {
+      if (row.table_ == *table) {
+        rows.push_back(
+          { row.table_, row.key_, row.value_, row.version_, row.isDeleted_ });
+      }
+    }
+    watch->Enter(rows, version->second);
+  }
+}
+
 Edge::~Edge()
 {
   for (const std::uint64_t timer :
@@ -222,12 +302,12 @@
     if (isRead) {
       OnMembers(aReply);
     }
-    // Until all instances of a common start are known the list is read often.
+    // Instances of a common start write their rows within a second.
     const bool isStarting =
-      loop_.GetClock().Now() - started_ < std::chrono::seconds(2);
-    memberTimer_ = loop_.CallAfter(
-      !isRead || isStarting ? kMemberRetry : kMemberInterval,
-      [this] { ReadMembers(); });
+      loop_.GetClock().Now() - started_ < kCommonStart;
+    const Duration pause = isStarting ? kCommonStart : kMemberInterval;
+    memberTimer_ = loop_.CallAfter(isRead ? pause : kMemberRetry,
+                                   [this] { ReadMembers(); });
   });
 }
 
@@ -247,6 +327,9 @@
 Edge::Tick()
 {
   state_.wallOffset_ = reports_.WallOffset();
+  const bool readsStore = reports_.ReadsStore();
+  deploymentWatch_->SetPaused(!readsStore);
+  serverWatch_->SetPaused(!readsStore);
   const bool isReady = IsReady();
   if (isReady != wasReady_) {
     wasReady_ = isReady;
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -75,6 +75,10 @@
   void Drain(std::function<void()> aDone);
 
 private:
+  void SetUpRelay();
+  void CollectRows(const std::map<std::string, std::uint64_t>& aVersions,
+                   Digest& aDigest) const;
+  void EnterRows(const Digest& aDigest);
   void OnDeploymentRows();
   void OnServerRows();
   void OnStoreRecovered(Duration aOutage);
--- a/src/edge/MemberRow.cpp
+++ b/src/edge/MemberRow.cpp
@@ -15,7 +15,8 @@
     { "domain", aIdentity.failureDomain_.Value() },
     { "region", aIdentity.region_.Value() },
     { "peer", ToString(aIdentity.peerAddress_) },
-    { "caller", ToString(aIdentity.callerAddress_) }
+    { "caller", ToString(aIdentity.callerAddress_) },
+    { "strength", aIdentity.strength_ }
   }
     .dump();
 }
@@ -38,6 +39,7 @@
     identity.peerAddress_ = ParseAddress(json.at("peer").get<std::string>());
     identity.callerAddress_ =
       ParseAddress(json.at("caller").get<std::string>());
+    identity.strength_ = json.value("strength", std::uint64_t());
     return identity;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -31,6 +31,8 @@
 constexpr double kBaseMs = 15;
 // Extra time to a server in another failure domain, both ways.
 constexpr double kOtherDomainMs = 7;
+// A new connection takes a round trip and time of the server.
+constexpr double kConnectMs = 12;
 // A stream holds a slot for about this time.
 constexpr double kStreamMs = 1000;
 
@@ -142,9 +144,12 @@
 }
 
 double
-Cost(const PoolView& aPool, const Placement& aPlacement)
+Cost(const PoolView& aPool, const BackendView& aView, const Placement& aPlacement)
 {
   double cost = aPlacement.waitMs_ + aPlacement.failureRate_ * kFailureCostMs;
+  if (!aView.hasIdleChannel_) {
+    cost += kConnectMs;
+  }
   if (aPool.isEngine_) {
     cost += aPlacement.running_ * kRunningCostMs;
   }
@@ -207,7 +212,7 @@
                  view,
                  aQuery,
                  rank == ranks.end() ? aPool.servers_.size() : rank->second);
-      candidates.emplace_back(Cost(aPool, placement), placement);
+      candidates.emplace_back(Cost(aPool, view, placement), placement);
     }
     if (!candidates.empty()) {
       break;
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -31,6 +31,8 @@
   std::map<std::uint64_t, UnreadPrompt> unread_;
   // When a first event last came from the server.
   MonotonicTime firstEventAt_;
+  // A request can use a connection that is open already.
+  bool hasIdleChannel_ = false;
   // The same of all other instances, from their reports.
   double peerUnreadTokens_ = 0;
   double peerRunning_ = 0;
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -16,11 +16,19 @@
 constexpr double kNotedTokens = 300;
 // Prompts sent within this time are told with one message.
 constexpr Duration kNoteDelay = std::chrono::milliseconds(12);
-// With more instances than this, prompts are told with the next report only.
-constexpr std::size_t kMostNotedPeers = 10;
+// Interval of the reports to collectors. A digest costs an instance of a tenth
+// of a core about a millisecond for a hundred servers.
+constexpr Duration kCollectorInterval = std::chrono::milliseconds(1000);
+// Reply time after which another collector is asked.
+constexpr Duration kDigestLimit = std::chrono::milliseconds(900);
+// Without a digest for this time an instance reads the store itself.
+constexpr Duration kDigestAge = std::chrono::milliseconds(2800);
 // An instance without a report for this time is not given to callers, and its
 // load is not counted.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
+constexpr Duration kSilentAfterCollected = std::chrono::milliseconds(3500);
+constexpr std::size_t kServerValues = 4;
+constexpr std::size_t kMemberValues = 3;
 // Windows that a report carries: those of which the usage is still due.
 constexpr std::uint64_t kReportedWindows = 4;
 // Age above which a server's statement on its machine is not passed on.
@@ -43,13 +51,16 @@
   , self_(aSelf)
   , status_(std::move(aStatus))
 {
-  network_.OnMessage<Reports>([this](const PeerIdentity& /*aFrom*/,
+  network_.OnMessage<Reports>([this](const PeerIdentity& aFrom,
                                      const Message& aMessage,
-                                     const PeerNetwork::Responder&) {
-    for (const InstanceReport& report :
-         std::get<Reports>(aMessage).reports_) {
+                                     const PeerNetwork::Responder& aRespond) {
+    const auto& reports = std::get<Reports>(aMessage);
+    for (const InstanceReport& report : reports.reports_) {
       Enter(report);
     }
+    if (reports.wantsDigest_) {
+      aRespond(MakeDigest(aFrom.instance_, reports));
+    }
   });
   timer_ = state_.loop_.CallAfter(kReportInterval, [this] { Tick(); });
 }
@@ -79,15 +90,17 @@
 ReportExchange::Tick()
 {
   DropSilent();
+  UpdateCollectors();
   Send(false);
-  timer_ = state_.loop_.CallAfter(kReportInterval, [this] { Tick(); });
+  timer_ = state_.loop_.CallAfter(IsMesh() ? kReportInterval : kCollectorInterval,
+                                  [this] { Tick(); });
 }
 
 void
 ReportExchange::NoteSent(double aTokens)
 {
   if (aTokens < kNotedTokens || soonTimer_ != 0 ||
-      peers_.size() > kMostNotedPeers) {
+      !IsMesh()) {
     return;
   }
   soonTimer_ = state_.loop_.CallAfter(kNoteDelay, [this] {
@@ -96,12 +109,9 @@
   });
 }
 
-void
-ReportExchange::Send(bool aIsLoadOnly)
+InstanceReport
+ReportExchange::MakeReport(bool aIsLoadOnly)
 {
-  if (peers_.empty()) {
-    return;
-  }
   InstanceReport report;
   report.identity_ = self_;
   report.sequence_ = ++sequence_;
@@ -111,13 +121,261 @@
   if (!aIsLoadOnly) {
     AddCounts(report);
   }
+  return report;
+}
+
+void
+ReportExchange::Send(bool aIsLoadOnly)
+{
+  if (peers_.empty()) {
+    return;
+  }
   Reports message;
-  message.reports_.push_back(std::move(report));
+  message.reports_.push_back(MakeReport(aIsLoadOnly));
+  if (!IsMesh()) {
+    SendToCollectors(message);
+    return;
+  }
   for (const auto& [id, peer] : peers_) {
     network_.Send(peer.identity_, message);
   }
 }
 
+void
+ReportExchange::UpdateCollectors()
+{
+  std::vector<CollectorCandidate> candidates;
+  candidates.push_back(
+    { self_.instance_, self_.strength_, !status_().isLeaving_ });
+  for (const auto& [id, peer] : peers_) {
+    // At the start nothing is heard yet, and all are taken to live.
+    const bool isLive =
+      (IsHeard(peer) || !hasDigest_) && !peer.report_.isLeaving_;
+    candidates.push_back({ id, peer.identity_.strength_, isLive });
+  }
+  collectors_ = ChooseCollectors(candidates);
+  isCollector_ =
+    std::find(collectors_.begin(), collectors_.end(), self_.instance_) !=
+    collectors_.end();
+  if (isCollector_ || IsMesh()) {
+    // The reports themselves take the place of their sums.
+    EnterServers(others_, {});
+    others_ = {};
+  }
+}
+
+bool
+ReportExchange::ReadsStore() const
+{
+  const bool isOld =
+    !hasDigest_ ||
+    state_.loop_.GetClock().Now() - digestHeard_ > kDigestAge;
+  return IsMesh() || isOld || isCollector_;
+}
+
+std::size_t
+ReportExchange::DutyRank() const
+{
+  if (!collectors_.empty()) {
+    return std::size_t(
+      std::find(collectors_.begin(), collectors_.end(), self_.instance_) -
+      collectors_.begin());
+  }
+  std::size_t rank = 0;
+  for (const auto& [id, peer] : peers_) {
+    rank += IsHeard(peer) && !peer.report_.isLeaving_ && id < self_.instance_;
+  }
+  return rank;
+}
+
+void
+ReportExchange::SendToCollectors(const Reports& aMessage)
+{
+  bool hasAsked = isCollector_;
+  std::vector<InstanceId> targets = collectors_;
+  // The holder of the duties needs the counts of all.
+  for (const auto& [id, peer] : peers_) {
+    const bool isHolder = IsHeard(peer) && peer.report_.dutyEpoch_.Value() != 0;
+    if (isHolder &&
+        std::find(targets.begin(), targets.end(), id) == targets.end()) {
+      targets.push_back(id);
+    }
+  }
+  for (const InstanceId& target : targets) {
+    const auto found = peers_.find(target);
+    if (found == peers_.end()) {
+      continue;
+    }
+    if (hasAsked) {
+      network_.Send(found->second.identity_, aMessage);
+    } else {
+      hasAsked = true;
+      AskForDigest(found->second.identity_, aMessage);
+    }
+  }
+}
+
+void
+ReportExchange::AskForDigest(const PeerIdentity& aCollector, Reports aMessage)
+{
+  aMessage.wantsDigest_ = true;
+  if (relay_.versions_) {
+    aMessage.rowVersions_ = relay_.versions_();
+  }
+  network_.Call(
+    aCollector,
+    std::move(aMessage),
+    kDigestLimit,
+    [this, id = aCollector.instance_](const PeerReply& aReply) {
+      if (aReply.message_.has_value() &&
+          std::holds_alternative<Digest>(*aReply.message_)) {
+        EnterDigest(std::get<Digest>(*aReply.message_));
+        return;
+      }
+      // The next collector is asked: this one counts as silent for a while.
+      const auto found = peers_.find(id);
+      if (found != peers_.end()) {
+        found->second.heard_ =
+          state_.loop_.GetClock().Now() - kSilentAfterCollected;
+      }
+    });
+}
+
+Digest
+ReportExchange::MakeDigest(const InstanceId& aReceiver,
+                           const Reports& aRequest) const
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  struct Sum
+  {
+    std::uint64_t running_ = 0;
+    std::uint64_t unread_ = 0;
+    std::uint64_t slowness_ = 0;
+    std::uint64_t age_ = 0;
+  };
+  std::map<ServerId, Sum> servers;
+  Digest digest;
+  const auto add = [&](const InstanceReport& aReport, Duration aAge) {
+    const auto age = std::uint64_t(aAge.count() / 1000);
+    for (const ServerUse& use : aReport.servers_) {
+      Sum& sum = servers[use.server_];
+      sum.running_ += use.running_;
+      sum.unread_ += use.unreadTokens_;
+      const std::uint64_t slownessAge = use.slownessAgeMs_ + age;
+      if (use.slownessPercent_ > 0 &&
+          (sum.slowness_ == 0 || slownessAge < sum.age_)) {
+        sum.slowness_ = use.slownessPercent_;
+        sum.age_ = slownessAge;
+      }
+    }
+    for (const auto& [workspace, used] : aReport.used_) {
+      digest.used_[workspace] += used;
+    }
+    for (const auto& [service, demand] : aReport.demand_) {
+      digest.demand_[service] += demand;
+    }
+    digest.refused_ += aReport.refused_;
+  };
+  const auto addMember = [&](const PeerIdentity& aIdentity,
+                             bool aIsReady,
+                             bool aIsLeaving,
+                             FencingToken aEpoch) {
+    digest.members_.push_back(aIdentity.instance_.Value());
+    digest.memberValues_.push_back(aIdentity.incarnation_.Value());
+    digest.memberValues_.push_back((aIsReady ? 1 : 0) + (aIsLeaving ? 2 : 0));
+    digest.memberValues_.push_back(aEpoch.Value());
+  };
+  InstanceReport own;
+  AddServers(own);
+  AddCounts(own);
+  add(own, Duration(0));
+  addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
+  for (const auto& [id, peer] : peers_) {
+    if (id == aReceiver || !peer.hasReport_ || peer.isFromDigest_ ||
+        !IsHeard(peer)) {
+      continue;
+    }
+    add(peer.report_, now - peer.heard_);
+    addMember(peer.identity_,
+              peer.report_.isReady_,
+              peer.report_.isLeaving_,
+              peer.report_.dutyEpoch_);
+  }
+  for (const auto& [id, sum] : servers) {
+    digest.servers_.push_back(id.Value());
+    digest.serverValues_.insert(
+      digest.serverValues_.end(),
+      { sum.running_, sum.unread_, sum.slowness_, sum.age_ });
+  }
+  if (relay_.collect_) {
+    relay_.collect_(aRequest.rowVersions_, digest);
+  }
+  return digest;
+}
+
+void
+ReportExchange::EnterDigest(const Digest& aDigest)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  digestHeard_ = now;
+  hasDigest_ = true;
+  EnterDigestMembers(aDigest);
+  InstanceReport others;
+  const std::size_t count =
+    std::min(aDigest.servers_.size(), aDigest.serverValues_.size() / kServerValues);
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::uint64_t* values = &aDigest.serverValues_[index * kServerValues];
+    others.servers_.push_back({ ServerId(aDigest.servers_[index]),
+                                values[0],
+                                values[1],
+                                values[2],
+                                values[3] });
+  }
+  others.used_ = aDigest.used_;
+  others.demand_ = aDigest.demand_;
+  others.refused_ = aDigest.refused_;
+  EnterServers(others_, others);
+  others_ = std::move(others);
+  for (const auto& [workspace, used] : others_.used_) {
+    // All others together count as one peer.
+    NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
+                InstanceId("others"),
+                double(used),
+                now);
+  }
+  if (relay_.enter_) {
+    relay_.enter_(aDigest);
+  }
+  SetInstanceCount(state_, LiveCount());
+}
+
+void
+ReportExchange::EnterDigestMembers(const Digest& aDigest)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  const std::size_t count = std::min(
+    aDigest.members_.size(), aDigest.memberValues_.size() / kMemberValues);
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto found = peers_.find(InstanceId(aDigest.members_[index]));
+    if (found == peers_.end()) {
+      continue;
+    }
+    Peer& peer = found->second;
+    if (!peer.isFromDigest_) {
+      EnterServers(peer.report_, {});
+      peer.report_.servers_.clear();
+    }
+    const std::uint64_t* values = &aDigest.memberValues_[index * kMemberValues];
+    peer.identity_.incarnation_ = Incarnation(values[0]);
+    peer.report_.isReady_ = (values[1] & 1) != 0;
+    peer.report_.isLeaving_ = (values[1] & 2) != 0;
+    peer.report_.dutyEpoch_ = FencingToken(values[2]);
+    peer.hasReport_ = true;
+    peer.isFromDigest_ = true;
+    peer.heard_ = now;
+  }
+}
+
 void
 ReportExchange::AddServers(InstanceReport& aReport) const
 {
@@ -243,7 +501,11 @@
       .Add("incarnation", identity.incarnation_.Value());
     state_.log_.WriteImportant(line);
   }
-  EnterServers(peer.report_, aReport);
+  // Elsewhere the sums of a digest contain the load and the use.
+  const bool isCounted = IsMesh() || isCollector_;
+  if (isCounted) {
+    EnterServers(peer.report_, aReport);
+  }
   peer.heard_ = now;
   if (aReport.isLoadOnly_) {
     peer.report_.servers_ = aReport.servers_;
@@ -253,8 +515,15 @@
   peer.identity_ = identity;
   peer.report_ = aReport;
   peer.hasReport_ = true;
+  peer.isFromDigest_ = false;
+  if (!isCounted) {
+    peer.report_.servers_.clear();
+  }
   peer.wallOffset_ = aReport.sent_ - state_.loop_.GetClock().Wall();
   for (const auto& [workspace, used] : aReport.used_) {
+    if (!isCounted) {
+      break;
+    }
     NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
                 identity.instance_,
                 double(used),
@@ -272,8 +541,8 @@
 bool
 ReportExchange::IsHeard(const Peer& aPeer) const
 {
-  return aPeer.hasReport_ &&
-         state_.loop_.GetClock().Now() - aPeer.heard_ < kSilentAfter;
+  return aPeer.hasReport_ && state_.loop_.GetClock().Now() - aPeer.heard_ <
+                               (IsMesh() ? kSilentAfter : kSilentAfterCollected);
 }
 
 void
@@ -298,6 +567,7 @@
   instances.push_back({ self_.instance_,
                         self_.failureDomain_,
                         self_.callerAddress_,
+                        self_.strength_,
                         status.isReady_,
                         status.isLeaving_,
                         true });
@@ -305,6 +575,7 @@
     instances.push_back({ id,
                           peer.identity_.failureDomain_,
                           peer.identity_.callerAddress_,
+                          peer.identity_.strength_,
                           peer.report_.isReady_,
                           peer.report_.isLeaving_,
                           IsHeard(peer) });
@@ -352,6 +623,10 @@
   if (own != state_.demand_.end()) {
     demand = own->second.Rate(state_.loop_.GetClock().Now());
   }
+  const auto others = others_.demand_.find(aService.Value());
+  if (others != others_.demand_.end() && !isCollector_) {
+    return demand + double(others->second);
+  }
   for (const auto& [id, peer] : peers_) {
     const auto found = peer.report_.demand_.find(aService.Value());
     if (IsHeard(peer) && found != peer.report_.demand_.end()) {
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
 // Tells the other entry instances what this one has sent, used and counted,
-// and enters what they tell.
+// and enters what they tell. Few instances tell each other everything; with
+// more of them, each one reports to the collectors and gets a digest.
 
 #include "base/Clock.h"
 #include "edge/AddressAnswer.h"
+#include "edge/Collectors.h"
 #include "edge/EdgeState.h"
 #include "peer/PeerNetwork.h"
 
@@ -22,6 +24,18 @@
   FencingToken dutyEpoch_;
 };
 
+// Access to the tables that collectors pass on.
+struct RowRelay
+{
+  // Versions up to which this instance has the tables.
+  std::function<std::map<std::string, std::uint64_t>()> versions_;
+  // Adds the rows that changed after the given versions.
+  std::function<void(const std::map<std::string, std::uint64_t>& aVersions,
+                     Digest& aDigest)>
+    collect_;
+  std::function<void(const Digest& aDigest)> enter_;
+};
+
 class ReportExchange
 {
 public:
@@ -33,12 +47,14 @@
   ReportExchange(const ReportExchange&) = delete;
   ReportExchange& operator=(const ReportExchange&) = delete;
 
+  void SetRelay(RowRelay aRelay) { relay_ = std::move(aRelay); }
+
   // The other instances that the store lists.
   void SetMembers(const std::vector<PeerIdentity>& aMembers);
 
   // All instances, this one included, as callers may use them.
   std::vector<KnownInstance> Instances() const;
-  // Instances from which a report came lately, this one included.
+  // Instances that are known to live, this one included.
   std::size_t LiveCount() const;
   bool IsLive(const InstanceId& aInstance, Incarnation aIncarnation) const;
   // The highest epoch that a live instance other than this one holds.
@@ -50,6 +66,12 @@
   // Middle of the wall clocks of the live instances, against this one's.
   Duration WallOffset() const;
 
+  // Whether this instance reads the store itself: it is a collector, all
+  // instances read it, or no collector answers.
+  bool ReadsStore() const;
+  // Place in the order in which instances take duties over.
+  std::size_t DutyRank() const;
+
   void SendNow() { Send(false); }
 
   // A prompt of aTokens was sent to an engine. Others are told soon, so that
@@ -61,26 +83,45 @@
   {
     PeerIdentity identity_;
     InstanceReport report_;
+    // When the last report came, or a digest that names the instance as live.
     MonotonicTime heard_;
     Duration wallOffset_{ 0 };
     bool hasReport_ = false;
+    // What is known comes from a digest.
+    bool isFromDigest_ = false;
   };
 
   void Tick();
   void Send(bool aIsLoadOnly);
+  InstanceReport MakeReport(bool aIsLoadOnly);
   void AddServers(InstanceReport& aReport) const;
   void AddCounts(InstanceReport& aReport) const;
+  void SendToCollectors(const Reports& aMessage);
+  void AskForDigest(const PeerIdentity& aCollector, Reports aMessage);
+  Digest MakeDigest(const InstanceId& aReceiver, const Reports& aRequest) const;
+  void EnterDigest(const Digest& aDigest);
+  void EnterDigestMembers(const Digest& aDigest);
   void Enter(const InstanceReport& aReport);
   void EnterServers(const InstanceReport& aOld, const InstanceReport& aNew);
   void DropSilent();
   bool IsHeard(const Peer& aPeer) const;
+  bool IsMesh() const { return peers_.size() < kMostMeshInstances; }
+  void UpdateCollectors();
   BackendView* FindServer(const ServerId& aServer);
 
   EdgeState& state_;
   PeerNetwork& network_;
   PeerIdentity self_;
   std::function<SelfStatus()> status_;
+  RowRelay relay_;
   std::map<InstanceId, Peer> peers_;
+  // As of the last tick; empty when all tell each other everything.
+  std::vector<InstanceId> collectors_;
+  bool isCollector_ = false;
+  // Sums of the last digest, as a report of all others.
+  InstanceReport others_;
+  MonotonicTime digestHeard_;
+  bool hasDigest_ = false;
   std::uint64_t sequence_ = 0;
   std::uint64_t timer_ = 0;
   std::uint64_t soonTimer_ = 0;
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -17,7 +17,7 @@
 // An unrepeatable request uses only connections that carried another one
 // shortly before: a server that closes an idle connection at the same moment
 // leaves open whether the request ran.
-constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(4000);
+constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(8000);
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(30);
 // Retry-After while no deployment or no server is known: the time in which an
 // instance that has just started learns them.
@@ -194,6 +194,9 @@
   query.instances_ = state_.instances_;
   query.now_ = state_.loop_.GetClock().Now();
   query.draw_ = state_.Draw();
+  for (auto& [id, view] : pool.servers_) {
+    view.hasIdleChannel_ = state_.channels_.HasIdle(id);
+  }
   placement_ = ChooseServer(pool, query);
   if (placement_.server_.Value().empty()) {
     Refuse(kUnavailable, "no_server", kStartingRetryAfter);
--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -12,6 +12,8 @@
 // return of the store well under the time that instances have to apply changes.
 constexpr Duration kMinBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
+// Deleted rows that are remembered for other instances.
+constexpr std::size_t kMostDeleted = 512;
 
 } // namespace
 
@@ -89,6 +91,8 @@
   rows_ = std::move(pages_);
   pages_.clear();
   version_ = pagesVersion_;
+  deleted_.clear();
+  deletedSince_ = version_;
   hasSnapshot_ = true;
   readsWhole_ = false;
   LogLine line("table_read");
@@ -103,9 +107,77 @@
   }
 }
 
+void
+TableWatch::EnterRow(const StoreRow& aRow)
+{
+  if (!aRow.isDeleted_) {
+    rows_[aRow.key_] = aRow;
+    deleted_.erase(aRow.key_);
+    return;
+  }
+  rows_.erase(aRow.key_);
+  StoreRow& deleted = deleted_[aRow.key_];
+  deleted = aRow;
+  deleted.version_ = std::max(aRow.version_, version_);
+  if (deleted_.size() > kMostDeleted) {
+    deletedSince_ = version_;
+    deleted_.clear();
+  }
+}
+
+void
+TableWatch::SetPaused(bool aIsPaused)
+{
+  if (aIsPaused == isPaused_ || !hasSnapshot_) {
+    return;
+  }
+  isPaused_ = aIsPaused;
+  ++step_;
+  loop_.CancelTimer(timer_);
+  if (!isPaused_) {
+    Watch();
+  }
+}
+
+void
+TableWatch::Enter(const std::vector<StoreRow>& aRows, std::uint64_t aVersion)
+{
+  lastHeard_ = loop_.GetClock().Now();
+  if (!hasSnapshot_ || aVersion < version_) {
+    return;
+  }
+  version_ = aVersion;
+  for (const StoreRow& row : aRows) {
+    EnterRow(row);
+  }
+  if (!aRows.empty()) {
+    callbacks_.onChange_();
+  }
+}
+
+bool
+TableWatch::ChangesSince(std::uint64_t aVersion,
+                         std::vector<StoreRow>& aRows) const
+{
+  if (!hasSnapshot_ || aVersion < deletedSince_) {
+    return false;
+  }
+  for (const auto* rows : { &rows_, &deleted_ }) {
+    for (const auto& [key, row] : *rows) {
+      if (row.version_ > aVersion) {
+        aRows.push_back(row);
+      }
+    }
+  }
+  return true;
+}
+
 void
 TableWatch::Watch()
 {
+  if (isPaused_) {
+    return;
+  }
   store_.Watch(options_.table_,
                version_,
                options_.wait_,
@@ -134,11 +206,7 @@
   NoteAnswer();
   version_ = std::max(version_, aReply.version_);
   for (const StoreRow& row : aReply.rows_) {
-    if (row.isDeleted_) {
-      rows_.erase(row.key_);
-    } else {
-      rows_[row.key_] = row;
-    }
+    EnterRow(row);
   }
   const std::uint64_t step = step_;
   if (!aReply.rows_.empty()) {
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sycamoreward {
 class EventLoop;
@@ -54,6 +55,17 @@
   // Reads the whole table again, after aDelay.
   void ReadAgain(Duration aDelay);
 
+  // While it is paused the table is kept by rows that others pass on. Resuming
+  // waits for changes since the last of them.
+  void SetPaused(bool aIsPaused);
+  // Enters rows that another instance read, up to aVersion of the store.
+  void Enter(const std::vector<StoreRow>& aRows, std::uint64_t aVersion);
+  // Version of the store up to which the copy is known to be whole.
+  std::uint64_t Version() const { return hasSnapshot_ ? version_ : 0; }
+  // Rows that changed after aVersion, deleted ones included. False when the
+  // deletions since then are not known any more.
+  bool ChangesSince(std::uint64_t aVersion, std::vector<StoreRow>& aRows) const;
+
 private:
   void ReadPage(const std::string& aAfter);
   void OnPage(const StoreReply& aReply);
@@ -61,6 +73,7 @@
   void OnChanges(const StoreReply& aReply);
   void OnFailure();
   void NoteAnswer();
+  void EnterRow(const StoreRow& aRow);
   void Schedule(Duration aDelay, std::function<void()> aStep);
 
   EventLoop& loop_;
@@ -73,6 +86,11 @@
   std::map<std::string, StoreRow> pages_;
   std::uint64_t pagesVersion_ = 0;
   std::uint64_t version_ = 0;
+  // Rows that were deleted lately, for ChangesSince, and the version after
+  // which all deletions are among them.
+  std::map<std::string, StoreRow> deleted_;
+  std::uint64_t deletedSince_ = 0;
+  bool isPaused_ = false;
   bool hasSnapshot_ = false;
   bool isAway_ = false;
   bool readsWhole_ = true;
--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -20,6 +20,8 @@
   Address peerAddress_;
   // Port of the callers' API.
   Address callerAddress_;
+  // Processor share of the machine in thousandths of a core; 0 when unknown.
+  std::uint64_t strength_ = 0;
 };
 
 enum class MemberState
--- a/src/peer/MessageCodec.cpp
+++ b/src/peer/MessageCodec.cpp
@@ -23,7 +23,7 @@
   "FeedPull", "FeedDelta",  "Register", "Registered",
   "Record",   "Recorded",   "Lookup",   "LookupReply",
   "Follow",   "AnswerPart", "HandOver", "HandOverReply",
-  "Reports"
+  "Reports",  "Digest"
 };
 
 [[noreturn]] void
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -25,6 +25,7 @@
   aArchive("region", aValue.region_);
   aArchive("peer", aValue.peerAddress_);
   aArchive("caller", aValue.callerAddress_);
+  aArchive("strength", aValue.strength_);
 }
 
 template<typename A>
@@ -291,11 +292,39 @@
   aArchive("refused", aValue.refused_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, RelayedRow& aValue)
+{
+  aArchive("table", aValue.table_);
+  aArchive("key", aValue.key_);
+  aArchive.Binary("value", aValue.value_);
+  aArchive("version", aValue.version_);
+  aArchive("deleted", aValue.isDeleted_);
+}
+
 template<typename A>
 void
 Describe(A& aArchive, Reports& aValue)
 {
   aArchive("reports", aValue.reports_);
+  aArchive("wantsDigest", aValue.wantsDigest_);
+  aArchive("rowVersions", aValue.rowVersions_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, Digest& aValue)
+{
+  aArchive("servers", aValue.servers_);
+  aArchive("serverValues", aValue.serverValues_);
+  aArchive("members", aValue.members_);
+  aArchive("memberValues", aValue.memberValues_);
+  aArchive("used", aValue.used_);
+  aArchive("demand", aValue.demand_);
+  aArchive("refused", aValue.refused_);
+  aArchive("rowVersions", aValue.rowVersions_);
+  aArchive("rows", aValue.rows_);
 }
 
 } // namespace sycamoreward
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -217,10 +217,45 @@
   std::uint64_t refused_ = 0;
 };
 
-// Reports of the sender, or of instances that it speaks for.
+// Reports of the sender.
 struct Reports
 {
   std::vector<InstanceReport> reports_;
+  // Asks for a Digest in return, with the rows that changed after the given
+  // version of each table.
+  bool wantsDigest_ = false;
+  std::map<std::string, std::uint64_t> rowVersions_;
+};
+
+// A row of the platform's store, passed on to instances that don't read it.
+struct RelayedRow
+{
+  std::string table_;
+  std::string key_;
+  std::string value_;
+  std::uint64_t version_ = 0;
+  bool isDeleted_ = false;
+};
+
+// What an instance that gathers reports knows of all instances but the one that
+// asks. Values stand in lists of numbers, since a hundred instances get one
+// each second and names of fields would make up most of it.
+struct Digest
+{
+  // Ids, and for each one: running requests, unread tokens, slowness in
+  // percent, age of the slowness in milliseconds.
+  std::vector<std::string> servers_;
+  std::vector<std::uint64_t> serverValues_;
+  // Ids, and for each one: incarnation, 1 when ready plus 2 when leaving, epoch
+  // of the duties held.
+  std::vector<std::string> members_;
+  std::vector<std::uint64_t> memberValues_;
+  std::map<std::string, std::uint64_t> used_;
+  std::map<std::string, std::uint64_t> demand_;
+  std::uint64_t refused_ = 0;
+  // Version of each table that the rows bring the receiver to.
+  std::map<std::string, std::uint64_t> rowVersions_;
+  std::vector<RelayedRow> rows_;
 };
 
 using Message = std::variant<Hello,
@@ -239,6 +274,7 @@
                              AnswerPart,
                              HandOver,
                              HandOverReply,
-                             Reports>;
+                             Reports,
+                             Digest>;
 
 } // namespace sycamoreward
--- a/tools/sycamoreward-edge/Main.cpp
+++ b/tools/sycamoreward-edge/Main.cpp
@@ -86,6 +86,7 @@
   options.callers_ = aSettings.callers_;
   options.self_.peerAddress_ = options.peers_;
   options.self_.callerAddress_ = options.callers_;
+  options.self_.strength_ = aSettings.strength_;
   options.bounds_ = aSettings.bounds_;
   options.seed_ = std::hash<std::string>()(aSettings.instance_.Value()) ^
                   options.self_.incarnation_.Value();
