Renew the holder's row and let old load figures fade into the mean

Change: the holder renews its row each third of the lease and others follow only when it stays the same for the lease time or was given up; figures of others fade into the pool's mean with a half-life of 200 ms.

--- a/src/edge/DutyLease.cpp
+++ b/src/edge/DutyLease.cpp
@@ -4,9 +4,19 @@
 
 namespace {
 
-// Instances follow one after the other in this interval, so that they don't
-// race for the row.
+// Instances look at the row one after the other in this interval, so that they
+// don't race for it.
 constexpr Duration kRankInterval = std::chrono::milliseconds(400);
+// Time without word of a holder before the row is read.
+constexpr Duration kQuietTime = std::chrono::milliseconds(1000);
+constexpr Duration kReadInterval = std::chrono::milliseconds(900);
+// Three writes fit into the lease time of three seconds, so that one of them
+// may be lost.
+constexpr std::int64_t kRenewalsPerLease = 3;
+// The holder stops this long before others may follow: calls take time.
+constexpr Duration kActMargin = std::chrono::milliseconds(500);
+// Beyond the lease time, for clocks that run at different rates.
+constexpr Duration kFollowMargin = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -14,13 +24,12 @@
 NextStep(DutyLease& aLease,
          FencingToken aPeerEpoch,
          std::size_t aRank,
-         Duration aLeaseTime,
          MonotonicTime aNow)
 {
   if (aPeerEpoch > aLease.held_) {
     aLease.heard_ = aNow;
     if (aLease.held_.Value() != 0) {
-      StepDown(aLease, aLeaseTime, aNow);
+      StepDown(aLease, aNow);
     }
     return LeaseStep::None;
   }
@@ -28,58 +37,86 @@
     return LeaseStep::None;
   }
   if (aLease.held_.Value() != 0) {
-    aLease.heard_ = aNow;
-    return aLease.isDoubtful_ ? LeaseStep::ReadRow : LeaseStep::None;
+    if (aLease.isDoubtful_ || aNow >= aLease.validUntil_) {
+      return LeaseStep::ReadRow;
+    }
+    return aNow >= aLease.nextRenewal_ ? LeaseStep::Renew : LeaseStep::None;
   }
-  const Duration patience = aLeaseTime + kRankInterval * std::int64_t(aRank);
-  if (aNow < aLease.notBefore_ || aNow - aLease.heard_ < patience) {
+  const Duration patience = kQuietTime + kRankInterval * std::int64_t(aRank);
+  if (aNow < aLease.notBefore_ || aNow < aLease.nextRead_ ||
+      aNow - aLease.heard_ < patience) {
     return LeaseStep::None;
   }
+  aLease.nextRead_ = aNow + kReadInterval;
   return LeaseStep::ReadRow;
 }
 
+bool
+MayAct(const DutyLease& aLease, MonotonicTime aNow)
+{
+  return aLease.held_.Value() != 0 && !aLease.isDoubtful_ &&
+         aNow + kActMargin < aLease.validUntil_;
+}
+
 bool
 EnterRow(DutyLease& aLease,
          const LeaseRow& aRow,
-         bool aIsHolderLive,
+         MonotonicTime aAsked,
          MonotonicTime aNow)
 {
-  const bool isOwn = aRow.instance_ == aLease.self_ &&
-                     aRow.incarnation_ == aLease.incarnation_;
-  aLease.isDoubtful_ = false;
-  if (isOwn && aRow.version_ != 0) {
+  const bool isSelf = aRow.instance_ == aLease.self_ && aRow.version_ != 0;
+  if (isSelf && aRow.incarnation_ == aLease.incarnation_) {
     // Also the outcome of a write whose reply was lost.
-    EnterHeld(aLease, aRow.epoch_, aRow.version_, aNow);
+    EnterHeld(aLease, aRow.epoch_, aRow.version_, aAsked, aNow);
     return false;
   }
   aLease.held_ = FencingToken(0);
-  aLease.rowVersion_ = aRow.version_;
-  if (aIsHolderLive) {
-    aLease.heard_ = aNow;
-    return false;
+  aLease.isDoubtful_ = false;
+  if (aRow.version_ != aLease.seenVersion_) {
+    aLease.seenVersion_ = aRow.version_;
+    aLease.seenSince_ = aNow;
   }
-  return aNow >= aLease.notBefore_;
+  // An earlier start of this instance has ended and does not act any more.
+  const bool isFree =
+    aRow.version_ == 0 || aRow.instance_.Value().empty() || isSelf;
+  const bool isExpired =
+    aNow - aLease.seenSince_ >= aLease.leaseTime_ + kFollowMargin;
+  return aNow >= aLease.notBefore_ && (isFree || isExpired);
 }
 
 void
 EnterHeld(DutyLease& aLease,
           FencingToken aEpoch,
           std::uint64_t aVersion,
+          MonotonicTime aAsked,
           MonotonicTime aNow)
 {
   aLease.held_ = aEpoch;
   aLease.rowVersion_ = aVersion;
-  aLease.heard_ = aNow;
+  if (aLease.isDoubtful_ && aAsked <= aLease.doubtfulSince_) {
+    return;
+  }
   aLease.isDoubtful_ = false;
+  aLease.validUntil_ = aAsked + aLease.leaseTime_;
+  aLease.nextRenewal_ = aNow + aLease.leaseTime_ / kRenewalsPerLease;
+}
+
+void
+Doubt(DutyLease& aLease, MonotonicTime aNow)
+{
+  aLease.isDoubtful_ = true;
+  aLease.doubtfulSince_ = aNow;
 }
 
 void
-StepDown(DutyLease& aLease, Duration aLeaseTime, MonotonicTime aNow)
+StepDown(DutyLease& aLease, MonotonicTime aNow)
 {
   aLease.held_ = FencingToken(0);
   aLease.isDoubtful_ = false;
   aLease.heard_ = aNow;
-  aLease.notBefore_ = aNow + 2 * aLeaseTime;
+  aLease.seenVersion_ = 0;
+  // An instance that lost the duties leaves them to others for a while.
+  aLease.notBefore_ = aNow + 2 * aLease.leaseTime_;
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/DutyLease.h
+++ b/src/edge/DutyLease.h
@@ -1,9 +1,10 @@
 #pragma once
 
 // Decides which instance holds the duties that one at a time may have. The
-// holder is named by a row of the store, written under a condition, so that
-// each epoch has one holder. Other instances follow when they hear of no live
-// holder.
+// holder is named by a row of the store that it writes again and again, each
+// time under the condition that nobody else has written it. Another instance
+// follows when the row has stayed the same for the lease time, or when the
+// holder has given it up.
 
 #include "base/Clock.h"
 #include "base/Ids.h"
@@ -15,6 +16,7 @@
 // Content of the row.
 struct LeaseRow
 {
+  // Empty when the holder has given the duties up.
   InstanceId instance_;
   Incarnation incarnation_;
   FencingToken epoch_;
@@ -26,53 +28,74 @@
 {
   InstanceId self_;
   Incarnation incarnation_;
+  Duration leaseTime_ = std::chrono::seconds(3);
+
   // Epoch that this instance holds; 0 for none.
   FencingToken held_;
   std::uint64_t rowVersion_ = 0;
-  // Last time at which a holder was heard of, this instance included.
-  MonotonicTime heard_;
-  // A call to the store is under way.
-  bool isAsking_ = false;
-  // The row has to be read before the holder acts again.
+  // The holder acts until then.
+  MonotonicTime validUntil_;
+  MonotonicTime nextRenewal_;
+  // The process stood still: the row has to be read before the holder acts
+  // again. Replies to calls from before that time settle nothing.
   bool isDoubtful_ = false;
+  MonotonicTime doubtfulSince_;
+
+  // Last time at which another holder was heard of.
+  MonotonicTime heard_;
+  // Version of the row that was read, and since when it has been the same.
+  std::uint64_t seenVersion_ = 0;
+  MonotonicTime seenSince_;
+  MonotonicTime nextRead_;
   // No attempt to become the holder before this time.
   MonotonicTime notBefore_;
+  // A call to the store is under way.
+  bool isAsking_ = false;
 };
 
 enum class LeaseStep
 {
   None,
   // Read the row and enter it with EnterRow.
-  ReadRow
+  ReadRow,
+  // Write the row again and enter the outcome with EnterHeld or StepDown.
+  Renew
 };
 
 // aPeerEpoch is the highest epoch that a live peer holds, 0 for none; aRank is
-// the place of this instance among the live ones, 0 for the first to follow.
+// the place of this instance among those that follow, 0 for the first.
 LeaseStep
 NextStep(DutyLease& aLease,
          FencingToken aPeerEpoch,
          std::size_t aRank,
-         Duration aLeaseTime,
          MonotonicTime aNow);
 
-// Enters the row as read. Returns whether this instance should write itself
-// into it with an epoch one higher; aIsHolderLive says whether the instance in
-// the row is heard.
+// Whether the holder may act now.
+bool
+MayAct(const DutyLease& aLease, MonotonicTime aNow);
+
+// Enters the row as read by a call that began at aAsked. Returns whether this
+// instance should write itself into it with an epoch one higher.
 bool
 EnterRow(DutyLease& aLease,
          const LeaseRow& aRow,
-         bool aIsHolderLive,
+         MonotonicTime aAsked,
          MonotonicTime aNow);
 
-// This instance wrote the row.
+// A call that began at aAsked wrote the row, or found it to be this instance's.
 void
 EnterHeld(DutyLease& aLease,
           FencingToken aEpoch,
           std::uint64_t aVersion,
+          MonotonicTime aAsked,
           MonotonicTime aNow);
 
+// The process stood still.
+void
+Doubt(DutyLease& aLease, MonotonicTime aNow);
+
 // Another holder is known, or the store has another row.
 void
-StepDown(DutyLease& aLease, Duration aLeaseTime, MonotonicTime aNow);
+StepDown(DutyLease& aLease, MonotonicTime aNow);
 
 } // namespace sycamoreward::edge
--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -24,7 +24,7 @@
 constexpr Duration kMaxOrderRetry = std::chrono::seconds(8);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
 // At the start of the whole system no holder has to be waited for.
-constexpr Duration kFirstLeaseDelay = std::chrono::milliseconds(600);
+constexpr Duration kFirstLeaseDelay = std::chrono::milliseconds(300);
 
 constexpr const char* kDutyTable = "duties";
 constexpr const char* kLeaseKey = "holder";
@@ -90,14 +90,29 @@
   const MonotonicTime now = state_.loop_.GetClock().Now();
   lastTick_ = now;
   lastWall_ = state_.loop_.GetClock().Wall();
-  // The first holder need not wait for a lease to run out.
-  lease_.heard_ = now - state_.bounds_.leaseTime_ + kFirstLeaseDelay;
+  lease_.leaseTime_ = state_.bounds_.leaseTime_;
+  lease_.heard_ = now - kFirstLeaseDelay;
   timer_ = state_.loop_.CallAfter(kTick, [this] { Tick(); });
 }
 
+bool
+DutyTask::Holds() const
+{
+  return !isStopped_ && MayAct(lease_, state_.loop_.GetClock().Now());
+}
+
 void
 DutyTask::Stop()
 {
+  if (lease_.held_.Value() != 0 && !lease_.isAsking_) {
+    LeaseRow released;
+    released.epoch_ = lease_.held_;
+    StoreWrite write;
+    write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
+    write.rows_.push_back({ kDutyTable, kLeaseKey, ToText(released), 0, false });
+    // Without an answer the row runs out.
+    store_.Write(write, [](const StoreReply&) {});
+  }
   isStopped_ = true;
 }
 
@@ -109,7 +124,7 @@
   }
   CheckPause();
   CheckLease();
-  if (Holds() && !lease_.isDoubtful_) {
+  if (Holds()) {
     CheckUsage();
     CheckOrders();
   }
@@ -132,7 +147,7 @@
     line.Add("steadyMs", double(steady.count()) / 1000)
       .Add("jumpMs", double(jump.count()) / 1000);
     state_.log_.WriteImportant(line);
-    lease_.isDoubtful_ = true;
+    Doubt(lease_, now);
   }
   lastTick_ = now;
   lastWall_ = wall;
@@ -145,7 +160,6 @@
   const LeaseStep step = NextStep(lease_,
                                   reports_->PeerDutyEpoch(),
                                   reports_->DutyRank(),
-                                  state_.bounds_.leaseTime_,
                                   state_.loop_.GetClock().Now());
   if (before.Value() != 0 && lease_.held_.Value() == 0) {
     LogLine line("duties_lost");
@@ -153,48 +167,66 @@
     state_.log_.WriteImportant(line);
   }
   if (step == LeaseStep::ReadRow) {
-    lease_.isAsking_ = true;
-    store_.Read(kDutyTable, "", [this](const StoreReply& aReply) {
-      lease_.isAsking_ = false;
-      OnLeaseRow(aReply);
-    });
+    ReadLease();
+  } else if (step == LeaseStep::Renew) {
+    RenewLease();
   }
 }
 
 void
-DutyTask::OnLeaseRow(const StoreReply& aReply)
+DutyTask::ReadLease()
+{
+  lease_.isAsking_ = true;
+  store_.Read(kDutyTable,
+              "",
+              [this, asked = state_.loop_.GetClock().Now()](
+                const StoreReply& aReply) {
+                lease_.isAsking_ = false;
+                OnLeaseRow(aReply, asked);
+              });
+}
+
+void
+DutyTask::OnLeaseRow(const StoreReply& aReply, MonotonicTime aAsked)
 {
   if (aReply.status_ != StoreStatus::Ok || isStopped_) {
     return;
   }
   const StoreRow* found = FindRow(aReply.rows_, kLeaseKey);
   const LeaseRow row = found == nullptr ? LeaseRow{} : ParseLease(*found);
-  const bool isLive = reports_->IsLive(row.instance_, row.incarnation_);
-  if (EnterRow(lease_, row, isLive, state_.loop_.GetClock().Now())) {
+  if (EnterRow(lease_, row, aAsked, state_.loop_.GetClock().Now())) {
     TakeLease(row);
   }
 }
 
-void
-DutyTask::TakeLease(const LeaseRow& aRow)
+StoreRow
+DutyTask::OwnRow(FencingToken aEpoch) const
 {
   LeaseRow own;
   own.instance_ = lease_.self_;
   own.incarnation_ = lease_.incarnation_;
-  own.epoch_ = FencingToken(aRow.epoch_.Value() + 1);
+  own.epoch_ = aEpoch;
+  return { kDutyTable, kLeaseKey, ToText(own), 0, false };
+}
+
+void
+DutyTask::TakeLease(const LeaseRow& aRow)
+{
+  const FencingToken epoch(aRow.epoch_.Value() + 1);
   StoreWrite write;
   write.conditions_.push_back({ kDutyTable, kLeaseKey, aRow.version_ });
-  write.rows_.push_back({ kDutyTable, kLeaseKey, ToText(own), 0, false });
+  write.rows_.push_back(OwnRow(epoch));
   lease_.isAsking_ = true;
-  store_.Write(write, [this, own](const StoreReply& aReply) {
+  const MonotonicTime asked = state_.loop_.GetClock().Now();
+  store_.Write(write, [this, epoch, asked](const StoreReply& aReply) {
     lease_.isAsking_ = false;
     const MonotonicTime now = state_.loop_.GetClock().Now();
     LogLine line("duties_claimed");
-    line.Add("epoch", own.epoch_.Value())
+    line.Add("epoch", epoch.Value())
       .Add("taken", aReply.status_ == StoreStatus::Ok);
     state_.log_.WriteImportant(line);
     if (aReply.status_ == StoreStatus::Ok) {
-      EnterHeld(lease_, own.epoch_, aReply.version_, now);
+      EnterHeld(lease_, epoch, aReply.version_, asked, now);
       orders_.clear();
     } else if (aReply.status_ == StoreStatus::Conflict) {
       lease_.heard_ = now;
@@ -203,13 +235,36 @@
   });
 }
 
+void
+DutyTask::RenewLease()
+{
+  StoreWrite write;
+  write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
+  write.rows_.push_back(OwnRow(lease_.held_));
+  lease_.isAsking_ = true;
+  const MonotonicTime asked = state_.loop_.GetClock().Now();
+  store_.Write(write, [this, asked](const StoreReply& aReply) {
+    lease_.isAsking_ = false;
+    const MonotonicTime now = state_.loop_.GetClock().Now();
+    if (aReply.status_ == StoreStatus::Ok) {
+      EnterHeld(lease_, lease_.held_, aReply.version_, asked, now);
+    } else if (aReply.status_ == StoreStatus::Conflict) {
+      // An earlier renewal without an answer may have been done.
+      Doubt(lease_, asked);
+    } else {
+      constexpr Duration kRenewalRetry = std::chrono::milliseconds(250);
+      lease_.nextRenewal_ = now + kRenewalRetry;
+    }
+  });
+}
+
 void
 DutyTask::LoseLease(const char* aReason)
 {
   LogLine line("duties_lost");
   line.Add("reason", aReason).Add("epoch", lease_.held_.Value());
   state_.log_.WriteImportant(line);
-  StepDown(lease_, state_.bounds_.leaseTime_, state_.loop_.GetClock().Now());
+  StepDown(lease_, state_.loop_.GetClock().Now());
 }
 
 void
@@ -221,6 +276,9 @@
   const std::uint64_t oldest = WindowOf(state_.usage_, wall - kUsageLimit);
   for (std::uint64_t window = oldest; window < newest; ++window) {
     const bool isKnown = windows_.count(window) != 0;
+    if (lease_.isAsking_) {
+      return;
+    }
     if (!isKnown && SumWindow(state_.usage_, window).empty()) {
       continue;
     }
@@ -248,6 +306,7 @@
   StoreWrite write;
   write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
   write.conditions_.push_back({ kUsageTable, key, 0 });
+  write.rows_.push_back(OwnRow(lease_.held_));
   write.rows_.push_back({ kUsageTable,
                           key,
                           nlohmann::json(entry.report_.counts_).dump(),
@@ -257,7 +316,17 @@
   constexpr std::uint64_t kKeptWindows = 24;
   write.removed_.push_back(
     { kUsageTable, std::to_string(aWindow - kKeptWindows), "", 0, false });
-  store_.Write(write, [this, aWindow](const StoreReply& aReply) {
+  lease_.isAsking_ = true;
+  const MonotonicTime asked = state_.loop_.GetClock().Now();
+  store_.Write(write, [this, aWindow, asked](const StoreReply& aReply) {
+    lease_.isAsking_ = false;
+    if (aReply.status_ == StoreStatus::Ok) {
+      EnterHeld(lease_,
+                lease_.held_,
+                aReply.version_,
+                asked,
+                state_.loop_.GetClock().Now());
+    }
     OnUsageFixed(aWindow, aReply);
   });
 }
@@ -272,7 +341,7 @@
   } else if (aReply.status_ == StoreStatus::Conflict) {
     const StoreRow* lease = FindRow(aReply.rows_, kLeaseKey);
     if (lease == nullptr || lease->version_ != lease_.rowVersion_) {
-      LoseLease("row_changed");
+      Doubt(lease_, state_.loop_.GetClock().Now());
       return;
     }
     const StoreRow* usage = FindRow(aReply.rows_, std::to_string(aWindow));
@@ -427,7 +496,7 @@
   if (aStatus == CloudStatus::Superseded) {
     // Either another instance holds the duties now, or there are no engines of
     // the kind; the row of the store tells which.
-    lease_.isDoubtful_ = true;
+    Doubt(lease_, now);
     if (isReclaimable) {
       NoteLost(plans_[service], domain, now);
     }
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -29,7 +29,7 @@
 
   // Begins; aReports must outlive the task.
   void Start(ReportExchange& aReports);
-  // Takes no further step: the process ends.
+  // Gives the duties up and takes no further step: the process ends.
   void Stop();
 
   FencingToken HeldEpoch() const
@@ -60,8 +60,11 @@
   void Tick();
   void CheckPause();
   void CheckLease();
-  void OnLeaseRow(const StoreReply& aReply);
+  void ReadLease();
+  void OnLeaseRow(const StoreReply& aReply, MonotonicTime aAsked);
   void TakeLease(const LeaseRow& aRow);
+  void RenewLease();
+  StoreRow OwnRow(FencingToken aEpoch) const;
 
   void CheckUsage();
   void FixUsage(std::uint64_t aWindow);
@@ -73,7 +76,7 @@
   void SendOrder(const OrderKey& aKey, std::uint32_t aCount);
   void OnOrderReply(const OrderKey& aKey, CloudStatus aStatus);
 
-  bool Holds() const { return lease_.held_.Value() != 0 && !isStopped_; }
+  bool Holds() const;
   DutyHolder Holder() const { return { state_.self_, lease_.held_ }; }
   void LoseLease(const char* aReason);
 
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -43,6 +43,11 @@
 double
 NeededEngines(EnginePlan& aPlan, const EnginePlanInputs& aInputs)
 {
+  if (aInputs.demand_ <= 0) {
+    // Before the first requests the engines found are taken to be needed.
+    aPlan.neededAt_ = aInputs.now_;
+    return aPlan.needed_ * (1 + kSpare);
+  }
   const double rate = std::max(aInputs.engineRate_, 1.0);
   double needed = aInputs.demand_ / (rate * kUtilization);
   if (aInputs.hasRefused_) {
@@ -123,6 +128,8 @@
     aPlan.neededAt_ = aInputs.now_;
     for (const auto& [id, counts] : aInputs.present_) {
       aPlan.domains_[id].ordered_ = counts;
+      aPlan.needed_ +=
+        double(counts.reserved_ + counts.reclaimable_) / (1 + kSpare);
     }
   }
   const double needed =
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -114,6 +114,7 @@
 Estimate(const PoolView& aPool,
          const BackendView& aView,
          const PlacementQuery& aQuery,
+         double aMeanUnread,
          std::size_t aRank)
 {
   Placement placement;
@@ -126,7 +127,7 @@
     wait += kOtherDomainMs;
   }
   if (aPool.isEngine_) {
-    placement.unread_ = UnreadTokens(aView, aQuery.now_);
+    placement.unread_ = UnreadTokens(aView, aMeanUnread, aQuery.now_);
     placement.tokens_ = UnheldTokens(aView, aQuery, aRank);
     const double perToken = slowness / std::max(aPool.readRate_, 1.0);
     const double queue = placement.unread_ * perToken;
@@ -197,6 +198,7 @@
 ChooseServer(const PoolView& aPool, const PlacementQuery& aQuery)
 {
   const auto ranks = RankServers(aPool, SessionPart(aQuery.parts_));
+  const double meanUnread = MeanPeerUnread(aPool);
   std::vector<std::pair<double, Placement>> candidates;
   // Servers that fail are used when there is no other.
   for (const bool takesFailing : { false, true }) {
@@ -211,6 +213,7 @@
         Estimate(aPool,
                  view,
                  aQuery,
+                 meanUnread,
                  rank == ranks.end() ? aPool.servers_.size() : rank->second);
       candidates.emplace_back(Cost(aPool, view, placement), placement);
     }
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -16,6 +16,9 @@
 // takes seconds, so a shorter one would send requests there again too soon.
 constexpr Duration kFailureHalfLife = std::chrono::seconds(3);
 constexpr Duration kSlownessHalfLife = std::chrono::seconds(2);
+// Half of what an engine has to read is read in this time: prompts take 50 to
+// 300 ms.
+constexpr Duration kPeerHalfLife = std::chrono::milliseconds(200);
 constexpr double kMinSlowness = 0.5;
 constexpr double kMaxSlowness = 10;
 // Reports of a server's slowness change several times a second.
@@ -68,9 +71,21 @@
 }
 
 double
-UnreadTokens(const BackendView& aView, MonotonicTime aNow)
+UnreadTokens(const BackendView& aView, double aMean, MonotonicTime aNow)
 {
-  return OwnUnreadTokens(aView, aNow) + aView.peerUnreadTokens_;
+  const double fresh = Fade(aNow - aView.peerAt_, kPeerHalfLife);
+  return OwnUnreadTokens(aView, aNow) + aView.peerUnreadTokens_ * fresh +
+         aMean * (1 - fresh);
+}
+
+double
+MeanPeerUnread(const PoolView& aPool)
+{
+  double sum = 0;
+  for (const auto& [id, view] : aPool.servers_) {
+    sum += view.peerUnreadTokens_;
+  }
+  return aPool.servers_.empty() ? 0 : sum / double(aPool.servers_.size());
 }
 
 double
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -36,6 +36,8 @@
   // The same of all other instances, from their reports.
   double peerUnreadTokens_ = 0;
   double peerRunning_ = 0;
+  // When these were measured.
+  MonotonicTime peerAt_;
   std::optional<ReportedLoad> load_;
   // Observed time to the first event as a multiple of the expected time.
   double slowness_ = 1;
@@ -61,9 +63,16 @@
   double workMs_ = 0;
 };
 
-// Tokens that the engine still has to read, of all instances.
+// Tokens that the engine still has to read, of all instances. What others have
+// sent is read meanwhile, and they send more: with its age the figure goes over
+// into aMean, the mean of the pool. Otherwise all instances with the same old
+// figures would choose the same server.
 double
-UnreadTokens(const BackendView& aView, MonotonicTime aNow);
+UnreadTokens(const BackendView& aView, double aMean, MonotonicTime aNow);
+
+// Mean over the servers of what other instances reported.
+double
+MeanPeerUnread(const PoolView& aPool);
 
 // Tokens of this instance's requests only.
 double
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -159,7 +159,7 @@
     collectors_.end();
   if (isCollector_ || IsMesh()) {
     // The reports themselves take the place of their sums.
-    EnterServers(others_, {});
+    EnterServers(others_, {}, {});
     others_ = {};
   }
 }
@@ -334,7 +334,8 @@
   others.used_ = aDigest.used_;
   others.demand_ = aDigest.demand_;
   others.refused_ = aDigest.refused_;
-  EnterServers(others_, others);
+  // The reports behind the sums are half an interval old on average.
+  EnterServers(others_, others, now - kCollectorInterval / 2);
   others_ = std::move(others);
   for (const auto& [workspace, used] : others_.used_) {
     // All others together count as one peer.
@@ -362,7 +363,7 @@
     }
     Peer& peer = found->second;
     if (!peer.isFromDigest_) {
-      EnterServers(peer.report_, {});
+      EnterServers(peer.report_, {}, {});
       peer.report_.servers_.clear();
     }
     const std::uint64_t* values = &aDigest.memberValues_[index * kMemberValues];
@@ -443,7 +444,8 @@
 
 void
 ReportExchange::EnterServers(const InstanceReport& aOld,
-                             const InstanceReport& aNew)
+                             const InstanceReport& aNew,
+                             MonotonicTime aAt)
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
   for (const ServerUse& use : aOld.servers_) {
@@ -461,6 +463,7 @@
     }
     view->peerRunning_ += double(use.running_);
     view->peerUnreadTokens_ += double(use.unreadTokens_);
+    view->peerAt_ = aAt;
     const MonotonicTime stated =
       now - std::chrono::milliseconds(use.slownessAgeMs_);
     const bool isNewer =
@@ -504,7 +507,7 @@
   // Elsewhere the sums of a digest contain the load and the use.
   const bool isCounted = IsMesh() || isCollector_;
   if (isCounted) {
-    EnterServers(peer.report_, aReport);
+    EnterServers(peer.report_, aReport, now);
   }
   peer.heard_ = now;
   if (aReport.isLoadOnly_) {
@@ -553,7 +556,7 @@
       LogLine line("instance_silent");
       line.Add("instance", id.Value());
       state_.log_.WriteImportant(line);
-      EnterServers(peer.report_, {});
+      EnterServers(peer.report_, {}, {});
       peer.report_.servers_.clear();
     }
   }
@@ -593,16 +596,6 @@
   return count;
 }
 
-bool
-ReportExchange::IsLive(const InstanceId& aInstance,
-                       Incarnation aIncarnation) const
-{
-  const auto found = peers_.find(aInstance);
-  return found != peers_.end() && IsHeard(found->second) &&
-         !found->second.report_.isLeaving_ &&
-         found->second.identity_.incarnation_ == aIncarnation;
-}
-
 FencingToken
 ReportExchange::PeerDutyEpoch() const
 {
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -56,7 +56,6 @@
   std::vector<KnownInstance> Instances() const;
   // Instances that are known to live, this one included.
   std::size_t LiveCount() const;
-  bool IsLive(const InstanceId& aInstance, Incarnation aIncarnation) const;
   // The highest epoch that a live instance other than this one holds.
   FencingToken PeerDutyEpoch() const;
   // Prompt tokens a second that all engines of a service have to read.
@@ -102,7 +101,11 @@
   void EnterDigest(const Digest& aDigest);
   void EnterDigestMembers(const Digest& aDigest);
   void Enter(const InstanceReport& aReport);
-  void EnterServers(const InstanceReport& aOld, const InstanceReport& aNew);
+  // Takes the load of aOld off the servers and adds that of aNew, which was
+  // measured at aAt.
+  void EnterServers(const InstanceReport& aOld,
+                    const InstanceReport& aNew,
+                    MonotonicTime aAt);
   void DropSilent();
   bool IsHeard(const Peer& aPeer) const;
   bool IsMesh() const { return peers_.size() < kMostMeshInstances; }
