Plan engines from a settled list and reserve by the square root of the demand

Cause: on the grown sites the first plan saw 12 of 90 engines and sent the others away, so the first eight seconds were lost; afterwards demand over a fixed utilization of 0.3 ordered 60 reserved engines a domain.

Change: the plan starts 1.5 s after the list last grew; the reserve beyond the busy engines is five times the square root of their number.

--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -22,6 +22,7 @@
 // Pauses between calls for an order that the platform does not carry out.
 constexpr Duration kMinOrderRetry = std::chrono::seconds(1);
 constexpr Duration kMaxOrderRetry = std::chrono::seconds(8);
+constexpr Duration kListSettled = std::chrono::milliseconds(1500);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
 // At the start of the whole system no holder has to be waited for.
 constexpr Duration kFirstLeaseDelay = std::chrono::milliseconds(300);
@@ -434,8 +435,15 @@
       NoteLost(plan, domain, now);
     }
   }
-  if (pool.servers_.empty()) {
-    // The list is not known yet; orders from nothing would double the fleet.
+  if (pool.servers_.size() != listedServers_) {
+    listedServers_ = pool.servers_.size();
+    listedSince_ = now;
+  }
+  // Engines register one after the other at the start; a plan from a part of
+  // them would send the rest away.
+  const bool isSettled =
+    listedServers_ > 0 && now - listedSince_ >= kListSettled;
+  if (!plan.isStarted_ && !isSettled) {
     return;
   }
   UpdatePlan(plan, inputs);
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -96,6 +96,9 @@
   std::set<ServerId> leaving_;
   double refused_ = 0;
   MonotonicTime lastPlan_;
+  // Size of the list of engines, and since when it has been the same.
+  std::size_t listedServers_ = 0;
+  MonotonicTime listedSince_;
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -7,9 +7,13 @@
 
 namespace {
 
-// Part of the read capacity that the demand may use. Prompts arrive in clumps
-// of several, and an engine with a prompt ahead of a new one makes it late.
-constexpr double kUtilization = 0.3;
+// Engines beyond those that the demand keeps busy, as a multiple of the square
+// root of their number: prompts arrive in clumps, and the more engines there
+// are, the rarer a clump finds all of them busy. Eighteen engines for a demand
+// of five and a half, as the offices run them, give this figure.
+constexpr double kClumpReserve = 5;
+// Most that refusals may add to the need.
+constexpr double kMostRefusedFactor = 1.5;
 // Fewest engines in all, for each failure domain: below this a clump of a few
 // long prompts fills all of them.
 constexpr double kFewestPerDomain = 6;
@@ -48,10 +52,11 @@
     aPlan.neededAt_ = aInputs.now_;
     return aPlan.needed_ * (1 + kSpare);
   }
-  const double rate = std::max(aInputs.engineRate_, 1.0);
-  double needed = aInputs.demand_ / (rate * kUtilization);
+  const double busy = aInputs.demand_ / std::max(aInputs.engineRate_, 1.0);
+  double needed = busy + kClumpReserve * std::sqrt(busy);
   if (aInputs.hasRefused_) {
-    needed = std::max(needed, aPlan.needed_ * 1.1);
+    needed = std::max(
+      needed, std::min(aPlan.needed_ * 1.1, needed * kMostRefusedFactor));
   }
   const double fade = std::exp2(
     -double((aInputs.now_ - aPlan.neededAt_).count()) /
