Test the request path on the platform with real processes

Change: stand-ins of the platform's store, of its calls and of backend servers, with faults, and failure tests with sycamoreward-edge as processes: each kind of request, resumed and cut streams, unrepeatable requests, true refusals, time limits, leaving servers, an outage of the store with lapsed entries, deployments forward only, drain, usage over a killed holder, metrics.

--- /dev/null
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -0,0 +1,188 @@
+#include "platformapi/BackendStandIn.h"
+
+#include "runtime/EventLoop.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamoreward::standin {
+
+namespace {
+
+std::string
+Field(const http::CallerExchange& aExchange, const char* aName)
+{
+  const std::string* value = aExchange.head_.Find(aName);
+  return value == nullptr ? "" : *value;
+}
+
+std::string
+EventText(const std::string& aRequest, int aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: " + aRequest + "/" + number + "\n\n";
+}
+
+} // namespace
+
+BackendStandIn::BackendStandIn(EventLoop& aLoop, BackendOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , server_(std::make_unique<http::CallerServer>(
+      aLoop,
+      Address{ "127.0.0.1", 0 },
+      [this](const std::shared_ptr<http::CallerExchange>& aExchange) {
+        Handle(aExchange);
+      }))
+{
+}
+
+std::string
+BackendStandIn::Entry(const char* aState) const
+{
+  return nlohmann::json{ { "service", options_.service_ },
+                         { "address", ToString(BoundAddress()) },
+                         { "zone", options_.domain_ },
+                         { "version", "v1" },
+                         { "slots", 16 },
+                         { "state", aState },
+                         { "cold-remaining-ms", 0 },
+                         { "born", 1000 },
+                         { "sequence", 1 } }
+    .dump();
+}
+
+std::string
+BackendStandIn::AnswerBody(const std::string& aRequest, int aEvents)
+{
+  if (aEvents == 0) {
+    return "answer to " + aRequest;
+  }
+  std::string body;
+  for (int number = 1; number <= aEvents; ++number) {
+    body += EventText(aRequest, number);
+  }
+  return body;
+}
+
+BackendFault
+BackendStandIn::TakeFault()
+{
+  const BackendFault fault = fault_;
+  if (faultCount_ > 0 && --faultCount_ == 0) {
+    fault_ = BackendFault::None;
+    faultCount_ = -1;
+  }
+  return fault;
+}
+
+void
+BackendStandIn::AnswerFailure(http::CallerExchange& aExchange,
+                              int aStatus,
+                              bool aIsRun)
+{
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = "Stand-in";
+  head.fields_.push_back(
+    { "X-Request-Id", Field(aExchange, "X-Request-Id") });
+  if (!aIsRun) {
+    head.fields_.push_back({ "X-Not-Executed", "1" });
+  }
+  aExchange.Answer(std::move(head), "failed");
+}
+
+void
+BackendStandIn::Handle(const std::shared_ptr<http::CallerExchange>& aExchange)
+{
+  const BackendFault fault = TakeFault();
+  const bool isExpected =
+    Field(*aExchange, "X-Expect-Instance") == options_.id_;
+  if (!isExpected || fault == BackendFault::OtherServer) {
+    AnswerFailure(*aExchange, 421, false);
+    return;
+  }
+  if (fault == BackendFault::NotRun) {
+    AnswerFailure(*aExchange, 503, false);
+    return;
+  }
+  Run(aExchange, fault);
+}
+
+void
+BackendStandIn::Run(const std::shared_ptr<http::CallerExchange>& aExchange,
+                    BackendFault aFault)
+{
+  BackendRun run;
+  run.request_ = Field(*aExchange, "X-Request-Id");
+  run.workspace_ = Field(*aExchange, "X-Tenant");
+  run.lastEvent_ = Field(*aExchange, "Last-Event-Id");
+  run.target_ = aExchange->head_.target_;
+  run.body_ = aExchange->body_;
+  run.hasKey_ = aExchange->head_.Find("Api-Key") != nullptr;
+  runs_.push_back(run);
+  const std::size_t index = runs_.size() - 1;
+  switch (aFault) {
+    case BackendFault::CutBefore:
+      aExchange->Abort();
+      return;
+    case BackendFault::Silent:
+      return;
+    case BackendFault::Error:
+      AnswerFailure(*aExchange, 500, true);
+      return;
+    default:
+      break;
+  }
+  loop_.CallAfter(options_.firstDelay_, [this, aExchange, index, aFault] {
+    http::ResponseHead head;
+    head.status_ = 200;
+    head.reason_ = "OK";
+    head.fields_ = { { "X-Request-Id", runs_[index].request_ },
+                     { "X-Response-Signature", "sig-" + runs_[index].request_ },
+                     { "X-Backend-Load", "1,0,16,100" } };
+    if (options_.events_ > 0) {
+      head.fields_.push_back({ "Content-Type", "text/event-stream" });
+      aExchange->Start(std::move(head), { http::BodyEnd::Chunked, 0 });
+      const std::string& last = runs_[index].lastEvent_;
+      SendEvent(aExchange, index, last.empty() ? 1 : std::stoi(last) + 1, aFault);
+      return;
+    }
+    const std::string body = AnswerBody(runs_[index].request_, 0);
+    aExchange->Start(std::move(head), { http::BodyEnd::Length, body.size() });
+    if (aFault == BackendFault::CutWithin) {
+      aExchange->Send(body.substr(0, body.size() / 2));
+      loop_.CallAfter(options_.eventDelay_, [aExchange] { aExchange->Abort(); });
+      return;
+    }
+    aExchange->Send(body);
+    runs_[index].isEnded_ = true;
+    aExchange->Finish();
+  });
+}
+
+void
+BackendStandIn::SendEvent(
+  const std::shared_ptr<http::CallerExchange>& aExchange,
+  std::size_t aRun,
+  int aNext,
+  BackendFault aFault)
+{
+  if (aNext > options_.events_) {
+    runs_[aRun].isEnded_ = true;
+    aExchange->Finish();
+    return;
+  }
+  const std::string text = EventText(runs_[aRun].request_, aNext);
+  if (aFault == BackendFault::CutWithin && aNext > options_.events_ / 2) {
+    // A broken server stops in the middle of an event.
+    aExchange->Send(text.substr(0, text.size() / 2));
+    loop_.CallAfter(options_.eventDelay_, [aExchange] { aExchange->Abort(); });
+    return;
+  }
+  aExchange->Send(text);
+  loop_.CallAfter(options_.eventDelay_, [this, aExchange, aRun, aNext, aFault] {
+    SendEvent(aExchange, aRun, aNext + 1, aFault);
+  });
+}
+
+} // namespace sycamoreward::standin
--- /dev/null
+++ b/standins/platformapi/CloudStandIn.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// Stand-in of the platform's calls that one instance at a time makes: records
+// usage reports and orders and checks the epochs.
+
+#include "base/Address.h"
+#include "http/CallerServer.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sycamoreward::standin {
+
+class CloudStandIn
+{
+public:
+  // Listens on a port that the system picks.
+  explicit CloudStandIn(EventLoop& aLoop);
+
+  Address BoundAddress() const { return server_->BoundAddress(); }
+
+  struct Call
+  {
+    std::string subject_;
+    std::string holder_;
+    std::uint64_t epoch_ = 0;
+    std::string body_;
+  };
+  // Calls that were accepted, in order.
+  std::vector<Call> accepted_;
+  // Windows for which two different reports were accepted, and epochs that two
+  // holders used.
+  std::vector<std::string> violations_;
+  // Accepted counts by window.
+  std::map<std::uint64_t, std::map<std::string, std::uint64_t>> usage_;
+
+private:
+  void Handle(http::CallerExchange& aExchange);
+
+  std::unique_ptr<http::CallerServer> server_;
+  std::map<std::string, std::uint64_t> highest_;
+  std::map<std::pair<std::string, std::uint64_t>, std::string> holders_;
+};
+
+} // namespace sycamoreward::standin
--- /dev/null
+++ b/test/failure/PlatformPathTest.cpp
@@ -0,0 +1,263 @@
+// The request path on the platform, with real processes: what callers get when
+// backend servers, the store or an instance fail. Each case guards against an
+// answer that is lost, doubled, cut, mixed up or falsely called not run.
+
+#include "support/PlatformWorld.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+
+using namespace sycamoreward;
+using standin::BackendFault;
+using standin::BackendStandIn;
+
+namespace {
+
+constexpr double kStart = 15;
+constexpr double kAnswer = 8;
+
+std::shared_ptr<CallerRun>
+AskAndWait(PlatformWorld& aWorld,
+           const char* aPath,
+           const std::string& aRequest,
+           const char* aKey = PlatformWorld::kKey)
+{
+  auto run = aWorld.Ask(0, aPath, aRequest, aKey);
+  cr_assert(aWorld.RunUntil([&] { return run->isDone_; }, kAnswer));
+  return run;
+}
+
+void
+SetFault(PlatformWorld& aWorld, BackendFault aFault, int aCount)
+{
+  for (auto* list : { &aWorld.engines_, &aWorld.desks_ }) {
+    for (auto& backend : *list) {
+      backend->fault_ = aFault;
+      backend->faultCount_ = aCount;
+    }
+  }
+}
+
+} // namespace
+
+Test(PlatformPath, ServesEachKindWholeAndHidesTheKey)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  const char* paths[] = { PlatformWorld::kResumable,
+                          PlatformWorld::kStream,
+                          PlatformWorld::kOnce,
+                          PlatformWorld::kRepeatable };
+  int number = 0;
+  for (const char* path : paths) {
+    const std::string id = "whole-" + std::to_string(++number);
+    const auto run = AskAndWait(world, path, id);
+    const int events = number <= 2 ? 6 : 0;
+    cr_expect_eq(run->status_, 200);
+    cr_expect(run->isWhole_);
+    cr_expect_eq(run->body_, BackendStandIn::AnswerBody(id, events));
+    cr_expect_eq(run->signature_, "sig-" + id);
+    const auto runs = world.RunsOf(id);
+    cr_assert_eq(runs.size(), 1);
+    cr_expect_eq(runs[0].workspace_, "one");
+    cr_expect_not(runs[0].hasKey_);
+    cr_expect_eq(runs[0].body_, "body of " + id);
+    cr_expect_eq(runs[0].target_, std::string(path));
+  }
+  cr_expect_eq(AskAndWait(world, "/none/a", "no-route")->status_, 404);
+  cr_expect_eq(
+    AskAndWait(world, PlatformWorld::kOnce, "no-key", "other")->status_, 401);
+  cr_expect(world.RunsOf("no-key").empty());
+}
+
+Test(PlatformPath, ResumesAStreamBehindTheLastWholeEvent)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  world.engines_[0]->fault_ = BackendFault::CutWithin;
+  world.engines_[1]->fault_ = BackendFault::CutWithin;
+  // Whichever engine gets the first attempt; the second one is sound.
+  world.engines_[0]->faultCount_ = 1;
+  world.engines_[1]->faultCount_ = 1;
+  auto run = world.Ask(0, PlatformWorld::kResumable, "resume");
+  cr_assert(world.RunUntil([&] { return !world.RunsOf("resume").empty(); }, 5));
+  SetFault(world, BackendFault::None, -1);
+  cr_assert(world.RunUntil([&] { return run->isDone_; }, kAnswer));
+  cr_expect(run->isWhole_);
+  cr_expect_eq(run->body_, BackendStandIn::AnswerBody("resume", 6));
+  const auto runs = world.RunsOf("resume");
+  cr_assert_eq(runs.size(), 2);
+  cr_expect(runs[0].lastEvent_ == "3" || runs[1].lastEvent_ == "3");
+}
+
+Test(PlatformPath, CutsAStreamThatCantBeResumed)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  SetFault(world, BackendFault::CutWithin, -1);
+  const auto run = AskAndWait(world, PlatformWorld::kStream, "cut");
+  cr_expect_not(run->isWhole_);
+  cr_expect_eq(world.RunsOf("cut").size(), 1);
+}
+
+Test(PlatformPath, RunsAnUnrepeatableRequestOnceAndNeverCallsItNotRun)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  for (const BackendFault fault :
+       { BackendFault::CutBefore, BackendFault::CutWithin, BackendFault::Error }) {
+    SetFault(world, fault, -1);
+    const std::string id = "once-" + std::to_string(int(fault));
+    const auto run = AskAndWait(world, PlatformWorld::kOnce, id);
+    cr_expect(run->status_ == 502 || run->status_ == 500);
+    cr_expect_eq(world.RunsOf(id).size(), 1);
+  }
+}
+
+Test(PlatformPath, AsksAgainForARepeatableRequest)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  for (const BackendFault fault : { BackendFault::CutBefore,
+                                    BackendFault::CutWithin,
+                                    BackendFault::Error }) {
+    // One of the two servers fails; it is not known which one comes first.
+    SetFault(world, BackendFault::None, -1);
+    world.desks_[0]->fault_ = fault;
+    const std::string id = "again-" + std::to_string(int(fault));
+    const auto run = AskAndWait(world, PlatformWorld::kRepeatable, id);
+    cr_expect_eq(run->status_, 200);
+    cr_expect_eq(run->body_, BackendStandIn::AnswerBody(id, 0));
+    cr_expect_leq(world.RunsOf(id).size(), 2);
+  }
+}
+
+Test(PlatformPath, RefusalsSayTruly)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  SetFault(world, BackendFault::NotRun, -1);
+  const auto run = AskAndWait(world, PlatformWorld::kOnce, "refused");
+  cr_expect_eq(run->status_, 503);
+  cr_expect_not(run->retryAfter_.empty());
+  cr_expect_neq(run->body_.find("not_run"), std::string::npos);
+  cr_expect(world.RunsOf("refused").empty());
+}
+
+Test(PlatformPath, AnswersAtTheTimeLimitAndSaysUnknown)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  SetFault(world, BackendFault::Silent, -1);
+  const auto run = AskAndWait(world, PlatformWorld::kOnce, "late");
+  cr_expect_eq(run->status_, 504);
+  cr_expect_neq(run->body_.find("unknown"), std::string::npos);
+}
+
+Test(PlatformPath, SendsNothingToALeavingServerAndKeepsServingWithoutAStore)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  world.ListBackend(*world.desks_[0], "draining");
+  world.RunFor(0.6);
+  const std::size_t before = world.desks_[0]->runs_.size();
+  for (int number = 0; number < 10; ++number) {
+    AskAndWait(world, PlatformWorld::kOnce, "drain-" + std::to_string(number));
+  }
+  cr_expect_eq(world.desks_[0]->runs_.size(), before);
+  world.store_.faults_.isSilent_ = true;
+  world.RunFor(3);
+  cr_expect_eq(AskAndWait(world, PlatformWorld::kOnce, "no-store")->status_, 200);
+  // Entries that lapsed during the outage are kept until the servers are back.
+  world.store_.Remove("servers", "desk-1");
+  world.store_.faults_.isSilent_ = false;
+  world.RunFor(1);
+  cr_expect_eq(AskAndWait(world, PlatformWorld::kOnce, "lapsed")->status_, 200);
+  cr_assert(world.RunUntil([&] { return false; }, 3.5) || true);
+  cr_expect_eq(AskAndWait(world, PlatformWorld::kOnce, "gone")->status_, 503);
+}
+
+Test(PlatformPath, AppliesDeploymentsForwardOnly)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  world.PutDeployment(5, { "/extra/" });
+  world.RunFor(1);
+  cr_expect_eq(AskAndWait(world, "/extra/a", "extra")->status_, 200);
+  world.PutDeployment(4);
+  world.RunFor(1);
+  cr_expect_eq(AskAndWait(world, "/extra/a", "still")->status_, 200);
+}
+
+Test(PlatformPath, FinishesWhatRunsAndLeavesTheAddresses)
+{
+  PlatformWorldOptions options;
+  options.events_ = 200;
+  PlatformWorld world(options);
+  cr_assert(world.WaitReady(kStart));
+  const std::string addresses = "/sycamoreward/lookup?name=office.example";
+  const Address other{ "127.0.0.1", world.Ports()[1].addresses_ };
+  auto run = world.Ask(0, PlatformWorld::kStream, "leaving");
+  cr_assert(world.RunUntil([&] { return !run->body_.empty(); }, 5));
+  world.edges_[0]->Terminate();
+  cr_assert(world.RunUntil(
+    [&] {
+      return world.Get(other, addresses)
+               .find(ToString(world.CallerAddress(0))) == std::string::npos;
+    },
+    3));
+  cr_assert(world.RunUntil([&] { return run->isDone_; }, kAnswer));
+  cr_expect(run->isWhole_);
+  cr_expect_eq(run->body_, BackendStandIn::AnswerBody("leaving", 200));
+}
+
+Test(PlatformPath, ReportsUsageOnceForEachWindowAcrossHolders)
+{
+  PlatformWorldOptions options;
+  options.edges_ = 3;
+  PlatformWorld world(options);
+  cr_assert(world.WaitReady(kStart));
+  int asked = 0;
+  const auto askFor = [&](double aSeconds) {
+    const MonotonicTime end =
+      world.clock_.Now() + Duration(Duration::rep(aSeconds * 1e6));
+    while (world.clock_.Now() < end) {
+      const auto run =
+        world.Ask(1, PlatformWorld::kOnce, "use-" + std::to_string(asked));
+      cr_assert(world.RunUntil([&] { return run->isDone_; }, kAnswer));
+      asked += run->status_ == 200 ? 1 : 0;
+      world.RunFor(0.05);
+    }
+  };
+  askFor(4);
+  cr_assert_not(world.cloud_.accepted_.empty());
+  // The instance that made the last report ends without notice.
+  const std::string holder = world.cloud_.accepted_.back().holder_;
+  const auto index = std::size_t(holder.back() - '0');
+  if (index != 1) {
+    world.edges_[index]->Kill();
+  }
+  askFor(6);
+  world.RunFor(4);
+  std::uint64_t reported = 0;
+  for (const auto& [window, counts] : world.cloud_.usage_) {
+    const auto found = counts.find("one");
+    reported += found == counts.end() ? 0 : found->second;
+  }
+  cr_expect(world.cloud_.violations_.empty());
+  cr_expect_eq(reported, std::uint64_t(asked));
+}
+
+Test(PlatformPath, LogsExplainARefusalABreakAndAnOutage)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  const std::string metrics = world.Get(
+    { "127.0.0.1", world.Ports()[0].metrics_ }, "/metrics");
+  cr_expect_neq(metrics.find("sycamoreward_state"), std::string::npos);
+  AskAndWait(world, PlatformWorld::kOnce, "counted");
+  const std::string after = world.Get(
+    { "127.0.0.1", world.Ports()[0].metrics_ }, "/metrics");
+  cr_expect_neq(after.find("reason=\"completed\""), std::string::npos);
+}
