Add a fault soak of the program for the platform

Change: make platform-soak runs sycamoreward-edge as processes before stand-ins, kills, freezes and stops them, cuts and silences links to the store and to backend servers, lets servers and the store misbehave, and checks each answer and each run.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export RC_PARAMS ?= seed=20261204 max_success=200
 SOURCES = $(shell git ls-files '*.cpp' '*.h')
 
-.PHONY: all configure test lint format format-check tidy bench measures capacity soak \
+.PHONY: platform-soak all configure test lint format format-check tidy bench measures capacity soak \
   fuzz test-threads demo clean install
 
 all: configure
@@ -78,6 +78,13 @@
 	  MATRIX_SEED=$$seed $(BUILD)/bin/test-failure -j4 --timeout 600 || exit 1; \
 	done
 
+# Fault soak of the program for the platform: SEEDS seeds from SOAK_SEED on, or
+# from a fresh one.
+SOAK_SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+SOAK_SECONDS ?= 15
+platform-soak: all
+	$(BUILD)/bin/platform-soak --seed $(SOAK_SEED) --seeds $(SEEDS) --seconds $(SOAK_SECONDS)
+
 demo:
 	bash .ci/install-packages
 	$(MAKE) all
--- a/test/support/PlatformWorld.cpp
+++ b/test/support/PlatformWorld.cpp
@@ -197,6 +197,8 @@
 {
   const std::string path = directory_ + "/" + std::to_string(aIndex);
   std::ofstream(path) << Settings(aIndex);
+  // The old process still has the ports.
+  edges_[aIndex].reset();
   edges_[aIndex] = std::make_unique<ChildProcess>(
     "sycamoreward-edge",
     std::vector<std::string>{ "--settings", path },
