--- /dev/null
+++ b/src/edge/DigestExchange.cpp
@@ -0,0 +1,268 @@
+// The part of ReportExchange that speaks with collectors: digests of sums, and
+// rows of the store.
+
+#include "edge/ReportExchange.h"
+#include "edge/ReportTimes.h"
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Reply time after which another collector is asked.
+constexpr Duration kDigestLimit = std::chrono::milliseconds(900);
+
+// Interval in which rows are asked for while the store is away.
+constexpr Duration kRowsInterval = std::chrono::milliseconds(700);
+
+constexpr std::size_t kServerValues = 4;
+
+constexpr std::size_t kMemberValues = 3;
+
+} // namespace
+
+void
+ReportExchange::SendToCollectors(const Reports& aMessage)
+{
+  bool hasAsked = isCollector_;
+  std::vector<InstanceId> targets = collectors_;
+  // The holder of the duties needs the counts of all.
+  for (const auto& [id, peer] : peers_) {
+    const bool isHolder = IsHeard(peer) && peer.report_.dutyEpoch_.Value() != 0;
+    if (isHolder &&
+        std::find(targets.begin(), targets.end(), id) == targets.end()) {
+      targets.push_back(id);
+    }
+  }
+  for (const InstanceId& target : targets) {
+    const auto found = peers_.find(target);
+    if (found == peers_.end()) {
+      continue;
+    }
+    const auto lacking = withoutRows_.find(target);
+    const bool isLast = target == targets.back();
+    const bool isPassedOver =
+      lacking != withoutRows_.end() && !isLast &&
+      state_.loop_.GetClock().Now() - lacking->second < kGoneAfter;
+    if (hasAsked || isPassedOver) {
+      network_.Send(found->second.identity_, aMessage);
+    } else {
+      hasAsked = true;
+      AskForDigest(found->second.identity_, aMessage);
+    }
+  }
+}
+
+void
+ReportExchange::AskForDigest(const PeerIdentity& aCollector, Reports aMessage)
+{
+  aMessage.wantsDigest_ = true;
+  if (relay_.versions_) {
+    aMessage.rowVersions_ = relay_.versions_();
+  }
+  network_.Call(aCollector,
+                std::move(aMessage),
+                kDigestLimit,
+                [this, id = aCollector.instance_](const PeerReply& aReply) {
+                  if (aReply.message_.has_value() &&
+                      std::holds_alternative<Digest>(*aReply.message_)) {
+                    EnterDigest(id, std::get<Digest>(*aReply.message_));
+                    return;
+                  }
+                  // The next collector is asked: this one counts as silent for
+                  // a while.
+                  const auto found = peers_.find(id);
+                  if (found != peers_.end()) {
+                    found->second.heard_ =
+                      state_.loop_.GetClock().Now() - kSilentAfterCollected;
+                  }
+                });
+}
+
+Digest
+ReportExchange::MakeDigest(const InstanceId& aReceiver,
+                           const Reports& aRequest) const
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  struct Sum
+  {
+    std::uint64_t running_ = 0;
+    std::uint64_t unread_ = 0;
+    std::uint64_t slowness_ = 0;
+    std::uint64_t age_ = 0;
+  };
+  std::map<ServerId, Sum> servers;
+  Digest digest;
+  const auto add = [&](const InstanceReport& aReport, Duration aAge) {
+    const auto age = std::uint64_t(aAge.count() / 1000);
+    for (const ServerUse& use : aReport.servers_) {
+      Sum& sum = servers[use.server_];
+      sum.running_ += use.running_;
+      sum.unread_ += use.unreadTokens_;
+      const std::uint64_t slownessAge = use.slownessAgeMs_ + age;
+      if (use.slownessPercent_ > 0 &&
+          (sum.slowness_ == 0 || slownessAge < sum.age_)) {
+        sum.slowness_ = use.slownessPercent_;
+        sum.age_ = slownessAge;
+      }
+    }
+    for (const auto& [workspace, used] : aReport.used_) {
+      digest.used_[workspace] += used;
+    }
+    for (const auto& [service, demand] : aReport.demand_) {
+      digest.demand_[service] += demand;
+    }
+    digest.refused_ += aReport.refused_;
+  };
+  const auto addMember = [&](const PeerIdentity& aIdentity,
+                             bool aIsReady,
+                             bool aIsLeaving,
+                             FencingToken aEpoch) {
+    digest.members_.push_back(aIdentity.instance_.Value());
+    digest.memberValues_.push_back(aIdentity.incarnation_.Value());
+    digest.memberValues_.push_back((aIsReady ? 1 : 0) + (aIsLeaving ? 2 : 0));
+    digest.memberValues_.push_back(aEpoch.Value());
+  };
+  InstanceReport own;
+  AddServers(own);
+  AddCounts(own);
+  add(own, Duration(0));
+  addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
+  for (const auto& [id, peer] : peers_) {
+    if (id == aReceiver || !peer.hasReport_ || peer.isFromDigest_) {
+      continue;
+    }
+    if (!IsHeard(peer)) {
+      // The sum of the use must not fall while an instance is silent.
+      for (const auto& [workspace, used] : peer.report_.used_) {
+        digest.used_[workspace] += used;
+      }
+      continue;
+    }
+    add(peer.report_, now - peer.heard_);
+    addMember(peer.identity_,
+              peer.report_.isReady_,
+              peer.report_.isLeaving_,
+              peer.report_.dutyEpoch_);
+  }
+  for (const auto& [id, sum] : servers) {
+    digest.servers_.push_back(id.Value());
+    digest.serverValues_.insert(
+      digest.serverValues_.end(),
+      { sum.running_, sum.unread_, sum.slowness_, sum.age_ });
+  }
+  if (relay_.collect_) {
+    relay_.collect_(aRequest.rowVersions_, digest);
+  }
+  return digest;
+}
+
+void
+ReportExchange::EnterDigest(const InstanceId& aFrom, const Digest& aDigest)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  digestHeard_ = now;
+  hasDigest_ = true;
+  EnterDigestMembers(aDigest);
+  InstanceReport others;
+  const std::size_t count = std::min(
+    aDigest.servers_.size(), aDigest.serverValues_.size() / kServerValues);
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::uint64_t* values = &aDigest.serverValues_[index * kServerValues];
+    others.servers_.push_back({ ServerId(aDigest.servers_[index]),
+                                values[0],
+                                values[1],
+                                values[2],
+                                values[3] });
+  }
+  others.used_ = aDigest.used_;
+  others.demand_ = aDigest.demand_;
+  others.refused_ = aDigest.refused_;
+  // The reports behind the sums are half an interval old on average.
+  EnterServers(others_, others, now - kCollectorInterval / 2);
+  others_ = std::move(others);
+  for (const auto& [workspace, used] : others_.used_) {
+    // All others together count as one peer.
+    NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
+                InstanceId("others"),
+                double(used),
+                true,
+                now);
+  }
+  EnterRows(aFrom, aDigest);
+  SetInstanceCount(state_, LiveCount());
+}
+
+void
+ReportExchange::EnterDigestMembers(const Digest& aDigest)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  const std::size_t count = std::min(
+    aDigest.members_.size(), aDigest.memberValues_.size() / kMemberValues);
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto found = peers_.find(InstanceId(aDigest.members_[index]));
+    if (found == peers_.end()) {
+      continue;
+    }
+    Peer& peer = found->second;
+    if (!peer.isFromDigest_) {
+      EnterServers(peer.report_, {}, {});
+      peer.report_.servers_.clear();
+    }
+    const std::uint64_t* values = &aDigest.memberValues_[index * kMemberValues];
+    peer.identity_.incarnation_ = Incarnation(values[0]);
+    peer.report_.isReady_ = (values[1] & 1) != 0;
+    peer.report_.isLeaving_ = (values[1] & 2) != 0;
+    peer.report_.dutyEpoch_ = FencingToken(values[2]);
+    peer.hasReport_ = true;
+    peer.isFromDigest_ = true;
+    peer.heard_ = now;
+  }
+}
+
+void
+ReportExchange::AskForRows()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (!relay_.isStoreAway_ || !relay_.isStoreAway_() ||
+      now - rowsHeard_ < kRowsInterval) {
+    return;
+  }
+  std::vector<const Peer*> live;
+  for (const auto& [id, peer] : peers_) {
+    if (IsHeard(peer)) {
+      live.push_back(&peer);
+    }
+  }
+  if (live.empty()) {
+    return;
+  }
+  rowsHeard_ = now;
+  const auto index = std::size_t(state_.Draw() * double(live.size()));
+  const PeerIdentity& peer = live[std::min(index, live.size() - 1)]->identity_;
+  Reports message;
+  message.wantsDigest_ = true;
+  message.rowVersions_ = relay_.versions_();
+  network_.Call(
+    peer, std::move(message), kDigestLimit, [this](const PeerReply& aReply) {
+      if (aReply.message_.has_value() &&
+          std::holds_alternative<Digest>(*aReply.message_)) {
+        relay_.enter_(std::get<Digest>(*aReply.message_));
+      }
+    });
+}
+
+void
+ReportExchange::EnterRows(const InstanceId& aFrom, const Digest& aDigest)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (!relay_.enter_ || relay_.enter_(aDigest)) {
+    rowsHeard_ = now;
+  } else {
+    withoutRows_[aFrom] = now;
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/RequestEnd.cpp
@@ -0,0 +1,125 @@
+// The part of RequestRun that ends a request: refusals, failures, the last log
+// line.
+
+#include "edge/RequestRun.h"
+#include "edge/RequestStatus.h"
+
+namespace sycamoreward::edge {
+
+namespace {
+
+const char*
+StatusReason(int aStatus)
+{
+  switch (aStatus) {
+    case kBadRequest:
+      return "Bad Request";
+    case kUnauthorized:
+      return "Unauthorized";
+    case kNotFound:
+      return "Not Found";
+    case kTooManyRequests:
+      return "Too Many Requests";
+    case kBadGateway:
+      return "Bad Gateway";
+    case kUnavailable:
+      return "Service Unavailable";
+    default:
+      return "Gateway Timeout";
+  }
+}
+
+std::string
+ErrorBody(const char* aReason, const char* aRan)
+{
+  return std::string("{\"code\":\"") + aReason + "\",\"ran\":\"" + aRan +
+         "\"}\n";
+}
+
+} // namespace
+
+void
+RequestRun::Refuse(int aStatus, const char* aReason, Duration aRetryAfter)
+{
+  if (answerState_ == AnswerState::Passed) {
+    AbortAnswer(aReason);
+    return;
+  }
+  if (runs_ > 0) {
+    Fail(kBadGateway, aReason);
+    return;
+  }
+  if (allotted_ > 0 && workspace_ != nullptr) {
+    ReturnAllotment(state_.allotments_[workspace_->id_], allotted_);
+  }
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = StatusReason(aStatus);
+  head.fields_.push_back({ "Content-Type", "application/json" });
+  state_.codec_.encodeRetryAfter_(head, aRetryAfter);
+  exchange_->Answer(std::move(head), ErrorBody(aReason, "not_run"));
+  End(aReason, aStatus, true);
+}
+
+void
+RequestRun::Fail(int aStatus, const char* aReason)
+{
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = StatusReason(aStatus);
+  head.fields_.push_back({ "Content-Type", "application/json" });
+  exchange_->Answer(std::move(head),
+                    ErrorBody(aReason, runs_ == 0 ? "not_run" : "unknown"));
+  End(aReason, aStatus, true);
+}
+
+void
+RequestRun::AbortAnswer(const char* aReason)
+{
+  ReleaseServer(false);
+  exchange_->Abort();
+  End(aReason, 0, true);
+}
+
+void
+RequestRun::Complete()
+{
+  state_.metrics_.ObserveTotal(service_, Elapsed());
+  End("completed", answerHead_.status_, answerHead_.status_ >= 500);
+}
+
+void
+RequestRun::End(const char* aReason, int aStatus, bool aIsFailure)
+{
+  if (isEnded_) {
+    return;
+  }
+  isEnded_ = true;
+  --state_.running_;
+  CancelAttemptTimers();
+  state_.loop_.CancelTimer(deadlineTimer_);
+  exchange_->SetCallbacks({});
+  state_.metrics_.CountEnd(service_, aReason);
+  const Duration wait =
+    hasBegun_ ? firstByte_ - exchange_->received_ : Duration(0);
+  LogLine line("request_end");
+  line.Add("request", request_.id_.Value())
+    .Add("outcome", aReason)
+    .Add("status", aStatus)
+    .Add("route", route_ == nullptr ? "" : route_->name_.c_str())
+    .Add("workspace",
+         workspace_ == nullptr ? "" : workspace_->id_.Value().c_str())
+    .Add("server", placement_.server_.Value())
+    .Add("sends", std::uint64_t(sends_))
+    .Add("runs", std::uint64_t(runs_))
+    .Add("expectedMs", placement_.waitMs_)
+    .Add("firstByteMs", Milliseconds(wait))
+    .Add("totalMs", Milliseconds(Elapsed()));
+  if (aIsFailure) {
+    state_.log_.WriteImportant(line);
+  } else {
+    state_.log_.Write(line);
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/RequestStatus.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// Statuses and times that the parts of RequestRun share.
+
+#include "base/Clock.h"
+
+namespace sycamoreward::edge {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Retry-After while no deployment or no server is known: the time in which an
+// instance that has just started learns them.
+constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(400);
+
+inline double
+Milliseconds(Duration aDuration)
+{
+  return double(aDuration.count()) / 1000.0;
+}
+
+} // namespace sycamoreward::edge
