Use quota, cached parts and timeout inside the product

Cause: the platform's word allotment stood for a quota in src/edge, and three names were not the usual terms.

Change: Allotment is Quota, KnownParts is CachedParts, unheld tokens are uncached, patience is timeout; the outcome allotment_used is quota_exceeded and time_limit is deadline. Nothing else changes.

Conclusion: the word stays in the glossary and in platform/.

--- a/src/edge/KnownParts.cpp
+++ b/src/edge/CachedParts.cpp
@@ -1,4 +1,4 @@
-#include "edge/KnownParts.h"
+#include "edge/CachedParts.h"
 
 namespace sycamoreward::edge {
 
@@ -10,7 +10,7 @@
 } // namespace
 
 void
-KnownParts::Touch(const PromptPart& aPart)
+CachedParts::Touch(const PromptPart& aPart)
 {
   const auto found = parts_.find(aPart.id_);
   if (found != parts_.end()) {
--- a/src/edge/KnownParts.h
+++ b/src/edge/CachedParts.h
@@ -11,12 +11,12 @@
 
 namespace sycamoreward::edge {
 
-class KnownParts
+class CachedParts
 {
 public:
   // aLimit is the number of tokens after which the least recently used parts
   // are taken to be gone.
-  explicit KnownParts(std::uint64_t aLimit = 0)
+  explicit CachedParts(std::uint64_t aLimit = 0)
     : limit_(aLimit)
   {
   }
--- a/src/edge/Deployment.h
+++ b/src/edge/Deployment.h
@@ -90,7 +90,7 @@
   std::vector<std::string> keys_;
   // Goes before the priority of the route.
   std::optional<int> priority_;
-  // Allotment over all instances, in requests or tokens; 0 for no limit.
+  // Quota over all instances, in requests or tokens; 0 for no limit.
   double ratePerSecond_ = 0;
   double burst_ = 0;
   bool countsTokens_ = false;
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -185,7 +185,7 @@
   others_ = std::move(others);
   for (const auto& [workspace, used] : others_.used_) {
     // All others together count as one peer.
-    NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
+    NotePeerUse(state_.quotas_[WorkspaceId(workspace)],
                 InstanceId("others"),
                 double(used),
                 true,
--- a/src/edge/DutyLease.cpp
+++ b/src/edge/DutyLease.cpp
@@ -42,9 +42,9 @@
     }
     return aNow >= aLease.nextRenewal_ ? LeaseStep::Renew : LeaseStep::None;
   }
-  const Duration patience = kQuietTime + kRankInterval * std::int64_t(aRank);
+  const Duration wait = kQuietTime + kRankInterval * std::int64_t(aRank);
   if (aNow < aLease.notBefore_ || aNow < aLease.nextRead_ ||
-      aNow - aLease.heard_ < patience) {
+      aNow - aLease.heard_ < wait) {
     return LeaseStep::None;
   }
   aLease.nextRead_ = aNow + kReadInterval;
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -57,31 +57,30 @@
 constexpr double kCollectedTolerancePart = 0.2;
 
 double
-AllotmentTolerance(const SystemBounds& aBounds,
-                   const WorkspaceSpec& aWorkspace,
-                   std::size_t aInstances)
+QuotaTolerance(const SystemBounds& aBounds,
+               const WorkspaceSpec& aWorkspace,
+               std::size_t aInstances)
 {
-  const double seconds = double(aBounds.allotmentWindow_.count()) / 1e6;
+  const double seconds = double(aBounds.quotaWindow_.count()) / 1e6;
   const double inWindow =
     aWorkspace.ratePerSecond_ * seconds + aWorkspace.burst_;
   const double part =
     aInstances > kMostMeshInstances ? kCollectedTolerancePart : kTolerancePart;
-  return part * (inWindow * aBounds.allotmentExcess_ + aBounds.allotmentSlack_);
+  return part * (inWindow * aBounds.quotaExcess_ + aBounds.quotaSlack_);
 }
 
 void
-UpdateAllotments(EdgeState& aState, const Deployment& aDeployment)
+UpdateQuotas(EdgeState& aState, const Deployment& aDeployment)
 {
   const MonotonicTime now = aState.loop_.GetClock().Now();
   for (const WorkspaceSpec& workspace : aDeployment.workspaces_) {
-    Allotment& allotment = aState.allotments_[workspace.id_];
+    Quota& quota = aState.quotas_[workspace.id_];
     const double tolerance =
-      AllotmentTolerance(aState.bounds_, workspace, aState.instances_);
-    if (allotment.rate_ != workspace.ratePerSecond_ ||
-        allotment.burst_ != workspace.burst_ ||
-        allotment.tolerance_ != tolerance) {
+      QuotaTolerance(aState.bounds_, workspace, aState.instances_);
+    if (quota.rate_ != workspace.ratePerSecond_ ||
+        quota.burst_ != workspace.burst_ || quota.tolerance_ != tolerance) {
       SetLimits(
-        allotment, workspace.ratePerSecond_, workspace.burst_, tolerance, now);
+        quota, workspace.ratePerSecond_, workspace.burst_, tolerance, now);
     }
   }
 }
@@ -106,7 +105,7 @@
     }
   }
   UpdateBudgets(aState);
-  UpdateAllotments(aState, aDeployment);
+  UpdateQuotas(aState, aDeployment);
   aState.routes_ = std::make_shared<const RouteTable>(std::move(aDeployment));
   return true;
 }
@@ -147,7 +146,7 @@
     aState.instances_ = std::max<std::size_t>(aInstances, 1);
     UpdateBudgets(aState);
     if (aState.routes_ != nullptr) {
-      UpdateAllotments(aState, aState.routes_->Declared());
+      UpdateQuotas(aState, aState.routes_->Declared());
     }
   }
 }
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -4,13 +4,13 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
-#include "edge/Allotment.h"
 #include "edge/ChannelPool.h"
 #include "edge/DecisionLog.h"
 #include "edge/DemandRate.h"
 #include "edge/Deployment.h"
 #include "edge/EdgeMetrics.h"
 #include "edge/PoolView.h"
+#include "edge/Quota.h"
 #include "edge/UsageCounts.h"
 #include "edge/WireCodec.h"
 #include "retries/RetryBudget.h"
@@ -37,11 +37,11 @@
   // Time in which one holder of a duty follows another.
   Duration leaseTime_ = std::chrono::seconds(3);
   Duration usageWindow_ = std::chrono::seconds(5);
-  // The platform counts allotments in windows of this length and tolerates an
-  // excess of a part of the allotment and of a fixed amount.
-  Duration allotmentWindow_ = std::chrono::seconds(8);
-  double allotmentExcess_ = 0;
-  double allotmentSlack_ = 0;
+  // The platform counts quotas in windows of this length and tolerates an
+  // excess of a part of the quota and of a fixed amount.
+  Duration quotaWindow_ = std::chrono::seconds(8);
+  double quotaExcess_ = 0;
+  double quotaSlack_ = 0;
   // Longest time for which an answer to an address query is used.
   Duration addressTime_ = std::chrono::seconds(5);
   // A backend server's entry is missing for this long after an outage of the
@@ -78,7 +78,7 @@
   // Null until the first deployment is known.
   std::shared_ptr<const RouteTable> routes_;
   std::map<ServiceName, PoolView> pools_;
-  std::map<WorkspaceId, Allotment> allotments_;
+  std::map<WorkspaceId, Quota> quotas_;
   std::map<ServiceName, RetryBudget> budgets_;
   UsageCounts usage_;
   ChannelPool channels_;
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -11,10 +11,10 @@
 
 // Part of a prompt part that the server of that rendezvous rank is expected to
 // lack when this instance has not sent it there itself.
-constexpr double kUnheldPart[] = { 0.4, 0.8 };
+constexpr double kUncachedPart[] = { 0.4, 0.8 };
 // Part of the shared first part of prompts that a server is expected to lack:
 // few of them exist, so most servers hold all.
-constexpr double kUnheldFirstPart = 0.5;
+constexpr double kUncachedFirstPart = 0.5;
 // Cost of a failed attempt, in milliseconds, against the failure rate.
 constexpr double kFailureCostMs = 1500;
 // A server is left out while others remain above this rate.
@@ -128,7 +128,7 @@
   }
   if (aPool.isEngine_) {
     placement.unread_ = UnreadTokens(aView, aMeanUnread, aQuery.now_);
-    placement.tokens_ = UnheldTokens(aView, aQuery, aRank);
+    placement.tokens_ = UncachedTokens(aView, aQuery, aRank);
     const double perToken = slowness / std::max(aPool.readRate_, 1.0);
     const double queue = placement.unread_ * perToken;
     const double reading = placement.tokens_ * perToken;
@@ -170,31 +170,31 @@
 }
 
 double
-UnheldTokens(const BackendView& aView,
-             const PlacementQuery& aQuery,
-             std::size_t aRank)
+UncachedTokens(const BackendView& aView,
+               const PlacementQuery& aQuery,
+               std::size_t aRank)
 {
-  double unheld = 0;
+  double uncached = 0;
   double listed = 0;
   // A part is of use only while all parts before it are held.
-  bool isHeld = true;
+  bool isCached = true;
   for (std::size_t index = 0; index < aQuery.parts_.size(); ++index) {
     const PromptPart& part = aQuery.parts_[index];
     listed += part.tokens_;
-    isHeld = isHeld && aView.parts_.Has(part.id_);
-    if (isHeld) {
+    isCached = isCached && aView.parts_.Has(part.id_);
+    if (isCached) {
       continue;
     }
     const bool isLast = index + 1 == aQuery.parts_.size();
     double missing = 1;
-    if (!isLast && aRank < std::size(kUnheldPart)) {
-      missing = kUnheldPart[aRank];
+    if (!isLast && aRank < std::size(kUncachedPart)) {
+      missing = kUncachedPart[aRank];
     } else if (!isLast && index == 0) {
-      missing = kUnheldFirstPart;
+      missing = kUncachedFirstPart;
     }
-    unheld += missing * part.tokens_;
+    uncached += missing * part.tokens_;
   }
-  return unheld + std::max(0.0, aQuery.promptTokens_ - listed);
+  return uncached + std::max(0.0, aQuery.promptTokens_ - listed);
 }
 
 Placement
--- a/src/edge/Placement.h
+++ b/src/edge/Placement.h
@@ -55,8 +55,8 @@
 // place of the server in the rendezvous order of the session: other instances
 // send the session to the first ones too.
 double
-UnheldTokens(const BackendView& aView,
-             const PlacementQuery& aQuery,
-             std::size_t aRank);
+UncachedTokens(const BackendView& aView,
+               const PlacementQuery& aQuery,
+               std::size_t aRank);
 
 } // namespace sycamoreward::edge
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -6,7 +6,7 @@
 
 #include "base/Clock.h"
 #include "edge/BackendServer.h"
-#include "edge/KnownParts.h"
+#include "edge/CachedParts.h"
 
 #include <cstdint>
 #include <map>
@@ -47,7 +47,7 @@
   MonotonicTime failureAt_;
   // No connection could be made; others go first until then.
   MonotonicTime avoidUntil_;
-  KnownParts parts_;
+  CachedParts parts_;
 };
 
 struct PoolView
--- a/src/edge/Allotment.h
+++ b/src/edge/Quota.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The allotment of a workspace, shared by all instances. Each instance keeps
+// The quota of a workspace, shared by all instances. Each instance keeps
 // the same bucket: it takes its own use off at once and that of the others as
 // their reports come.
 
@@ -12,7 +12,7 @@
 
 namespace sycamoreward::edge {
 
-struct AllotmentPeer
+struct QuotaPeer
 {
   // Use of the peer since its start, as last reported.
   double used_ = 0;
@@ -24,13 +24,13 @@
   bool isSum_ = false;
 };
 
-struct Allotment
+struct Quota
 {
   double rate_ = 0;
   double burst_ = 0;
   // Amount beyond the burst that the platform's tolerance allows.
   double tolerance_ = 0;
-  // Part of the allotment that the instances which hear of each other may use:
+  // Part of the quota that the instances which hear of each other may use:
   // the others may use the rest meanwhile.
   double share_ = 1;
   // What can be taken now; a debt after use that was told late, and at
@@ -45,12 +45,12 @@
   double instances_ = 1;
   // Use of this instance since its start.
   double used_ = 0;
-  std::map<InstanceId, AllotmentPeer> peers_;
+  std::map<InstanceId, QuotaPeer> peers_;
 };
 
 // Sets the limits; the level is kept, within the new ones.
 void
-SetLimits(Allotment& aAllotment,
+SetLimits(Quota& aQuota,
           double aRate,
           double aBurst,
           double aTolerance,
@@ -59,23 +59,23 @@
 // aInstances hear of each other. aIsLocallyBound says whether they do so about
 // a second late.
 void
-SetShare(Allotment& aAllotment,
+SetShare(Quota& aQuota,
          double aShare,
          std::size_t aInstances,
          bool aIsLocallyBound,
          MonotonicTime aNow);
 
-// Takes aAmount. False, with no change, when the allotment is used up.
+// Takes aAmount. False, with no change, when the quota is used up.
 bool
-TakeAllotment(Allotment& aAllotment, double aAmount, MonotonicTime aNow);
+TakeQuota(Quota& aQuota, double aAmount, MonotonicTime aNow);
 
 // Gives back what a request took that was not run.
 void
-ReturnAllotment(Allotment& aAllotment, double aAmount);
+ReturnQuota(Quota& aQuota, double aAmount);
 
 // Enters the use that a peer reports, or, with aIsSum, many peers together.
 void
-NotePeerUse(Allotment& aAllotment,
+NotePeerUse(Quota& aQuota,
             const InstanceId& aPeer,
             double aUsed,
             bool aIsSum,
@@ -83,6 +83,6 @@
 
 // Time until aAmount can be taken.
 Duration
-TimeUntil(const Allotment& aAllotment, double aAmount, MonotonicTime aNow);
+TimeUntil(const Quota& aQuota, double aAmount, MonotonicTime aNow);
 
 } // namespace sycamoreward::edge
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -184,8 +184,8 @@
     silent = peers_.size() + 1 - live;
   }
   const double share = double(live) / double(live + silent);
-  for (auto& [workspace, allotment] : state_.allotments_) {
-    SetShare(allotment, share, live, !IsMesh(), now);
+  for (auto& [workspace, quota] : state_.quotas_) {
+    SetShare(quota, share, live, !IsMesh(), now);
   }
 }
 
@@ -249,8 +249,8 @@
   for (const auto& [service, demand] : state_.demand_) {
     aReport.demand_[service.Value()] = ToCount(demand.Rate(now));
   }
-  for (const auto& [workspace, allotment] : state_.allotments_) {
-    aReport.used_[workspace.Value()] = ToCount(allotment.used_);
+  for (const auto& [workspace, quota] : state_.quotas_) {
+    aReport.used_[workspace.Value()] = ToCount(quota.used_);
   }
   const auto& own = state_.usage_.own_;
   std::uint64_t skipped =
@@ -360,7 +360,7 @@
     if (!isCounted) {
       break;
     }
-    NotePeerUse(state_.allotments_[WorkspaceId(workspace)],
+    NotePeerUse(state_.quotas_[WorkspaceId(workspace)],
                 identity.instance_,
                 double(used),
                 false,
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -286,11 +286,11 @@
   }
   ReleaseServer(false);
   if (answerState_ == AnswerState::Passed) {
-    AbortAnswer("time_limit");
+    AbortAnswer("deadline");
   } else if (runs_ == 0) {
-    Refuse(kUnavailable, "time_limit", kStartingRetryAfter);
+    Refuse(kUnavailable, "deadline", kStartingRetryAfter);
   } else {
-    Fail(kGatewayTimeout, "time_limit");
+    Fail(kGatewayTimeout, "deadline");
   }
 }
 
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -50,7 +50,7 @@
     return;
   }
   if (allotted_ > 0 && workspace_ != nullptr) {
-    ReturnAllotment(state_.allotments_[workspace_->id_], allotted_);
+    ReturnQuota(state_.quotas_[workspace_->id_], allotted_);
   }
   http::ResponseHead head;
   head.status_ = aStatus;
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -52,7 +52,7 @@
     }
   };
   exchange_->SetCallbacks(std::move(callbacks));
-  if (Accept() && CheckAllotment() && Choose("first")) {
+  if (Accept() && CheckQuota() && Choose("first")) {
     SendAttempt("first");
   }
 }
@@ -84,9 +84,9 @@
     }
   }
   service_ = PickService(*route_, state_.Draw());
-  const Duration patience =
-    std::min(request_.patience_.value_or(route_->timeout_), route_->timeout_);
-  deadline_ = exchange_->received_ + patience;
+  const Duration timeout =
+    std::min(request_.timeout_.value_or(route_->timeout_), route_->timeout_);
+  deadline_ = exchange_->received_ + timeout;
   deadlineTimer_ =
     state_.loop_.CallAfter(Remaining(), [self = shared_from_this()] {
       self->deadlineTimer_ = 0;
@@ -96,7 +96,7 @@
 }
 
 bool
-RequestRun::CheckAllotment()
+RequestRun::CheckQuota()
 {
   CountRequest(state_.budgets_[service_]);
   if (workspace_ == nullptr) {
@@ -108,27 +108,27 @@
                   ? double(request_.promptTokens_ + request_.outputTokens_)
                   : double(workspace_->defaultTokens_);
   }
-  Allotment& allotment = state_.allotments_[workspace_->id_];
+  Quota& quota = state_.quotas_[workspace_->id_];
   const MonotonicTime now = state_.loop_.GetClock().Now();
-  if (TakeAllotment(allotment, allotted_, now)) {
+  if (TakeQuota(quota, allotted_, now)) {
     return true;
   }
-  const Duration wait = TimeUntil(allotment, allotted_, now);
-  LogLine line("allotment_refused");
+  const Duration wait = TimeUntil(quota, allotted_, now);
+  LogLine line("quota_refused");
   line.Add("request", request_.id_.Value())
     .Add("workspace", workspace_->id_.Value())
     .Add("amount", allotted_)
-    .Add("level", allotment.level_)
-    .Add("rate", allotment.rate_)
-    .Add("burst", allotment.burst_)
-    .Add("tolerance", allotment.tolerance_)
-    .Add("peers", std::uint64_t(allotment.peers_.size()));
+    .Add("level", quota.level_)
+    .Add("rate", quota.rate_)
+    .Add("burst", quota.burst_)
+    .Add("tolerance", quota.tolerance_)
+    .Add("peers", std::uint64_t(quota.peers_.size()));
   state_.log_.WriteImportant(line);
   allotted_ = 0;
   // Spread, so that refused callers don't return together.
   const double factor = 1 + state_.Draw();
   Refuse(kTooManyRequests,
-         "allotment_used",
+         "quota_exceeded",
          Duration(Duration::rep(double(wait.count()) * factor)));
   return false;
 }
@@ -195,7 +195,7 @@
   head.Remove("content-length");
   head.Remove("expect");
   ServerRequest fields;
-  fields.patience_ = Remaining();
+  fields.timeout_ = Remaining();
   fields.expected_ = placement_.server_;
   if (workspace_ != nullptr) {
     fields.workspace_ = workspace_->id_;
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -2,7 +2,7 @@
 
 // One request of a caller from its arrival to its answer: accept, admit,
 // choose a server, send, pass the answer on, and end. The decisions are made
-// by Placement, Admission, Allotment and the retry budget; this class carries
+// by Placement, Admission, Quota and the retry budget; this class carries
 // them out.
 
 #include "edge/EdgeState.h"
@@ -40,7 +40,7 @@
 
   // Each returns false when it has ended the request.
   bool Accept();
-  bool CheckAllotment();
+  bool CheckQuota();
   bool Choose(const char* aCause);
 
   void SendAttempt(const char* aCause);
--- a/src/edge/WireCodec.h
+++ b/src/edge/WireCodec.h
@@ -27,7 +27,7 @@
   std::string host_;
   std::string key_;
   // How long the caller waits.
-  std::optional<Duration> patience_;
+  std::optional<Duration> timeout_;
   std::uint64_t promptTokens_ = 0;
   std::uint64_t outputTokens_ = 0;
   bool hasTokens_ = false;
@@ -37,7 +37,7 @@
 // What an instance adds to a request for a backend server.
 struct ServerRequest
 {
-  Duration patience_{ 0 };
+  Duration timeout_{ 0 };
   // Any other server refuses the request.
   ServerId expected_;
   std::optional<WorkspaceId> workspace_;
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -3,13 +3,13 @@
 
 #include "edge/AddressAnswer.h"
 #include "edge/Admission.h"
-#include "edge/Allotment.h"
+#include "edge/CachedParts.h"
 #include "edge/Collectors.h"
 #include "edge/Deployment.h"
 #include "edge/EnginePlan.h"
 #include "edge/EventSplitter.h"
-#include "edge/KnownParts.h"
 #include "edge/Placement.h"
+#include "edge/Quota.h"
 #include "edge/ServerList.h"
 #include "edge/UsageCounts.h"
 
@@ -145,13 +145,13 @@
   BackendView& holder = pool.servers_[ServerId("s1")];
   holder.parts_.Touch(query.parts_[0]);
   holder.parts_.Touch(query.parts_[1]);
-  cr_expect_eq(UnheldTokens(holder, query, 5), 2800);
+  cr_expect_eq(UncachedTokens(holder, query, 5), 2800);
   cr_expect_eq(ChooseServer(pool, query).server_.Value(), "s1");
 }
 
-Test(EdgePlacement, KnownPartsForgetTheLeastRecentlyUsed)
+Test(EdgePlacement, CachedPartsForgetTheLeastRecentlyUsed)
 {
-  KnownParts parts(1000);
+  CachedParts parts(1000);
   parts.Touch({ 1, 400 });
   parts.Touch({ 2, 400 });
   parts.Touch({ 1, 400 });
@@ -189,18 +189,18 @@
   cr_expect(DecideAdmission(query).isAccepted_);
 }
 
-Test(EdgeAllotment, BoundsTheSumOverInstances)
+Test(EdgeQuota, BoundsTheSumOverInstances)
 {
   // Six instances that each send as much as they may, with reports of 150 ms.
-  std::vector<Allotment> instances(6);
-  for (Allotment& allotment : instances) {
-    SetLimits(allotment, 10000, 10000, 5000, At(0));
+  std::vector<Quota> instances(6);
+  for (Quota& quota : instances) {
+    SetLimits(quota, 10000, 10000, 5000, At(0));
   }
   double used = 0;
   for (int step = 0; step < 1600; ++step) {
     const MonotonicTime now = At(step * 0.005);
-    for (Allotment& allotment : instances) {
-      used += TakeAllotment(allotment, 100, now) ? 100 : 0;
+    for (Quota& quota : instances) {
+      used += TakeQuota(quota, 100, now) ? 100 : 0;
     }
     if (step % 30 == 0) {
       for (std::size_t to = 0; to < instances.size(); ++to) {
@@ -222,55 +222,54 @@
   cr_expect_gt(used, 10000 * 7);
 }
 
-Test(EdgeAllotment, SidesThatAreApartStayWithinTheirShares)
+Test(EdgeQuota, SidesThatAreApartStayWithinTheirShares)
 {
   // Eighty instances, of which 28 are cut off one by one: each side takes no
-  // more than its part, so that the sum stays within the allotment.
+  // more than its part, so that the sum stays within the quota.
   double used = 0;
   for (int index = 0; index < 29; ++index) {
-    Allotment allotment;
-    SetLimits(allotment, 80000, 80000, 8000, At(0));
-    SetShare(allotment, index == 0 ? 52.0 / 80 : 1.0 / 80, 1, false, At(0));
+    Quota quota;
+    SetLimits(quota, 80000, 80000, 8000, At(0));
+    SetShare(quota, index == 0 ? 52.0 / 80 : 1.0 / 80, 1, false, At(0));
     for (int step = 0; step < 1600; ++step) {
-      used += TakeAllotment(allotment, 100, At(step * 0.005)) ? 100 : 0;
-      used +=
-        index == 0 && TakeAllotment(allotment, 400, At(step * 0.005)) ? 400 : 0;
+      used += TakeQuota(quota, 100, At(step * 0.005)) ? 100 : 0;
+      used += index == 0 && TakeQuota(quota, 400, At(step * 0.005)) ? 400 : 0;
     }
   }
   cr_expect_lt(used, 80000 * 8 + 88000 + 1000);
   cr_expect_gt(used, 80000 * 7);
 }
 
-Test(EdgeAllotment, TakesTheUseOfManyOffBetweenTheirReports)
+Test(EdgeQuota, TakesTheUseOfManyOffBetweenTheirReports)
 {
   // Eighty instances report once a second. A workspace that sends several
-  // times its allotment is not let through between two reports.
-  Allotment allotment;
-  SetLimits(allotment, 1000, 1000, 0, At(0));
+  // times its quota is not let through between two reports.
+  Quota quota;
+  SetLimits(quota, 1000, 1000, 0, At(0));
   double own = 0;
   for (int step = 0; step < 800; ++step) {
     const MonotonicTime now = At(step * 0.01);
-    own += TakeAllotment(allotment, 1, now) ? 1 : 0;
+    own += TakeQuota(quota, 1, now) ? 1 : 0;
     if (step % 100 == 0) {
       // The others take what they ask: 2000 a second.
-      NotePeerUse(allotment, InstanceId("others"), step * 20.0, true, now);
+      NotePeerUse(quota, InstanceId("others"), step * 20.0, true, now);
     }
   }
   cr_expect_lt(own, 250);
 }
 
-Test(EdgeAllotment, BoundsTheBurstOfOneInstanceAmongMany)
+Test(EdgeQuota, BoundsTheBurstOfOneInstanceAmongMany)
 {
   // Before anything is heard of the others, one of eighty instances takes no
   // more than twice its equal part.
   // Twice the part of a burst and of the rate of two seconds.
   constexpr double kMost = 2 * (800000.0 + 2 * 800000.0) / 80;
-  Allotment allotment;
-  SetLimits(allotment, 800000, 800000, 0, At(0));
-  SetShare(allotment, 1, 80, true, At(0));
+  Quota quota;
+  SetLimits(quota, 800000, 800000, 0, At(0));
+  SetShare(quota, 1, 80, true, At(0));
   double used = 0;
   for (int step = 0; step < 200; ++step) {
-    used += TakeAllotment(allotment, 5000, At(step * 0.01)) ? 5000 : 0;
+    used += TakeQuota(quota, 5000, At(step * 0.01)) ? 5000 : 0;
   }
   cr_expect_lt(used, kMost + 5000);
   cr_expect_gt(used, 0.8 * kMost);
--- a/test/error/PlatformInputTest.cpp
+++ b/test/error/PlatformInputTest.cpp
@@ -55,7 +55,7 @@
 Test(PlatformInput, SettingsNameTheFieldAtFault)
 {
   cr_expect_eq(ErrorOf(kSettings), "");
-  cr_expect_eq(ParseSettings(kSettings).bounds_.allotmentSlack_, 110000);
+  cr_expect_eq(ParseSettings(kSettings).bounds_.quotaSlack_, 110000);
   const std::pair<std::string, std::string> cases[] = {
     { "node-name = \"edge-1\"", "" },
     { "internal-ports = [7600,7615]", "internal-ports = [7600]" },
@@ -119,7 +119,7 @@
   }
   edge::ServerRequest fields;
   fields.expected_ = ServerId("i-1");
-  fields.patience_ = std::chrono::milliseconds(70);
+  fields.timeout_ = std::chrono::milliseconds(70);
   fields.workspace_ = WorkspaceId("one");
   RequestCodec().encodeRequest_(head, fields);
   for (const auto& field : head.fields_) {
--- a/test/support/EngineQueueSimulation.cpp
+++ b/test/support/EngineQueueSimulation.cpp
@@ -133,10 +133,10 @@
   auto& view =
     aWorld.views_[std::size_t(aInstance)].servers_.at(aPlacement.server_);
   double tokens = aArrival.promptTokens_;
-  bool isHeld = true;
+  bool isCached = true;
   for (const edge::PromptPart& part : aArrival.parts_) {
-    isHeld = isHeld && engine.held_.count(part.id_) != 0;
-    tokens -= isHeld ? part.tokens_ : 0;
+    isCached = isCached && engine.held_.count(part.id_) != 0;
+    tokens -= isCached ? part.tokens_ : 0;
     engine.held_.insert(part.id_);
     view.parts_.Touch(part);
   }
