--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -16,6 +16,11 @@
 constexpr Duration kPause = std::chrono::milliseconds(700);
 // Reports of the other instances are in by this time after a window's end.
 constexpr Duration kUsageDelay = std::chrono::milliseconds(1500);
+// The same where instances report to collectors, and the time for which an
+// instance holds the duties before it fixes a window: the others have to learn
+// of it and report to it.
+constexpr Duration kCollectedUsageDelay = std::chrono::milliseconds(4500);
+constexpr Duration kHolderKnown = std::chrono::milliseconds(3500);
 // Time after a window's end until which its usage is reported.
 constexpr Duration kUsageLimit = std::chrono::seconds(25);
 constexpr Duration kUsageRetry = std::chrono::milliseconds(600);
@@ -231,6 +236,7 @@
     state_.log_.WriteImportant(line);
     if (aReply.status_ == StoreStatus::Ok) {
       EnterHeld(lease_, epoch, aReply.version_, asked, now);
+      heldSince_ = now;
       orders_.clear();
 
     } else if (aReply.status_ == StoreStatus::Conflict) {
@@ -277,7 +283,12 @@
 {
   const WallTime wall = state_.AgreedWall();
   const MonotonicTime now = state_.loop_.GetClock().Now();
-  const std::uint64_t newest = WindowOf(state_.usage_, wall - kUsageDelay);
+  const bool isCollected = !reports_->IsMesh();
+  if (isCollected && now - heldSince_ < kHolderKnown) {
+    return;
+  }
+  const Duration delay = isCollected ? kCollectedUsageDelay : kUsageDelay;
+  const std::uint64_t newest = WindowOf(state_.usage_, wall - delay);
   const std::uint64_t oldest = WindowOf(state_.usage_, wall - kUsageLimit);
   for (std::uint64_t window = oldest; window < newest; ++window) {
     const bool isKnown = windows_.count(window) != 0;
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -85,6 +85,7 @@
   Cloud& cloud_;
   ReportExchange* reports_ = nullptr;
   DutyLease lease_;
+  MonotonicTime heldSince_;
   bool isStopped_ = false;
   std::uint64_t timer_ = 0;
   MonotonicTime lastTick_;
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -74,6 +74,9 @@
   // Place in the order in which instances take duties over.
   std::size_t DutyRank() const;
 
+  // All instances tell each other everything.
+  bool IsMesh() const { return peers_.size() < kMostMeshInstances; }
+
   void SendNow() { Send(false); }
 
   // A prompt of aTokens was sent to an engine. Others are told soon, so that
@@ -112,7 +115,6 @@
                     MonotonicTime aAt);
   void DropSilent();
   bool IsHeard(const Peer& aPeer) const;
-  bool IsMesh() const { return peers_.size() < kMostMeshInstances; }
   void UpdateCollectors();
   void UpdateShare();
   // Asks another instance for rows while the store does not answer this one.
