--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -251,7 +251,7 @@
   cr_expect_eq(reported, std::uint64_t(asked));
 }
 
-Test(PlatformPath, LogsExplainARefusalABreakAndAnOutage)
+Test(PlatformPath, ServesItsMetrics)
 {
   PlatformWorld world({});
   cr_assert(world.WaitReady(kStart));
