--- a/src/edge/Admission.cpp
+++ b/src/edge/Admission.cpp
@@ -1,5 +1,7 @@
 #include "edge/Admission.h"
 
+#include "base/DurationUnits.h"
+
 #include <algorithm>
 
 namespace sycamoreward::edge {
@@ -16,12 +18,6 @@
 constexpr double kMinReturnMs = 250;
 constexpr double kMaxReturnMs = 2000;
 
-double
-Milliseconds(Duration aDuration)
-{
-  return double(aDuration.count()) / 1000.0;
-}
-
 // The backlog beyond the objective has to drain first; the returns are spread
 // over as long again.
 Duration
--- a/src/edge/Collectors.cpp
+++ b/src/edge/Collectors.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 std::vector<InstanceId>
-ChooseCollectors(const std::vector<CollectorCandidate>& aCandidates)
+ChooseStrongest(const std::vector<CollectorCandidate>& aCandidates,
+                std::size_t aCount)
 {
   if (aCandidates.size() <= kMostMeshInstances) {
     return {};
@@ -35,13 +36,13 @@
       }
       return Score(aLeft.id_) < Score(aRight.id_);
     });
-  std::vector<InstanceId> collectors;
+  std::vector<InstanceId> strongest;
   for (const CollectorCandidate& candidate : live) {
-    if (collectors.size() < kCollectors) {
-      collectors.push_back(candidate.id_);
+    if (strongest.size() < aCount) {
+      strongest.push_back(candidate.id_);
     }
   }
-  return collectors;
+  return strongest;
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/Collectors.h
+++ b/src/edge/Collectors.h
@@ -24,9 +24,11 @@
 // Enough that a domain can fail while one of them starts again.
 constexpr std::size_t kCollectors = 3;
 
-// Live instances, the first to gather first. The same on all instances that
-// know the same candidates. Empty when all tell each other everything.
+// The aCount strongest live instances, the first to gather first. The same on
+// all instances that know the same candidates. Empty when all tell each other
+// everything.
 std::vector<InstanceId>
-ChooseCollectors(const std::vector<CollectorCandidate>& aCandidates);
+ChooseStrongest(const std::vector<CollectorCandidate>& aCandidates,
+                std::size_t aCount);
 
 } // namespace sycamoreward::edge
--- a/src/edge/DemandRate.h
+++ b/src/edge/DemandRate.h
@@ -2,7 +2,7 @@
 
 // Rate of an amount that arrives in pieces, averaged over the last seconds.
 
-#include "base/Clock.h"
+#include "base/DurationUnits.h"
 
 #include <cmath>
 
@@ -28,7 +28,7 @@
 inline void
 AddDemand(DemandRate& aRate, double aAmount, MonotonicTime aNow)
 {
-  constexpr double kSpanSeconds = double(DemandRate::kSpan.count()) / 1e6;
+  constexpr double kSpanSeconds = Seconds(DemandRate::kSpan);
   aRate.perSecond_ = aRate.Rate(aNow) + aAmount / kSpanSeconds;
   aRate.at_ = aNow;
 }
--- a/src/edge/Deployment.h
+++ b/src/edge/Deployment.h
@@ -67,8 +67,6 @@
 {
   std::uint32_t min_ = 0;
   std::uint32_t max_ = 0;
-  // From an order to the first request.
-  Duration bootTime_ = std::chrono::seconds(5);
   // Price of a reclaimable engine as a part of that of another one.
   double reclaimablePrice_ = 1;
   std::map<FailureDomainId, double> prices_;
@@ -77,7 +75,6 @@
 struct ServiceSpec
 {
   ServiceName name_;
-  std::string healthPath_;
   // Connections that a server accepts from all callers together.
   std::uint32_t maxConnections_ = 64;
   std::optional<EngineSpec> engine_;
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -26,7 +26,8 @@
 void
 ReportExchange::SendToCollectors(const Reports& aMessage)
 {
-  bool hasAsked = isCollector_;
+  // A collector that does not hear the others may be one in its own view only.
+  bool hasAsked = isCollector_ && !IsUninformed();
   std::vector<InstanceId> targets = collectors_;
   // The holder of the duties needs the counts of all.
   for (const auto& [id, peer] : peers_) {
@@ -75,8 +76,9 @@
                   // a while.
                   const auto found = peers_.find(id);
                   if (found != peers_.end()) {
-                    found->second.heard_ =
-                      state_.loop_.GetClock().Now() - kSilentAfterCollected;
+                    const MonotonicTime now = state_.loop_.GetClock().Now();
+                    found->second.heard_ = now - kSilentAfterCollected;
+                    found->second.unanswered_ = now;
                   }
                 });
 }
@@ -108,9 +110,6 @@
         sum.age_ = slownessAge;
       }
     }
-    for (const auto& [workspace, used] : aReport.used_) {
-      digest.used_[workspace] += used;
-    }
     for (const auto& [service, demand] : aReport.demand_) {
       digest.demand_[service] += demand;
     }
@@ -128,17 +127,18 @@
   InstanceReport own;
   AddServers(own);
   AddCounts(own);
+  digest.used_ = own.used_;
   add(own, Duration(0));
   addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
   for (const auto& [id, peer] : peers_) {
-    if (id == aReceiver || !peer.hasReport_ || peer.isFromDigest_) {
+    if (id == aReceiver) {
       continue;
     }
-    if (!IsHeard(peer)) {
-      // The sum of the use must not fall while an instance is silent.
-      for (const auto& [workspace, used] : peer.report_.used_) {
-        digest.used_[workspace] += used;
-      }
+    // The sum of the use must not fall while an instance is silent.
+    for (const auto& [workspace, used] : peer.gathered_) {
+      digest.used_[workspace] += used;
+    }
+    if (!peer.hasReport_ || peer.isFromDigest_ || !IsHeard(peer)) {
       continue;
     }
     add(peer.report_, now - peer.heard_);
@@ -166,6 +166,12 @@
   digestHeard_ = now;
   hasDigest_ = true;
   EnterDigestMembers(aDigest);
+  EnterRows(aFrom, aDigest);
+  SetInstanceCount(state_, LiveCount());
+  if (isCollector_) {
+    // The reports themselves count, once they come.
+    return;
+  }
   InstanceReport others;
   const std::size_t count = std::min(
     aDigest.servers_.size(), aDigest.serverValues_.size() / kServerValues);
@@ -183,16 +189,16 @@
   // The reports behind the sums are half an interval old on average.
   EnterServers(others_, others, now - kCollectorInterval / 2);
   others_ = std::move(others);
+  const auto source = peers_.find(aFrom);
+  if (source == peers_.end()) {
+    return;
+  }
   for (const auto& [workspace, used] : others_.used_) {
-    // All others together count as one peer.
-    NotePeerUse(state_.quotas_[WorkspaceId(workspace)],
-                InstanceId("others"),
-                double(used),
-                true,
-                now);
+    NoteSumUse(state_.quotas_[WorkspaceId(workspace)],
+               { aFrom, source->second.identity_.incarnation_ },
+               double(used),
+               now);
   }
-  EnterRows(aFrom, aDigest);
-  SetInstanceCount(state_, LiveCount());
 }
 
 void
@@ -207,6 +213,9 @@
       continue;
     }
     Peer& peer = found->second;
+    if (isCollector_ && IsReporting(peer)) {
+      continue;
+    }
     if (!peer.isFromDigest_) {
       EnterServers(peer.report_, {}, {});
       peer.report_.servers_.clear();
--- a/src/edge/DutyLease.cpp
+++ b/src/edge/DutyLease.cpp
@@ -10,6 +10,12 @@
 // Time without word of a holder before the row is read.
 constexpr Duration kQuietTime = std::chrono::milliseconds(1000);
 constexpr Duration kReadInterval = std::chrono::milliseconds(900);
+// The first instances in the order look at the row in this interval also while
+// the holder is heard of, so that they know how old it is when the holder
+// stops. Reading it only then added the lease time to each change of the
+// holder.
+constexpr std::size_t kStandbys = 3;
+constexpr Duration kStandbyInterval = std::chrono::milliseconds(1500);
 // Three writes fit into the lease time of three seconds, so that one of them
 // may be lost.
 constexpr std::int64_t kRenewalsPerLease = 3;
@@ -31,7 +37,14 @@
     if (aLease.held_.Value() != 0) {
       StepDown(aLease, aNow);
     }
-    return LeaseStep::None;
+    const bool isStandby = aRank < kStandbys && !aLease.isAsking_ &&
+                           aNow >= aLease.notBefore_ &&
+                           aNow >= aLease.nextRead_;
+    if (!isStandby) {
+      return LeaseStep::None;
+    }
+    aLease.nextRead_ = aNow + kStandbyInterval;
+    return LeaseStep::ReadRow;
   }
   if (aLease.isAsking_) {
     return LeaseStep::None;
--- /dev/null
+++ b/src/edge/DutyRows.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// Rows of the store that the duties use.
+
+#include "edge/RowStore.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace sycamoreward::edge {
+
+constexpr const char* kDutyTable = "duties";
+constexpr const char* kLeaseKey = "holder";
+// Row with the counts of windows that are not reported yet, so that they
+// outlive the end of all processes.
+constexpr const char* kProgressKey = "usage";
+// Table of the counts that were sent, by window.
+constexpr const char* kUsageTable = "usage";
+
+// Time after a window's end until which its usage is reported.
+constexpr Duration kUsageLimit = std::chrono::seconds(25);
+
+// Null when there is no such row.
+inline const StoreRow*
+FindRow(const std::vector<StoreRow>& aRows, const std::string& aKey)
+{
+  const auto found =
+    std::find_if(aRows.begin(), aRows.end(), [&](const StoreRow& aRow) {
+      return aRow.key_ == aKey && !aRow.isDeleted_ && aRow.version_ != 0;
+    });
+  return found == aRows.end() ? nullptr : &*found;
+}
+
+} // namespace sycamoreward::edge
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -66,6 +66,11 @@
   void RenewLease();
   StoreRow OwnRow(FencingToken aEpoch) const;
 
+  // The counts of windows that are not reported yet, and how a later holder
+  // reads them.
+  StoreRow ProgressRow() const;
+  void EnterProgress(const StoreRow& aRow);
+
   void CheckUsage();
   void FixUsage(std::uint64_t aWindow);
   void OnUsageFixed(std::uint64_t aWindow, const StoreReply& aReply);
@@ -73,10 +78,16 @@
 
   void CheckOrders();
   void PlanService(const ServiceSpec& aService);
+  // Enters reclaimable engines that the platform takes away.
+  void NoteLeaving(const PoolView& aPool,
+                   const EnginePlanInputs& aInputs,
+                   EnginePlan& aPlan);
   void SendOrder(const OrderKey& aKey, std::uint32_t aCount);
   void OnOrderReply(const OrderKey& aKey, CloudStatus aStatus);
 
   bool Holds() const;
+  // Whether the sums of all instances' reports are whole.
+  bool HasSums() const;
   DutyHolder Holder() const { return { state_.self_, lease_.held_ }; }
   void LoseLease(const char* aReason);
 
@@ -85,7 +96,6 @@
   Cloud& cloud_;
   ReportExchange* reports_ = nullptr;
   DutyLease lease_;
-  MonotonicTime heldSince_;
   bool isStopped_ = false;
   std::uint64_t timer_ = 0;
   MonotonicTime lastTick_;
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -1,5 +1,6 @@
 #include "edge/Edge.h"
 
+#include "base/DurationUnits.h"
 #include "base/Error.h"
 #include "edge/MemberRow.h"
 #include "edge/RequestRun.h"
@@ -76,9 +77,16 @@
              [this] {
                return SelfStatus{ IsReady(), isDraining_, duties_.HeldEpoch() };
              })
+  , placing_(state_, network_)
   , started_(aLoop.GetClock().Now())
 {
   state_.domain_ = aOptions.self_.failureDomain_;
+  state_.askForQuota_ = [this](const WorkspaceId& aWorkspace,
+                               double aAmount,
+                               std::function<void(bool)> aOnAnswer) {
+    reports_.AskForQuota(aWorkspace, aAmount, std::move(aOnAnswer));
+  };
+  state_.placing_ = &placing_;
   state_.onPromptSent_ = [this](double aTokens) { reports_.NoteSent(aTokens); };
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
@@ -338,6 +346,7 @@
   const bool readsStore = reports_.ReadsStore();
   deploymentWatch_->SetPaused(!readsStore);
   serverWatch_->SetPaused(!readsStore);
+  placing_.SetPlacers(reports_.Placers());
   const bool isReady = IsReady();
   if (isReady != wasReady_) {
     wasReady_ = isReady;
@@ -352,9 +361,7 @@
 Edge::MetricsText()
 {
   const MonotonicTime now = loop_.GetClock().Now();
-  const auto age = [now](MonotonicTime aTime) {
-    return double((now - aTime).count()) / 1e6;
-  };
+  const auto age = [now](MonotonicTime aTime) { return Seconds(now - aTime); };
   metrics_.Set("running_requests", double(state_.running_));
   metrics_.Set("live_instances", double(reports_.LiveCount()));
   metrics_.Set("deployment_version",
@@ -368,8 +375,7 @@
   metrics_.Set("channels_idle", double(state_.channels_.IdleCount()));
   metrics_.Set("caller_connections", double(callers_->ConnectionCount()));
   metrics_.Set("log_lines_dropped", double(log_.Dropped()));
-  metrics_.Set("wall_clock_offset_seconds",
-               double(state_.wallOffset_.count()) / 1e6);
+  metrics_.Set("wall_clock_offset_seconds", Seconds(state_.wallOffset_));
   return metrics_.Text();
 }
 
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -7,6 +7,7 @@
 #include "edge/Cloud.h"
 #include "edge/DutyTask.h"
 #include "edge/EdgeState.h"
+#include "edge/PlacementExchange.h"
 #include "edge/ReportExchange.h"
 #include "edge/RowStore.h"
 #include "edge/ServerList.h"
@@ -100,6 +101,7 @@
   WebSocketPeerNetwork network_;
   DutyTask duties_;
   ReportExchange reports_;
+  PlacementExchange placing_;
   std::unique_ptr<TableWatch> deploymentWatch_;
   std::unique_ptr<TableWatch> serverWatch_;
   std::unique_ptr<http::CallerServer> callers_;
--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -1,5 +1,7 @@
 #include "edge/EdgeMetrics.h"
 
+#include "base/DurationUnits.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace sycamoreward::edge {
@@ -7,7 +9,7 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries&
-Seconds()
+TimeBoundaries()
 {
   static const prometheus::Histogram::BucketBoundaries kBoundaries{
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 16
@@ -15,12 +17,6 @@
   return kBoundaries;
 }
 
-double
-ToSeconds(Duration aTime)
-{
-  return double(aTime.count()) / 1e6;
-}
-
 } // namespace
 
 EdgeMetrics::EdgeMetrics()
@@ -69,22 +65,22 @@
 void
 EdgeMetrics::ObserveFirstByte(const ServiceName& aService, Duration aTime)
 {
-  firstByte_.Add({ { "service", aService.Value() } }, Seconds())
-    .Observe(ToSeconds(aTime));
+  firstByte_.Add({ { "service", aService.Value() } }, TimeBoundaries())
+    .Observe(Seconds(aTime));
 }
 
 void
 EdgeMetrics::ObserveTotal(const ServiceName& aService, Duration aTime)
 {
-  total_.Add({ { "service", aService.Value() } }, Seconds())
-    .Observe(ToSeconds(aTime));
+  total_.Add({ { "service", aService.Value() } }, TimeBoundaries())
+    .Observe(Seconds(aTime));
 }
 
 void
 EdgeMetrics::ObserveExpectedWait(const ServiceName& aService,
                                  double aMilliseconds)
 {
-  expected_.Add({ { "service", aService.Value() } }, Seconds())
+  expected_.Add({ { "service", aService.Value() } }, TimeBoundaries())
     .Observe(aMilliseconds / 1000);
 }
 
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -1,5 +1,6 @@
 #include "edge/EdgeState.h"
 
+#include "base/DurationUnits.h"
 #include "edge/Collectors.h"
 #include "runtime/EventLoop.h"
 
@@ -61,7 +62,7 @@
                const WorkspaceSpec& aWorkspace,
                std::size_t aInstances)
 {
-  const double seconds = double(aBounds.quotaWindow_.count()) / 1e6;
+  const double seconds = Seconds(aBounds.quotaWindow_);
   const double inWindow =
     aWorkspace.ratePerSecond_ * seconds + aWorkspace.burst_;
   const double part =
@@ -90,7 +91,6 @@
 bool
 ApplyDeployment(EdgeState& aState, Deployment aDeployment)
 {
-  aState.deploymentHeard_ = aState.loop_.GetClock().Now();
   if (aState.routes_ != nullptr &&
       aDeployment.version_ <= aState.routes_->Declared().version_) {
     return false;
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -23,6 +23,8 @@
 
 namespace sycamoreward::edge {
 
+class PlacementExchange;
+
 // Bounds that the platform sets for the whole system.
 struct SystemBounds
 {
@@ -30,8 +32,6 @@
   double retryPart_ = 0.2;
   // Extra attempts beyond that within the platform's window.
   double retryReserve_ = 50;
-  // Time in which all instances apply a new deployment.
-  Duration applyTime_ = std::chrono::seconds(2);
   // From SIGTERM to SIGKILL.
   Duration grace_ = std::chrono::seconds(8);
   // Time in which one holder of a duty follows another.
@@ -92,11 +92,19 @@
   std::uint64_t refused_ = 0;
   // Middle of the wall clocks of the instances, against this one's.
   Duration wallOffset_{ 0 };
-  // Age of the list of backend servers and of the deployment, for the log.
+  // Age of the list of backend servers, for the log.
   MonotonicTime serversHeard_;
-  MonotonicTime deploymentHeard_;
   std::uint64_t nextWork_ = 1;
 
+  // Asks whether this instance may take more of a workspace's quota than its
+  // part. Unset where each instance hears of all use at once.
+  std::function<void(const WorkspaceId& aWorkspace,
+                     double aAmount,
+                     std::function<void(bool aIsGranted)> aOnAnswer)>
+    askForQuota_;
+  // Asks placers for the server of a request. Null where each instance places
+  // its own.
+  PlacementExchange* placing_ = nullptr;
   // Called with the tokens of each prompt that was sent to an engine.
   std::function<void(double aTokens)> onPromptSent_;
 
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -27,21 +27,37 @@
 constexpr std::uint32_t kReservedBase = 1;
 // Time after a loss in which no further reclaimable engine is ordered there.
 constexpr Duration kAfterLoss = std::chrono::seconds(3);
-constexpr std::uint32_t kMostDoublings = 2;
-// A loss that lies back further than this starts the doubling anew.
-constexpr Duration kForgetLoss = std::chrono::seconds(30);
-// One reserved engine of a domain is sent away in this time, so that the
-// sessions that it holds move one by one.
+// Part of a domain's surplus reserved engines that is sent away in each of
+// these intervals, one at least: the sessions that they hold move a few at a
+// time.
 constexpr Duration kLowerInterval = std::chrono::milliseconds(700);
+constexpr std::uint32_t kLowerDivisor = 4;
+// Reserved engines that take up the bound of a domain make room for reclaimable
+// ones in this part of their number in each interval, while at least this part
+// of the need serves: the new ones serve some seconds later.
+constexpr std::uint32_t kReplaceDivisor = 14;
+constexpr double kReplaceServing = 0.8;
+// A reclaim takes at least one in this many of a domain's reclaimable engines.
+constexpr std::uint32_t kReclaimPart = 3;
+// Domains whose reclaimable engines may be lost within seconds, and the part of
+// the busy engines that the others have to hold then. Both zones of a fleet
+// with three were seen to go within six seconds.
+constexpr std::size_t kLostTogether = 2;
+constexpr double kAfterLossPart = 1.1;
 // Price of a reclaimable engine above which it is not worth its risk.
 constexpr double kWorthwhilePrice = 0.6;
 
 bool
 HasLately(const DomainPlan& aDomain, MonotonicTime aNow)
 {
-  const auto doublings = std::min(aDomain.losses_, kMostDoublings);
-  return aDomain.hasLost_ &&
-         aNow - aDomain.lost_ < kAfterLoss * (std::int64_t(1) << doublings);
+  return aDomain.hasLost_ && aNow - aDomain.lost_ < kAfterLoss;
+}
+
+// Engines that the demand keeps busy.
+double
+BusyEngines(const EnginePlanInputs& aInputs)
+{
+  return aInputs.demand_ / std::max(aInputs.engineRate_, 1.0);
 }
 
 double
@@ -52,7 +68,7 @@
     aPlan.neededAt_ = aInputs.now_;
     return aPlan.needed_ * (1 + kSpare);
   }
-  const double busy = aInputs.demand_ / std::max(aInputs.engineRate_, 1.0);
+  const double busy = BusyEngines(aInputs);
   double needed = busy + kClumpReserve * std::sqrt(busy);
   if (aInputs.hasRefused_) {
     needed = std::max(
@@ -66,25 +82,42 @@
   return aPlan.needed_ * (1 + kSpare);
 }
 
-// Reserved engines of a domain: sent away one at a time once the reclaimable
-// ones that replace them serve.
+// Reserved engines of a domain: sent away a few at a time, as far as others
+// serve in their place. aSurplus is the number of serving engines of the domain
+// beyond its part of the need. aCanReplace allows it to give up some for
+// reclaimable ones that the domain's bound leaves no room for.
 std::uint32_t
 ReservedOrder(DomainPlan& aDomain,
-              const EngineCounts& aPresent,
               std::uint32_t aTarget,
-              std::uint32_t aReclaimable,
+              std::uint32_t aSurplus,
+              bool aCanReplace,
               MonotonicTime aNow)
 {
   const std::uint32_t ordered = aDomain.ordered_.reserved_;
   if (aTarget >= ordered) {
     return aTarget;
   }
-  const bool isReplaced = aPresent.reclaimable_ + 1 >= aReclaimable;
-  if (!isReplaced || aNow - aDomain.lowered_ < kLowerInterval) {
+  const std::uint32_t excess = ordered - aTarget;
+  std::uint32_t step = std::min(aSurplus, std::max(1u, excess / kLowerDivisor));
+  if (aCanReplace) {
+    step = std::max(step, std::max(1u, excess / kReplaceDivisor));
+  }
+  if (step == 0 || aNow - aDomain.lowered_ < kLowerInterval) {
     return ordered;
   }
   aDomain.lowered_ = aNow;
-  return ordered - 1;
+  return ordered - step;
+}
+
+// Serving engines of both kinds.
+double
+ServingEngines(const EnginePlanInputs& aInputs)
+{
+  double serving = 0;
+  for (const auto& [id, counts] : aInputs.present_) {
+    serving += counts.reserved_ + counts.reclaimable_;
+  }
+  return serving;
 }
 
 // Sets the reclaimable engines of each domain and returns how many engines of
@@ -106,16 +139,24 @@
       ++open;
     }
   }
-  const double share = (aNeeded - expected) / double(std::max(open, 1u));
+  const std::size_t domains = aInputs.present_.size();
+  const double afterLoss =
+    domains <= kLostTogether
+      ? 0
+      : kAfterLossPart * BusyEngines(aInputs) / double(domains - kLostTogether);
+  const double share =
+    std::max(afterLoss, (aNeeded - expected) / double(std::max(open, 1u)));
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
     if (HasLately(domain, aInputs.now_)) {
+      domain.lacksRoom_ = false;
       continue;
     }
     const std::uint32_t room =
       aInputs.max_ - std::min(aInputs.max_, domain.ordered_.reserved_);
     domain.ordered_.reclaimable_ =
       std::uint32_t(std::clamp(std::ceil(share), 0.0, double(room)));
+    domain.lacksRoom_ = share > double(room);
     expected += domain.ordered_.reclaimable_;
   }
   return expected;
@@ -133,8 +174,12 @@
     aPlan.neededAt_ = aInputs.now_;
     for (const auto& [id, counts] : aInputs.present_) {
       aPlan.domains_[id].ordered_ = counts;
-      aPlan.needed_ +=
-        double(counts.reserved_ + counts.reclaimable_) / (1 + kSpare);
+      // A later holder of the duties finds engines of both kinds while one
+      // replaces the other, and goes by the demand.
+      if (aInputs.demand_ <= 0) {
+        aPlan.needed_ +=
+          double(counts.reserved_ + counts.reclaimable_) / (1 + kSpare);
+      }
     }
   }
   const double needed =
@@ -145,17 +190,35 @@
     expected = OrderReclaimable(aPlan, aInputs, needed - base * domains);
   }
   const double missing = std::max(0.0, (needed - expected) / domains);
+  aPlan.demand_ = aInputs.demand_;
+  aPlan.engineRate_ = aInputs.engineRate_;
+  aPlan.serving_ = ServingEngines(aInputs);
+  const auto surplus = std::uint32_t(
+    std::max(0.0, std::floor((aPlan.serving_ - needed) / domains)));
+  const bool canReplace = aPlan.serving_ >= kReplaceServing * needed;
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
     const std::uint32_t room =
       aInputs.max_ - std::min(aInputs.max_, domain.ordered_.reclaimable_);
+    const bool replaces = canReplace && domain.lacksRoom_;
     const std::uint32_t target =
-      std::min(room, std::max(base, std::uint32_t(std::ceil(missing))));
-    domain.ordered_.reserved_ = ReservedOrder(
-      domain, counts, target, domain.ordered_.reclaimable_, aInputs.now_);
+      replaces
+        ? base
+        : std::min(room, std::max(base, std::uint32_t(std::ceil(missing))));
+    domain.ordered_.reserved_ =
+      ReservedOrder(domain, target, surplus, replaces, aInputs.now_);
   }
 }
 
+bool
+IsReclaim(const EngineCounts& aOrdered,
+          const EngineCounts& aPresent,
+          std::uint32_t aLeaving)
+{
+  return aPresent.reclaimable_ < aOrdered.reclaimable_ &&
+         aLeaving * kReclaimPart >= aPresent.reclaimable_ + aLeaving;
+}
+
 void
 NoteLost(EnginePlan& aPlan, const FailureDomainId& aDomain, MonotonicTime aNow)
 {
@@ -163,8 +226,6 @@
   if (HasLately(domain, aNow)) {
     return;
   }
-  const bool isNew = !domain.hasLost_ || aNow - domain.lost_ > kForgetLoss;
-  domain.losses_ = isNew ? 0 : domain.losses_ + 1;
   domain.lost_ = aNow;
   domain.hasLost_ = true;
 }
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -45,8 +45,8 @@
   // an order for them was refused.
   MonotonicTime lost_;
   bool hasLost_ = false;
-  // Losses in a row, each of which doubles the time without orders.
-  std::uint32_t losses_ = 0;
+  // More reclaimable engines were wanted than the bound leaves room for.
+  bool lacksRoom_ = false;
   // When the number of reserved engines was last lowered.
   MonotonicTime lowered_;
 };
@@ -58,12 +58,23 @@
   double needed_ = 0;
   MonotonicTime neededAt_;
   bool isStarted_ = false;
+  // For the log: what the last update went by, and engines that served then.
+  double demand_ = 0;
+  double engineRate_ = 0;
+  double serving_ = 0;
 };
 
 // Updates the plan; the orders are in domains_[].ordered_.
 void
 UpdatePlan(EnginePlan& aPlan, const EnginePlanInputs& aInputs);
 
+// Whether aLeaving reclaimable engines that began to leave together are taken
+// away by the platform. Lower orders and replacements make few leave at a time.
+bool
+IsReclaim(const EngineCounts& aOrdered,
+          const EngineCounts& aPresent,
+          std::uint32_t aLeaving);
+
 // The platform has none of the reclaimable engines that were ordered, or takes
 // those of the domain away.
 void
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -1,9 +1,12 @@
 #include "edge/Placement.h"
 
+#include "base/DurationUnits.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace sycamoreward::edge {
 
@@ -31,17 +34,21 @@
 constexpr double kBaseMs = 15;
 // Extra time to a server in another failure domain, both ways.
 constexpr double kOtherDomainMs = 7;
-// A new connection takes a round trip and time of the server.
-constexpr double kConnectMs = 12;
+// A new connection takes a round trip and time of the server, and servers bound
+// the connections of all instances together.
+constexpr double kConnectMs = 25;
+// A prompt that is read in this time, half of a usual chunk, adds less than a
+// step to the pauses of other streams.
+constexpr double kShortReadMs = 30;
+// Cost of a long prompt on a server that is kept for short ones, and of a short
+// one elsewhere: long prompts take two to eight times as long to read, and the
+// other kind's servers are used when one's own have such a queue.
+constexpr double kOtherKindMs = 250;
+// Part of the slots of servers kept for short prompts that is meant to be used.
+constexpr double kQuietFill = 0.5;
 // A stream holds a slot for about this time.
 constexpr double kStreamMs = 1000;
 
-double
-Milliseconds(Duration aDuration)
-{
-  return double(aDuration.count()) / 1000.0;
-}
-
 Duration
 FromMilliseconds(double aMilliseconds)
 {
@@ -88,7 +95,9 @@
         const BackendView& aView,
         const PlacementQuery& aQuery)
 {
-  return !aView.server_.isDraining_ &&
+  const bool isCandidate = aQuery.candidates_ == nullptr ||
+                           aQuery.candidates_->count(aView.server_.id_) != 0;
+  return isCandidate && !aView.server_.isDraining_ &&
          aQuery.tried_.count(aView.server_.id_) == 0 &&
          aView.running_ < ConnectionShare(aPool, aQuery.instances_);
 }
@@ -148,6 +157,7 @@
 double
 Cost(const PoolView& aPool,
      const BackendView& aView,
+     const PlacementQuery& aQuery,
      const Placement& aPlacement)
 {
   double cost = aPlacement.waitMs_ + aPlacement.failureRate_ * kFailureCostMs;
@@ -157,6 +167,12 @@
   if (aPool.isEngine_) {
     cost += aPlacement.running_ * kRunningCostMs;
   }
+  if (aQuery.quiet_ != nullptr) {
+    const bool isQuiet = aQuery.quiet_->count(aView.server_.id_) != 0;
+    cost += isQuiet == IsShortPrompt(aQuery.promptTokens_, aPool.readRate_)
+              ? 0
+              : kOtherKindMs;
+  }
   return cost;
 }
 
@@ -187,6 +203,10 @@
     }
     const bool isLast = index + 1 == aQuery.parts_.size();
     double missing = 1;
+    if (aQuery.candidates_ != nullptr) {
+      uncached += part.tokens_;
+      continue;
+    }
     if (!isLast && aRank < std::size(kUncachedPart)) {
       missing = kUncachedPart[aRank];
     } else if (!isLast && index == 0) {
@@ -197,11 +217,48 @@
   return uncached + std::max(0.0, aQuery.promptTokens_ - listed);
 }
 
+bool
+IsShortPrompt(double aTokens, double aReadRate)
+{
+  return aTokens < kShortReadMs * aReadRate;
+}
+
+std::set<ServerId>
+ChooseQuietServers(const PoolView& aPool,
+                   const std::set<ServerId>& aServers,
+                   std::size_t aRunning)
+{
+  std::vector<std::tuple<bool, std::uint64_t, const BackendView*>> order;
+  for (const ServerId& id : aServers) {
+    const auto found = aPool.servers_.find(id);
+    if (found != aPool.servers_.end() && !found->second.server_.isDraining_) {
+      order.emplace_back(found->second.server_.isReclaimable_,
+                         RendezvousScore(0, id),
+                         &found->second);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::set<ServerId> quiet;
+  double slots = 0;
+  for (const auto& [isReclaimable, score, view] : order) {
+    if (slots * kQuietFill >= double(aRunning) ||
+        quiet.size() * 2 >= order.size()) {
+      break;
+    }
+    quiet.insert(view->server_.id_);
+    slots += view->server_.slots_;
+  }
+  return quiet;
+}
+
 Placement
 ChooseServer(const PoolView& aPool, const PlacementQuery& aQuery)
 {
-  const auto ranks = RankServers(aPool, SessionPart(aQuery.parts_));
-  const double meanUnread = MeanPeerUnread(aPool);
+  const bool isOwner = aQuery.candidates_ != nullptr;
+  const auto ranks = isOwner ? std::map<ServerId, std::size_t>()
+                             : RankServers(aPool, SessionPart(aQuery.parts_));
+  // What others send to the servers of an owner is the exception.
+  const double meanUnread = isOwner ? 0 : MeanPeerUnread(aPool);
   std::vector<std::pair<double, Placement>> candidates;
   // Servers that fail are used when there is no other.
   for (const bool takesFailing : { false, true }) {
@@ -218,7 +275,7 @@
                  aQuery,
                  meanUnread,
                  rank == ranks.end() ? aPool.servers_.size() : rank->second);
-      candidates.emplace_back(Cost(aPool, view, placement), placement);
+      candidates.emplace_back(Cost(aPool, view, aQuery, placement), placement);
     }
     if (!candidates.empty()) {
       break;
--- a/src/edge/Placement.h
+++ b/src/edge/Placement.h
@@ -25,6 +25,11 @@
   MonotonicTime now_;
   // Random number from 0 to 1 that decides between equally good servers.
   double draw_ = 0;
+  // Only these servers, when set. All that is sent to them is then known here.
+  const std::set<ServerId>* candidates_ = nullptr;
+  // Servers that are kept for short prompts, when set: the streams of short
+  // requests last for seconds, and each long prompt makes them pause.
+  const std::set<ServerId>* quiet_ = nullptr;
 };
 
 struct Placement
@@ -43,6 +48,17 @@
   double failureRate_ = 0;
 };
 
+// Whether streams that run beside the prompt hardly notice it.
+bool
+IsShortPrompt(double aTokens, double aReadRate);
+
+// Servers to keep for short prompts while aRunning streams of them run on
+// aServers: the reserved ones first, and at most half of all.
+std::set<ServerId>
+ChooseQuietServers(const PoolView& aPool,
+                   const std::set<ServerId>& aServers,
+                   std::size_t aRunning);
+
 // Empty id when no server can take the request.
 Placement
 ChooseServer(const PoolView& aPool, const PlacementQuery& aQuery);
@@ -53,7 +69,8 @@
 
 // Tokens of the prompt that the server is expected not to hold. aRank is the
 // place of the server in the rendezvous order of the session: other instances
-// send the session to the first ones too.
+// send the session to the first ones too. Without a meaning where all that is
+// sent to the server is known.
 double
 UncachedTokens(const BackendView& aView,
                const PlacementQuery& aQuery,
--- /dev/null
+++ b/src/edge/PlacementExchange.cpp
@@ -0,0 +1,400 @@
+#include "edge/PlacementExchange.h"
+
+#include "base/DurationUnits.h"
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Time after which the instance chooses by itself. An answer takes a round trip
+// between failure domains and some milliseconds of a busy placer.
+constexpr Duration kAnswerLimit = std::chrono::milliseconds(60);
+// A placer that did not answer is not asked for this time.
+constexpr Duration kAvoidTime = std::chrono::milliseconds(1500);
+// News gather for this time. An engine reads a long prompt in 150 to 300 ms.
+constexpr Duration kNewsDelay = std::chrono::milliseconds(25);
+// Work of which nothing was heard for this time is forgotten: the instance that
+// sent it has ended.
+constexpr Duration kWorkLimit = std::chrono::seconds(20);
+constexpr Duration kSweepInterval = std::chrono::seconds(2);
+// The list of engines changes rarely against the requests for one.
+constexpr Duration kOwnedAge = std::chrono::milliseconds(500);
+// Servers with an idle connection that a request names.
+constexpr std::size_t kMostIdleNamed = 40;
+
+std::uint64_t
+ToCount(double aValue)
+{
+  return aValue <= 0 ? 0 : std::uint64_t(aValue);
+}
+
+Duration
+FromMilliseconds(std::uint64_t aMilliseconds)
+{
+  return std::chrono::milliseconds(aMilliseconds);
+}
+
+PlacementRequest
+MakeRequest(const PoolView& aPool, const PlacementQuery& aQuery)
+{
+  PlacementRequest request;
+  request.service_ = aPool.service_;
+  request.domain_ = aQuery.ownDomain_;
+  request.promptTokens_ = ToCount(aQuery.promptTokens_);
+  for (const PromptPart& part : aQuery.parts_) {
+    request.parts_.push_back(part.id_);
+    request.partTokens_.push_back(part.tokens_);
+  }
+  for (const ServerId& server : aQuery.tried_) {
+    request.tried_.push_back(server.Value());
+  }
+  for (const auto& [id, view] : aPool.servers_) {
+    if (view.hasIdleChannel_ && request.idle_.size() < kMostIdleNamed) {
+      request.idle_.push_back(id.Value());
+    }
+  }
+  return request;
+}
+
+PlacementQuery
+MakeQuery(const PlacementRequest& aRequest)
+{
+  PlacementQuery query;
+  query.ownDomain_ = aRequest.domain_;
+  query.promptTokens_ = double(aRequest.promptTokens_);
+  const std::size_t count =
+    std::min(aRequest.parts_.size(), aRequest.partTokens_.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    query.parts_.push_back(
+      { aRequest.parts_[index], std::uint32_t(aRequest.partTokens_[index]) });
+  }
+  for (const std::string& server : aRequest.tried_) {
+    query.tried_.insert(ServerId(server));
+  }
+  return query;
+}
+
+} // namespace
+
+PlacementExchange::PlacementExchange(EdgeState& aState, PeerNetwork& aNetwork)
+  : state_(aState)
+  , network_(aNetwork)
+{
+  network_.OnMessage<PlacementRequest>(
+    [this](const PeerIdentity& /*aFrom*/,
+           const Message& aMessage,
+           const PeerNetwork::Responder& aRespond) {
+      const auto& request = std::get<PlacementRequest>(aMessage);
+      aRespond(Place(request, request.domain_));
+    });
+  network_.OnMessage<PlacementNews>(
+    [this](const PeerIdentity& /*aFrom*/,
+           const Message& aMessage,
+           const PeerNetwork::Responder& /*aRespond*/) {
+      for (const PlacedNews& news : std::get<PlacementNews>(aMessage).news_) {
+        Enter(news);
+      }
+    });
+  sweepTimer_ = state_.loop_.CallAfter(kSweepInterval, [this] { Sweep(); });
+}
+
+PlacementExchange::~PlacementExchange()
+{
+  state_.loop_.CancelTimer(flushTimer_);
+  state_.loop_.CancelTimer(sweepTimer_);
+}
+
+void
+PlacementExchange::SetPlacers(const std::vector<PeerIdentity>& aPlacers)
+{
+  std::vector<PlacerState> states;
+  isPlacer_ = false;
+  for (const PeerIdentity& placer : aPlacers) {
+    isPlacer_ = isPlacer_ || placer.instance_ == state_.self_;
+    const auto known =
+      std::find_if(states_.begin(), states_.end(), [&](const auto& aState) {
+        return aState.id_ == placer.instance_;
+      });
+    states.push_back(known != states_.end()
+                       ? *known
+                       : PlacerState{ placer.instance_, 0, {}, {} });
+  }
+  placers_ = aPlacers;
+  states_ = std::move(states);
+}
+
+void
+PlacementExchange::Ask(
+  const PoolView& aPool,
+  const PlacementQuery& aQuery,
+  std::function<void(std::optional<PlacerAnswer>)> aOnAnswer)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  const std::size_t count = PlacerCount(states_.size(), aPool.servers_.size());
+  const auto chosen =
+    states_.empty() || !aPool.isEngine_
+      ? std::nullopt
+      : ChoosePlacer(states_, count, aQuery.parts_, now, state_.Draw());
+  if (!chosen.has_value()) {
+    aOnAnswer(std::nullopt);
+    return;
+  }
+  const PeerIdentity placer = placers_[*chosen];
+  PlacementRequest request = MakeRequest(aPool, aQuery);
+  if (placer.instance_ == state_.self_) {
+    Answer(placer.instance_, Place(request, aQuery.ownDomain_), aOnAnswer);
+    return;
+  }
+  network_.Call(
+    placer,
+    std::move(request),
+    kAnswerLimit,
+    [this, id = placer.instance_, aOnAnswer = std::move(aOnAnswer)](
+      const PeerReply& aReply) {
+      if (aReply.message_.has_value() &&
+          std::holds_alternative<PlacementReply>(*aReply.message_)) {
+        Answer(id, std::get<PlacementReply>(*aReply.message_), aOnAnswer);
+        return;
+      }
+      for (PlacerState& state : states_) {
+        if (state.id_ == id) {
+          state.avoidUntil_ = state_.loop_.GetClock().Now() + kAvoidTime;
+        }
+      }
+      aOnAnswer(std::nullopt);
+    });
+}
+
+void
+PlacementExchange::Answer(
+  const InstanceId& aPlacer,
+  const PlacementReply& aReply,
+  const std::function<void(std::optional<PlacerAnswer>)>& aOnAnswer)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  for (PlacerState& state : states_) {
+    if (state.id_ == aPlacer) {
+      state.loadMs_ = double(aReply.loadMs_);
+      state.heard_ = now;
+    }
+  }
+  if (aReply.server_.Value().empty()) {
+    aOnAnswer(std::nullopt);
+    return;
+  }
+  PlacerAnswer answer;
+  answer.work_ = { aPlacer, aReply.work_ };
+  Placement& placement = answer.placement_;
+  placement.server_ = aReply.server_;
+  placement.waitMs_ = double(aReply.waitMs_);
+  placement.tokens_ = double(aReply.tokens_);
+  placement.readStart_ = now + FromMilliseconds(aReply.queueMs_);
+  placement.readEnd_ = placement.readStart_ + FromMilliseconds(aReply.readMs_);
+  placement.unread_ = double(aReply.unreadTokens_);
+  placement.running_ = double(aReply.running_);
+  aOnAnswer(answer);
+}
+
+PlacementReply
+PlacementExchange::Place(const PlacementRequest& aRequest,
+                         const FailureDomainId& aDomain)
+{
+  const auto found = state_.pools_.find(aRequest.service_);
+  if (found == state_.pools_.end() || !isPlacer_) {
+    return {};
+  }
+  PoolView& pool = found->second;
+  UpdateOwned(pool);
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  PlacementQuery query = MakeQuery(aRequest);
+  query.ownDomain_ = aDomain;
+  query.now_ = now;
+  query.draw_ = state_.Draw();
+  query.candidates_ = &owned_[pool.service_].servers_;
+  query.quiet_ = &owned_[pool.service_].quiet_;
+  double unread = 0;
+  for (const ServerId& id : *query.candidates_) {
+    const auto view = pool.servers_.find(id);
+    if (view != pool.servers_.end()) {
+      view->second.hasIdleChannel_ = false;
+      unread += OwnUnreadTokens(view->second, now);
+    }
+  }
+  for (const std::string& id : aRequest.idle_) {
+    const auto view = pool.servers_.find(ServerId(id));
+    if (view != pool.servers_.end()) {
+      view->second.hasIdleChannel_ = true;
+    }
+  }
+  const Placement placement = ChooseServer(pool, query);
+  PlacementReply reply;
+  reply.loadMs_ = ToCount(
+    unread / double(std::max<std::size_t>(query.candidates_->size(), 1)) /
+    std::max(pool.readRate_, 1.0));
+  if (placement.server_.Value().empty()) {
+    return reply;
+  }
+  BackendView& view = pool.servers_[placement.server_];
+  reply.work_ = state_.nextWork_++;
+  NoteSent(
+    view,
+    reply.work_,
+    UnreadPrompt{ placement.tokens_, placement.readStart_, placement.readEnd_ },
+    query.parts_);
+  works_[reply.work_] = { pool.service_,
+                          placement.server_,
+                          view.server_.incarnation_,
+                          now,
+                          IsShortPrompt(query.promptTokens_, pool.readRate_) };
+  reply.server_ = placement.server_;
+  reply.waitMs_ = ToCount(placement.waitMs_);
+  reply.tokens_ = ToCount(placement.tokens_);
+  reply.queueMs_ = ToCount(Milliseconds(placement.readStart_ - now));
+  reply.readMs_ =
+    ToCount(Milliseconds(placement.readEnd_ - placement.readStart_));
+  reply.unreadTokens_ = ToCount(placement.unread_);
+  reply.running_ = ToCount(placement.running_);
+  return reply;
+}
+
+void
+PlacementExchange::UpdateOwned(const PoolView& aPool)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  Owned& owned = owned_[aPool.service_];
+  if (owned.found_ != MonotonicTime() && now - owned.found_ < kOwnedAge) {
+    return;
+  }
+  owned.found_ = now;
+  owned.servers_.clear();
+  const std::size_t count = PlacerCount(states_.size(), aPool.servers_.size());
+  for (const auto& [id, view] : aPool.servers_) {
+    if (states_[OwnerOf(id, states_, count)].id_ == state_.self_) {
+      owned.servers_.insert(id);
+    }
+  }
+  const auto running =
+    std::count_if(works_.begin(), works_.end(), [&](const auto& aEntry) {
+      return aEntry.second.isShort_ && aEntry.second.service_ == aPool.service_;
+    });
+  owned.quiet_ =
+    ChooseQuietServers(aPool, owned.servers_, std::size_t(running));
+}
+
+void
+PlacementExchange::Tell(const PlacedWork& aWork,
+                        PlacedEvent aEvent,
+                        Duration aAfter,
+                        const std::optional<ReportedLoad>& aLoad)
+{
+  PlacedNews news;
+  news.work_ = aWork.work_;
+  news.event_ = aEvent;
+  news.afterMs_ = ToCount(Milliseconds(aAfter));
+  news.slownessPercent_ =
+    aLoad.has_value() ? ToCount(aLoad->slowness_ * 100) : 0;
+  if (aWork.placer_ == state_.self_) {
+    Enter(news);
+    return;
+  }
+  news_[aWork.placer_].push_back(news);
+  if (flushTimer_ == 0) {
+    flushTimer_ = state_.loop_.CallAfter(kNewsDelay, [this] {
+      flushTimer_ = 0;
+      Flush();
+    });
+  }
+}
+
+void
+PlacementExchange::Flush()
+{
+  for (auto& [id, news] : news_) {
+    for (const PeerIdentity& placer : placers_) {
+      if (placer.instance_ == id) {
+        network_.Send(placer, PlacementNews{ std::move(news) });
+      }
+    }
+  }
+  // News of an instance that places no more are of no use.
+  news_.clear();
+}
+
+BackendView*
+PlacementExchange::FindServer(const Work& aWork)
+{
+  const auto pool = state_.pools_.find(aWork.service_);
+  if (pool == state_.pools_.end()) {
+    return nullptr;
+  }
+  const auto found = pool->second.servers_.find(aWork.server_);
+  const bool isSame = found != pool->second.servers_.end() &&
+                      found->second.server_.incarnation_ == aWork.start_;
+  return isSame ? &found->second : nullptr;
+}
+
+void
+PlacementExchange::Enter(const PlacedNews& aNews)
+{
+  const auto found = works_.find(aNews.work_);
+  if (found == works_.end()) {
+    return;
+  }
+  const Work work = found->second;
+  if (aNews.event_ != PlacedEvent::FirstEvent) {
+    works_.erase(found);
+  }
+  BackendView* view = FindServer(work);
+  if (view == nullptr) {
+    return;
+  }
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (aNews.slownessPercent_ > 0) {
+    ReportedLoad load;
+    load.slowness_ = double(aNews.slownessPercent_) / 100;
+    load.at_ = now;
+    view->load_ = load;
+  }
+  switch (aNews.event_) {
+    case PlacedEvent::FirstEvent:
+      NoteFirstEvent(state_.pools_[work.service_],
+                     *view,
+                     aNews.work_,
+                     work.sent_,
+                     work.sent_ + FromMilliseconds(aNews.afterMs_));
+      return;
+    case PlacedEvent::NotSent:
+      break;
+    case PlacedEvent::Unreachable:
+      view->avoidUntil_ = now + kUnreachableTime;
+      NoteResult(*view, true, now);
+      break;
+    case PlacedEvent::Failed:
+    case PlacedEvent::Ended:
+      NoteResult(*view, aNews.event_ == PlacedEvent::Failed, now);
+      break;
+  }
+  NoteLeft(*view, aNews.work_);
+}
+
+void
+PlacementExchange::Sweep()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  for (auto work = works_.begin(); work != works_.end();) {
+    if (now - work->second.sent_ < kWorkLimit) {
+      ++work;
+      continue;
+    }
+    if (BackendView* view = FindServer(work->second)) {
+      NoteLeft(*view, work->first);
+    }
+    work = works_.erase(work);
+  }
+  sweepTimer_ = state_.loop_.CallAfter(kSweepInterval, [this] { Sweep(); });
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Placers.cpp
@@ -0,0 +1,102 @@
+#include "edge/Placers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// A pool is shared by as many placers as leave each this many engines.
+constexpr std::size_t kEnginesPerPlacer = 8;
+// Shared parts of fewer tokens are read faster than another engine is asked.
+constexpr std::uint32_t kLeastSharedTokens = 500;
+// The next placer is asked when its engines have this much less to read. About
+// half of the time that the shared parts of a long prompt take.
+constexpr double kBusierMs = 80;
+// A figure of a placer is used for this time.
+constexpr Duration kLoadAge = std::chrono::seconds(3);
+
+// Rendezvous hash of a placer for a key.
+std::uint64_t
+Score(std::uint64_t aKey, const InstanceId& aPlacer)
+{
+  return XXH64(aPlacer.Value().data(), aPlacer.Value().size(), aKey);
+}
+
+double
+Load(const PlacerState& aPlacer, MonotonicTime aNow)
+{
+  return aNow - aPlacer.heard_ < kLoadAge ? aPlacer.loadMs_ : 0;
+}
+
+// The shared part that is worth keeping on the same engines; 0 for none.
+std::uint64_t
+SharedPart(const std::vector<PromptPart>& aParts)
+{
+  std::uint32_t shared = 0;
+  for (std::size_t index = 0; index + 1 < aParts.size(); ++index) {
+    shared += aParts[index].tokens_;
+  }
+  return shared < kLeastSharedTokens ? 0 : aParts[aParts.size() - 2].id_;
+}
+
+} // namespace
+
+std::size_t
+PlacerCount(std::size_t aPlacers, std::size_t aEngines)
+{
+  return std::min({ aPlacers,
+                    kMostPlacers,
+                    std::max<std::size_t>(1, aEngines / kEnginesPerPlacer) });
+}
+
+std::size_t
+OwnerOf(const ServerId& aEngine,
+        const std::vector<PlacerState>& aPlacers,
+        std::size_t aCount)
+{
+  const std::uint64_t key =
+    XXH64(aEngine.Value().data(), aEngine.Value().size(), 0);
+  std::size_t best = 0;
+  for (std::size_t index = 1; index < aCount; ++index) {
+    if (Score(key, aPlacers[index].id_) > Score(key, aPlacers[best].id_)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+std::optional<std::size_t>
+ChoosePlacer(const std::vector<PlacerState>& aPlacers,
+             std::size_t aCount,
+             const std::vector<PromptPart>& aParts,
+             MonotonicTime aNow,
+             double aDraw)
+{
+  std::vector<std::size_t> order;
+  for (std::size_t index = 0; index < aCount; ++index) {
+    if (aPlacers[index].avoidUntil_ <= aNow) {
+      order.push_back(index);
+    }
+  }
+  if (order.empty()) {
+    return std::nullopt;
+  }
+  const std::uint64_t shared = SharedPart(aParts);
+  const std::uint64_t key =
+    shared != 0 ? shared : std::uint64_t(aDraw * 4294967296.0);
+  std::sort(
+    order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return Score(key, aPlacers[aLeft].id_) > Score(key, aPlacers[aRight].id_);
+    });
+  if (order.size() > 1 &&
+      Load(aPlacers[order[0]], aNow) >
+        Load(aPlacers[order[1]], aNow) + (shared != 0 ? kBusierMs : 0)) {
+    return order[1];
+  }
+  return order[0];
+}
+
+} // namespace sycamoreward::edge
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -1,5 +1,7 @@
 #include "edge/PoolView.h"
 
+#include "base/DurationUnits.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -31,12 +33,6 @@
 // Fixed part of the time to the first event: connection, first step, network.
 constexpr double kFirstEventBaseMs = 15;
 
-double
-Milliseconds(Duration aDuration)
-{
-  return double(aDuration.count()) / 1000.0;
-}
-
 double
 Fade(Duration aAge, Duration aHalfLife)
 {
@@ -114,6 +110,28 @@
                Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
 }
 
+void
+NoteSent(BackendView& aView,
+         std::uint64_t aWork,
+         const std::optional<UnreadPrompt>& aPrompt,
+         const std::vector<PromptPart>& aParts)
+{
+  ++aView.running_;
+  if (aPrompt.has_value()) {
+    aView.unread_[aWork] = *aPrompt;
+  }
+  for (const PromptPart& part : aParts) {
+    aView.parts_.Touch(part);
+  }
+}
+
+void
+NoteLeft(BackendView& aView, std::uint64_t aWork)
+{
+  aView.running_ -= aView.running_ > 0 ? 1 : 0;
+  aView.unread_.erase(aWork);
+}
+
 void
 NoteResult(BackendView& aView, bool aFailed, MonotonicTime aNow)
 {
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace sycamoreward::edge {
 
@@ -89,6 +90,21 @@
 double
 Slowness(const BackendView& aView, MonotonicTime aNow);
 
+// A server to which no connection could be made is left out for this time.
+constexpr Duration kUnreachableTime = std::chrono::milliseconds(700);
+
+// Counts a request that is sent to the server under the number aWork. aPrompt
+// is empty for plain services.
+void
+NoteSent(BackendView& aView,
+         std::uint64_t aWork,
+         const std::optional<UnreadPrompt>& aPrompt,
+         const std::vector<PromptPart>& aParts);
+
+// The request has left the server.
+void
+NoteLeft(BackendView& aView, std::uint64_t aWork);
+
 // Enters how a request ended at the server.
 void
 NoteResult(BackendView& aView, bool aFailed, MonotonicTime aNow);
--- a/src/edge/Quota.h
+++ b/src/edge/Quota.h
@@ -9,9 +9,13 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace sycamoreward::edge {
 
+// A start of an instance that adds the use of others up.
+using SumSource = std::pair<InstanceId, Incarnation>;
+
 struct QuotaPeer
 {
   // Use of the peer since its start, as last reported.
@@ -22,6 +26,20 @@
   // The sum of many peers, told about once a second: its use between reports is
   // taken off at its last rate.
   bool isSum_ = false;
+  // The instance that added the sum up. Sums of others contain other reports
+  // and are not compared with it.
+  SumSource source_;
+};
+
+// Outcome of an attempt to take from a quota.
+enum class QuotaResult
+{
+  Taken,
+  // The quota is used up.
+  UsedUp,
+  // The quota has room, but this instance has taken its part of it. An instance
+  // that hears of all use may grant more.
+  LocallyBound
 };
 
 struct Quota
@@ -34,13 +52,19 @@
   // the others may use the rest meanwhile.
   double share_ = 1;
   // What can be taken now; a debt after use that was told late, and at
-  // most share x (burst + tolerance).
+  // most burst + tolerance.
   double level_ = 0;
   MonotonicTime at_;
+  // What the instances that hear of each other can take while the share is
+  // below one. Kept apart from the level: once all hear of each other again,
+  // only what was used counts.
+  double shareLevel_ = 0;
   // What this instance alone can take now. Bounds a burst of one workspace
   // while reports of many instances are under way; not used among few.
   bool isLocallyBound_ = false;
   double localLevel_ = 0;
+  // What this instance can still grant others beyond their local bounds.
+  double grantLevel_ = 0;
   // Instances among which requests are spread.
   double instances_ = 1;
   // Use of this instance since its start.
@@ -65,22 +89,40 @@
          bool aIsLocallyBound,
          MonotonicTime aNow);
 
-// Takes aAmount. False, with no change, when the quota is used up.
-bool
+// Takes aAmount, or changes nothing.
+QuotaResult
 TakeQuota(Quota& aQuota, double aAmount, MonotonicTime aNow);
 
+// Takes aAmount that another instance has granted.
+void
+TakeGranted(Quota& aQuota, double aAmount, MonotonicTime aNow);
+
+// Whether another instance may take aAmount beyond its local bound. For an
+// instance that hears of all use about a second late: grants are bounded apart
+// from the level, which falls when the use is reported.
+bool
+GrantQuota(Quota& aQuota, double aAmount, MonotonicTime aNow);
+
 // Gives back what a request took that was not run.
 void
 ReturnQuota(Quota& aQuota, double aAmount);
 
-// Enters the use that a peer reports, or, with aIsSum, many peers together.
+// Enters the use that a peer reports. With aIsFollowing false the report does
+// not follow the last one closely: it only sets where the use counts from.
 void
 NotePeerUse(Quota& aQuota,
             const InstanceId& aPeer,
             double aUsed,
-            bool aIsSum,
+            bool aIsFollowing,
             MonotonicTime aNow);
 
+// Enters the use of all others as aSource has added it up.
+void
+NoteSumUse(Quota& aQuota,
+           const SumSource& aSource,
+           double aUsed,
+           MonotonicTime aNow);
+
 // Time until aAmount can be taken.
 Duration
 TimeUntil(const Quota& aQuota, double aAmount, MonotonicTime aNow);
--- /dev/null
+++ b/src/edge/QuotaExchange.cpp
@@ -0,0 +1,101 @@
+// The part of ReportExchange that shares quotas.
+
+#include "edge/ReportExchange.h"
+#include "runtime/EventLoop.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// The caller of a request waits for the answer of the collector, which takes
+// some milliseconds.
+constexpr Duration kQuotaRequestLimit = std::chrono::milliseconds(80);
+// A refusal holds for a while: with many instances at their bounds the
+// collector would otherwise be asked for each request.
+constexpr Duration kQuotaRequestPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+void
+ReportExchange::EnterUse(Peer& aPeer, const InstanceReport& aReport)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  // After a gap among many instances the use counts from this report on: the
+  // shares have bounded it meanwhile.
+  const bool isFollowing = IsReporting(aPeer);
+  const bool isSameStart =
+    aPeer.reportedStart_ == aReport.identity_.incarnation_;
+  for (const auto& [workspace, used] : aReport.used_) {
+    std::uint64_t before = 0;
+    const auto last = aPeer.report_.used_.find(workspace);
+    if (isSameStart && last != aPeer.report_.used_.end()) {
+      before = last->second;
+    }
+    if (isFollowing && used > before) {
+      aPeer.gathered_[workspace] += used - before;
+    }
+    if (IsMesh() || isCollector_) {
+      NotePeerUse(state_.quotas_[WorkspaceId(workspace)],
+                  aReport.identity_.instance_,
+                  double(used),
+                  IsMesh() || isFollowing,
+                  now);
+    }
+  }
+}
+
+void
+ReportExchange::AskForQuota(const WorkspaceId& aWorkspace,
+                            double aAmount,
+                            std::function<void(bool aIsGranted)> aOnAnswer)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  const auto next = nextQuotaRequest_.find(aWorkspace);
+  if (next != nextQuotaRequest_.end() && now < next->second) {
+    aOnAnswer(false);
+    return;
+  }
+  if (isCollector_ && !IsUninformed()) {
+    aOnAnswer(GrantQuota(state_.quotas_[aWorkspace], aAmount, now));
+    return;
+  }
+  const auto found =
+    collectors_.empty() ? peers_.end() : peers_.find(collectors_.front());
+  if (found == peers_.end()) {
+    aOnAnswer(false);
+    return;
+  }
+  network_.Call(
+    found->second.identity_,
+    QuotaRequest{ aWorkspace, std::uint64_t(std::max(aAmount, 0.0)) },
+    kQuotaRequestLimit,
+    [this, aWorkspace, aOnAnswer = std::move(aOnAnswer)](
+      const PeerReply& aReply) {
+      const bool isGranted =
+        aReply.message_.has_value() &&
+        std::holds_alternative<QuotaReply>(*aReply.message_) &&
+        std::get<QuotaReply>(*aReply.message_).isGranted_;
+      if (!isGranted) {
+        nextQuotaRequest_[aWorkspace] =
+          state_.loop_.GetClock().Now() + kQuotaRequestPause;
+      }
+      aOnAnswer(isGranted);
+    });
+}
+
+void
+ReportExchange::AnswerQuota(const QuotaRequest& aRequest,
+                            const PeerNetwork::Responder& aRespond)
+{
+  const auto found = state_.quotas_.find(aRequest.workspace_);
+  // An instance that does not gather reports knows too little to grant.
+  const bool isGranted =
+    isCollector_ && !IsUninformed() && found != state_.quotas_.end() &&
+    GrantQuota(
+      found->second, double(aRequest.amount_), state_.loop_.GetClock().Now());
+  aRespond(QuotaReply{ isGranted });
+}
+
+} // namespace sycamoreward::edge
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -1,5 +1,6 @@
 #include "edge/ReportExchange.h"
 
+#include "base/DurationUnits.h"
 #include "edge/ReportTimes.h"
 #include "runtime/EventLoop.h"
 
@@ -19,6 +20,13 @@
 constexpr Duration kNoteDelay = std::chrono::milliseconds(12);
 // Without a digest for this time an instance reads the store itself.
 constexpr Duration kDigestAge = std::chrono::milliseconds(2800);
+// An instance to which this many report is a collector to the others as well.
+// The collectors report to each other, and to the holder of the duties, so that
+// a few reports say nothing.
+constexpr std::size_t kFewestReporting = 2 * kCollectors;
+// Part of the live instances whose reports make a sum whole. Some have just
+// started or are about to end.
+constexpr double kGatheredPart = 0.9;
 // An instance without a report for this time is not given to callers, and its
 // load is not counted.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1200);
@@ -55,6 +63,12 @@
       aRespond(MakeDigest(aFrom.instance_, reports));
     }
   });
+  network_.OnMessage<QuotaRequest>(
+    [this](const PeerIdentity& /*aFrom*/,
+           const Message& aMessage,
+           const PeerNetwork::Responder& aRespond) {
+      AnswerQuota(std::get<QuotaRequest>(aMessage), aRespond);
+    });
   timer_ = state_.loop_.CallAfter(kReportInterval, [this] { Tick(); });
 }
 
@@ -86,6 +100,7 @@
 {
   DropSilent();
   UpdateCollectors();
+  UpdateGathering();
   UpdateShare();
   Send(false);
   if (IsMesh() || isCollector_) {
@@ -145,13 +160,20 @@
   std::vector<CollectorCandidate> candidates;
   candidates.push_back(
     { self_.instance_, self_.strength_, !status_().isLeaving_ });
+  // Without word of the others all are taken to live, so that the instance
+  // asks those that gather at the start of the whole system. Its own view would
+  // make it a collector that nobody reports to.
+  const bool isUninformed = IsUninformed();
   for (const auto& [id, peer] : peers_) {
-    // At the start nothing is heard yet, and all are taken to live.
-    const bool isLive =
-      (IsHeard(peer) || !hasDigest_) && !peer.report_.isLeaving_;
+    const bool hasAnswered =
+      peer.unanswered_ == MonotonicTime() ||
+      state_.loop_.GetClock().Now() - peer.unanswered_ >= kGoneAfter;
+    const bool isLive = (IsHeard(peer) || (isUninformed && hasAnswered)) &&
+                        !peer.report_.isLeaving_;
     candidates.push_back({ id, peer.identity_.strength_, isLive });
   }
-  collectors_ = ChooseCollectors(candidates);
+  collectors_ = ChooseStrongest(candidates, kCollectors);
+  placers_ = ChooseStrongest(candidates, kMostPlacers);
   isCollector_ =
     std::find(collectors_.begin(), collectors_.end(), self_.instance_) !=
     collectors_.end();
@@ -166,8 +188,7 @@
 ReportExchange::UpdateShare()
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
-  const bool isAlone =
-    !IsMesh() && !isCollector_ && now - digestHeard_ > kDigestAge;
+  const bool isAlone = IsUninformed();
   std::size_t live = 1;
   std::size_t silent = 0;
   for (const auto& [id, peer] : peers_) {
@@ -197,9 +218,63 @@
   return IsMesh() || isOld || isCollector_;
 }
 
+bool
+ReportExchange::IsReporting(const Peer& aPeer) const
+{
+  return aPeer.reported_ != MonotonicTime() &&
+         state_.loop_.GetClock().Now() - aPeer.reported_ <
+           kSilentAfterCollected;
+}
+
+std::size_t
+ReportExchange::ReportingCount() const
+{
+  return std::size_t(
+    std::count_if(peers_.begin(), peers_.end(), [this](const auto& aEntry) {
+      return IsReporting(aEntry.second);
+    }));
+}
+
+bool
+ReportExchange::IsUninformed() const
+{
+  if (IsMesh()) {
+    return false;
+  }
+  const bool hasFreshDigest =
+    hasDigest_ && state_.loop_.GetClock().Now() - digestHeard_ <= kDigestAge;
+  return !hasFreshDigest &&
+         ReportingCount() < std::min(kFewestReporting, peers_.size() / 2);
+}
+
+void
+ReportExchange::UpdateGathering()
+{
+  const bool isGathering =
+    !IsUninformed() &&
+    double(ReportingCount()) >= kGatheredPart * double(LiveCount() - 1);
+  if (!isGathering) {
+    gatheringSince_.reset();
+  } else if (!gatheringSince_.has_value()) {
+    gatheringSince_ = state_.loop_.GetClock().Now();
+  }
+}
+
+Duration
+ReportExchange::GatheredFor() const
+{
+  return gatheringSince_.has_value()
+           ? state_.loop_.GetClock().Now() - *gatheringSince_
+           : Duration(0);
+}
+
 std::size_t
 ReportExchange::DutyRank() const
 {
+  if (IsUninformed()) {
+    // Its sums of usage and demand would be wrong for a while.
+    return peers_.size();
+  }
   if (!collectors_.empty()) {
     return std::size_t(
       std::find(collectors_.begin(), collectors_.end(), self_.instance_) -
@@ -224,8 +299,7 @@
       use.unreadTokens_ = ToCount(OwnUnreadTokens(view, now));
       if (view.load_.has_value() && now - view.load_->at_ < kSlownessAge) {
         use.slownessPercent_ = ToCount(view.load_->slowness_ * 100);
-        use.slownessAgeMs_ =
-          ToCount(double((now - view.load_->at_).count()) / 1000);
+        use.slownessAgeMs_ = ToCount(Milliseconds(now - view.load_->at_));
       }
       if (use.running_ > 0 || use.unreadTokens_ > 0 ||
           use.slownessPercent_ > 0) {
@@ -319,9 +393,10 @@
     return;
   }
   Peer& peer = peers_[identity.instance_];
+  // A digest may have told of a new start whose reports count from 1 again.
   const bool isOld =
     peer.hasReport_ && (identity.incarnation_ < peer.identity_.incarnation_ ||
-                        (identity.incarnation_ == peer.identity_.incarnation_ &&
+                        (identity.incarnation_ == peer.reportedStart_ &&
                          aReport.sequence_ <= peer.report_.sequence_));
   // The counters of a new start come with its first whole report.
   const bool isUnknown =
@@ -348,6 +423,9 @@
     peer.report_.sequence_ = aReport.sequence_;
     return;
   }
+  EnterUse(peer, aReport);
+  peer.reported_ = now;
+  peer.reportedStart_ = identity.incarnation_;
   peer.identity_ = identity;
   peer.report_ = aReport;
   peer.hasReport_ = true;
@@ -356,16 +434,6 @@
     peer.report_.servers_.clear();
   }
   peer.wallOffset_ = aReport.sent_ - state_.loop_.GetClock().Wall();
-  for (const auto& [workspace, used] : aReport.used_) {
-    if (!isCounted) {
-      break;
-    }
-    NotePeerUse(state_.quotas_[WorkspaceId(workspace)],
-                identity.instance_,
-                double(used),
-                false,
-                now);
-  }
   WindowCounts counts;
   for (const WindowUse& use : aReport.begun_) {
     counts[use.window_] = use.counts_;
@@ -397,94 +465,4 @@
   }
 }
 
-std::vector<KnownInstance>
-ReportExchange::Instances() const
-{
-  const SelfStatus status = status_();
-  std::vector<KnownInstance> instances;
-  instances.push_back({ self_.instance_,
-                        self_.failureDomain_,
-                        self_.callerAddress_,
-                        self_.strength_,
-                        status.isReady_,
-                        status.isLeaving_,
-                        true });
-  for (const auto& [id, peer] : peers_) {
-    instances.push_back({ id,
-                          peer.identity_.failureDomain_,
-                          peer.identity_.callerAddress_,
-                          peer.identity_.strength_,
-                          peer.report_.isReady_,
-                          peer.report_.isLeaving_,
-                          IsHeard(peer) });
-  }
-  return instances;
-}
-
-std::size_t
-ReportExchange::LiveCount() const
-{
-  std::size_t count = 1;
-  for (const auto& [id, peer] : peers_) {
-    count += IsHeard(peer) ? 1 : 0;
-  }
-  return count;
-}
-
-FencingToken
-ReportExchange::PeerDutyEpoch() const
-{
-  FencingToken epoch;
-  for (const auto& [id, peer] : peers_) {
-    if (IsHeard(peer) && epoch < peer.report_.dutyEpoch_) {
-      epoch = peer.report_.dutyEpoch_;
-    }
-  }
-  return epoch;
-}
-
-double
-ReportExchange::Demand(const ServiceName& aService) const
-{
-  double demand = 0;
-  const auto own = state_.demand_.find(aService);
-  if (own != state_.demand_.end()) {
-    demand = own->second.Rate(state_.loop_.GetClock().Now());
-  }
-  const auto others = others_.demand_.find(aService.Value());
-  if (others != others_.demand_.end() && !isCollector_) {
-    return demand + double(others->second);
-  }
-  for (const auto& [id, peer] : peers_) {
-    const auto found = peer.report_.demand_.find(aService.Value());
-    if (IsHeard(peer) && found != peer.report_.demand_.end()) {
-      demand += double(found->second);
-    }
-  }
-  return demand;
-}
-
-double
-ReportExchange::Refused() const
-{
-  auto refused = double(state_.refused_);
-  for (const auto& [id, peer] : peers_) {
-    refused += IsHeard(peer) ? double(peer.report_.refused_) : 0;
-  }
-  return refused;
-}
-
-Duration
-ReportExchange::WallOffset() const
-{
-  std::vector<Duration> offsets{ Duration(0) };
-  for (const auto& [id, peer] : peers_) {
-    if (IsHeard(peer)) {
-      offsets.push_back(peer.wallOffset_);
-    }
-  }
-  std::sort(offsets.begin(), offsets.end());
-  return offsets[offsets.size() / 2];
-}
-
 } // namespace sycamoreward::edge
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -8,10 +8,12 @@
 #include "edge/AddressAnswer.h"
 #include "edge/Collectors.h"
 #include "edge/EdgeState.h"
+#include "edge/Placers.h"
 #include "peer/PeerNetwork.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sycamoreward::edge {
@@ -71,14 +73,29 @@
   // Whether this instance reads the store itself: it is a collector, all
   // instances read it, or no collector answers.
   bool ReadsStore() const;
+  // Instances that place the requests of all, the first to ask first. Empty
+  // where each instance places its own.
+  std::vector<PeerIdentity> Placers() const;
   // Place in the order in which instances take duties over.
   std::size_t DutyRank() const;
+  // Among many instances: this one has no recent word of the others, since it
+  // has just started, stood still or is cut off.
+  bool IsUninformed() const;
+  // How long the reports of nearly all live instances have come to this one
+  // directly, so that its sums of them are whole. Zero while they don't.
+  Duration GatheredFor() const;
 
   // All instances tell each other everything.
   bool IsMesh() const { return peers_.size() < kMostMeshInstances; }
 
   void SendNow() { Send(false); }
 
+  // Asks an instance that gathers reports whether this one may take aAmount
+  // beyond its local bound. aOnAnswer gets false when none answers in time.
+  void AskForQuota(const WorkspaceId& aWorkspace,
+                   double aAmount,
+                   std::function<void(bool aIsGranted)> aOnAnswer);
+
   // A prompt of aTokens was sent to an engine. Others are told soon, so that
   // they don't choose the same engine for the next one.
   void NoteSent(double aTokens);
@@ -95,6 +112,15 @@
     // What is known comes from a digest.
     bool isFromDigest_ = false;
     MonotonicTime known_;
+    // When the last report came from the instance itself, and the start of it
+    // that reported.
+    MonotonicTime reported_;
+    Incarnation reportedStart_;
+    // When a call to it last had no answer.
+    MonotonicTime unanswered_;
+    // Use that its reports added while they came without a gap, by workspace.
+    // Never falls, so that sums of it can be compared.
+    std::map<std::string, std::uint64_t> gathered_;
   };
 
   void Tick();
@@ -108,6 +134,7 @@
   void EnterDigest(const InstanceId& aFrom, const Digest& aDigest);
   void EnterDigestMembers(const Digest& aDigest);
   void Enter(const InstanceReport& aReport);
+  void EnterUse(Peer& aPeer, const InstanceReport& aReport);
   // Takes the load of aOld off the servers and adds that of aNew, which was
   // measured at aAt.
   void EnterServers(const InstanceReport& aOld,
@@ -115,6 +142,12 @@
                     MonotonicTime aAt);
   void DropSilent();
   bool IsHeard(const Peer& aPeer) const;
+  // Whether reports come from the instance itself.
+  bool IsReporting(const Peer& aPeer) const;
+  std::size_t ReportingCount() const;
+  void UpdateGathering();
+  void AnswerQuota(const QuotaRequest& aRequest,
+                   const PeerNetwork::Responder& aRespond);
   void UpdateCollectors();
   void UpdateShare();
   // Asks another instance for rows while the store does not answer this one.
@@ -131,10 +164,16 @@
   // As of the last tick; empty when all tell each other everything.
   std::vector<InstanceId> collectors_;
   bool isCollector_ = false;
+  std::vector<InstanceId> placers_;
   // Sums of the last digest, as a report of all others.
   InstanceReport others_;
   MonotonicTime digestHeard_;
   bool hasDigest_ = false;
+  // Since when nearly all live instances have reported here; unset while they
+  // don't.
+  std::optional<MonotonicTime> gatheringSince_;
+  // No quota is asked for until then, by workspace: it was refused.
+  std::map<WorkspaceId, MonotonicTime> nextQuotaRequest_;
   // When a digest last had all tables, and collectors that lacked one lately.
   MonotonicTime rowsHeard_;
   std::map<InstanceId, MonotonicTime> withoutRows_;
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -1,6 +1,8 @@
 // The part of RequestRun that reads a backend server's answer and passes it on.
 
 #include "edge/RequestRun.h"
+
+#include "base/DurationUnits.h"
 #include "edge/RequestStatus.h"
 
 #include <algorithm>
@@ -50,6 +52,10 @@
     // The address belongs to another server now; the list will say so.
     view->avoidUntil_ = now + std::chrono::seconds(2);
   }
+  if (route_->kind_ != RouteKind::Stream && !isNotRun_) {
+    // The server's own failures count as run too.
+    CountUsage();
+  }
   const bool isPassing = answerState_ == AnswerState::Passed;
   answerHead_ = std::move(aHead);
   answerFraming_ = aFraming;
@@ -110,7 +116,14 @@
   firstByte_ = state_.loop_.GetClock().Now();
   state_.metrics_.ObserveFirstByte(service_, Elapsed());
   state_.metrics_.ObserveExpectedWait(service_, placement_.waitMs_);
-  if (workspace_ != nullptr) {
+  CountUsage();
+}
+
+void
+RequestRun::CountUsage()
+{
+  if (workspace_ != nullptr && !isCounted_) {
+    isCounted_ = true;
     CountBegun(state_.usage_, workspace_->id_, state_.AgreedWall());
   }
 }
@@ -144,7 +157,15 @@
   if (BackendView* view = ServerOfAttempt()) {
     NoteFirstEvent(state_.pools_[service_], *view, work_, sent_, now);
   }
+  if (!isFirstEventTold_) {
+    isFirstEventTold_ = true;
+    TellPlacer(PlacedEvent::FirstEvent);
+  }
   NoteBegun();
+  if (lastPiece_ != MonotonicTime()) {
+    longestPause_ = std::max(longestPause_, now - lastPiece_);
+  }
+  lastPiece_ = now;
   if (route_->isResumable_) {
     exchange_->Send(events_.Take(aBytes));
   } else {
@@ -173,6 +194,9 @@
   if (view != nullptr) {
     NoteResult(*view, isFailure, now);
   }
+  if (isFailure) {
+    TellPlacer(PlacedEvent::Failed);
+  }
   ReleaseServer(true);
   switch (answerState_) {
     case AnswerState::Discarded: {
@@ -213,7 +237,7 @@
   if (BackendView* view = ServerOfAttempt()) {
     NoteResult(*view, true, now);
     if (aFailure == http::ChannelFailure::NotConnected) {
-      view->avoidUntil_ = now + std::chrono::milliseconds(700);
+      view->avoidUntil_ = now + kUnreachableTime;
     }
   }
   const bool isUnsent = aFailure == http::ChannelFailure::NotConnected;
@@ -224,6 +248,7 @@
     .Add("reused", isReused_)
     .Add("afterMs", Milliseconds(now - sent_));
   state_.log_.WriteImportant(line);
+  TellPlacer(isUnsent ? PlacedEvent::Unreachable : PlacedEvent::Failed);
   ReleaseServer(false);
   if (isUnsent || (answerState_ == AnswerState::Discarded && isNotRun_)) {
     --runs_;
--- /dev/null
+++ b/src/edge/RequestChoice.cpp
@@ -0,0 +1,213 @@
+// The part of RequestRun that takes from the quota, chooses a server and
+// admits.
+
+#include "base/DurationUnits.h"
+#include "edge/Admission.h"
+#include "edge/RequestRun.h"
+#include "edge/RequestStatus.h"
+
+namespace sycamoreward::edge {
+
+void
+RequestRun::CheckQuota()
+{
+  CountRequest(state_.budgets_[service_]);
+  if (workspace_ == nullptr) {
+    Choose("first");
+    return;
+  }
+  amount_ = 1;
+  if (workspace_->countsTokens_) {
+    amount_ = request_.hasTokens_
+                ? double(request_.promptTokens_ + request_.outputTokens_)
+                : double(workspace_->defaultTokens_);
+  }
+  Quota& quota = state_.quotas_[workspace_->id_];
+  switch (TakeQuota(quota, amount_, state_.loop_.GetClock().Now())) {
+    case QuotaResult::Taken:
+      isTaken_ = true;
+      Choose("first");
+      return;
+    case QuotaResult::UsedUp:
+      RefuseQuota("quota_exceeded");
+      return;
+    case QuotaResult::LocallyBound:
+      AskForQuota();
+      return;
+  }
+}
+
+void
+RequestRun::AskForQuota()
+{
+  if (!state_.askForQuota_) {
+    RefuseQuota("quota_part_exceeded");
+    return;
+  }
+  state_.askForQuota_(
+    workspace_->id_, amount_, [self = shared_from_this()](bool aIsGranted) {
+      if (self->isEnded_) {
+        return;
+      }
+      if (!aIsGranted) {
+        self->RefuseQuota("quota_part_exceeded");
+        return;
+      }
+      EdgeState& state = self->state_;
+      TakeGranted(state.quotas_[self->workspace_->id_],
+                  self->amount_,
+                  state.loop_.GetClock().Now());
+      self->isTaken_ = true;
+      self->Choose("first");
+    });
+}
+
+void
+RequestRun::RefuseQuota(const char* aReason)
+{
+  const Quota& quota = state_.quotas_[workspace_->id_];
+  const Duration wait =
+    TimeUntil(quota, amount_, state_.loop_.GetClock().Now());
+  LogLine line("quota_refused");
+  line.Add("request", request_.id_.Value())
+    .Add("reason", aReason)
+    .Add("workspace", workspace_->id_.Value())
+    .Add("amount", amount_)
+    .Add("level", quota.level_)
+    .Add("share", quota.share_)
+    .Add("shareLevel", quota.shareLevel_)
+    .Add("localLevel", quota.localLevel_)
+    .Add("rate", quota.rate_)
+    .Add("burst", quota.burst_)
+    .Add("tolerance", quota.tolerance_);
+  state_.log_.WriteImportant(line);
+  // Spread, so that refused callers don't return together.
+  const double factor = 1 + state_.Draw();
+  Refuse(kTooManyRequests,
+         aReason,
+         Duration(Duration::rep(double(wait.count()) * factor)));
+}
+
+void
+RequestRun::Choose(const char* aCause)
+{
+  PoolView& pool = state_.pools_[service_];
+  PlacementQuery query;
+  query.parts_ = request_.parts_;
+  query.promptTokens_ = double(request_.promptTokens_);
+  query.ownDomain_ = state_.domain_;
+  query.tried_ = tried_;
+  query.instances_ = state_.instances_;
+  query.now_ = state_.loop_.GetClock().Now();
+  query.draw_ = state_.Draw();
+  for (auto& [id, view] : pool.servers_) {
+    view.hasIdleChannel_ = state_.channels_.HasIdle(id);
+  }
+  placed_.reset();
+  if (state_.placing_ == nullptr) {
+    OnPlacerAnswer(aCause, query, std::nullopt);
+    return;
+  }
+  state_.placing_->Ask(pool,
+                       query,
+                       [self = shared_from_this(), aCause, query](
+                         const std::optional<PlacerAnswer>& aAnswer) {
+                         if (!self->isEnded_) {
+                           self->OnPlacerAnswer(aCause, query, aAnswer);
+                         } else if (aAnswer.has_value()) {
+                           self->state_.placing_->Tell(aAnswer->work_,
+                                                       PlacedEvent::NotSent,
+                                                       Duration(0),
+                                                       std::nullopt);
+                         }
+                       });
+}
+
+void
+RequestRun::OnPlacerAnswer(const char* aCause,
+                           const PlacementQuery& aQuery,
+                           const std::optional<PlacerAnswer>& aAnswer)
+{
+  PoolView& pool = state_.pools_[service_];
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (aAnswer.has_value()) {
+    placed_ = aAnswer->work_;
+    placement_ = aAnswer->placement_;
+    // This instance may have newer evidence, or not know the server yet.
+    const auto found = pool.servers_.find(placement_.server_);
+    const bool isUsable = found != pool.servers_.end() &&
+                          !found->second.server_.isDraining_ &&
+                          found->second.avoidUntil_ <= now;
+    if (isUsable) {
+      Admit(aCause);
+      return;
+    }
+    TellPlacer(PlacedEvent::NotSent);
+  }
+  PlacementQuery query = aQuery;
+  query.now_ = now;
+  placement_ = ChooseServer(pool, query);
+  if (placement_.server_.Value().empty()) {
+    Refuse(kUnavailable, "no_server", kStartingRetryAfter);
+    return;
+  }
+  Admit(aCause);
+}
+
+void
+RequestRun::Admit(const char* aCause)
+{
+  const PoolView& pool = state_.pools_[service_];
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  AdmissionQuery admission;
+  admission.waitMs_ = placement_.waitMs_;
+  admission.ownMs_ =
+    pool.isEngine_ ? Milliseconds(placement_.readEnd_ - placement_.readStart_)
+                   : pool.workMs_;
+  admission.elapsed_ = Elapsed();
+  admission.remaining_ = Remaining();
+  admission.objective_ = route_->objective_;
+  admission.draw_ = state_.Draw();
+  const AdmissionDecision decision = DecideAdmission(admission);
+  if (pool.isEngine_ && sends_ == 0) {
+    AddDemand(state_.demand_[service_], placement_.tokens_, now);
+  }
+  // Work that a server has begun already is finished while time is left.
+  if (decision.isAccepted_ || runs_ > 0) {
+    LogLine line("placed");
+    line.Add("request", request_.id_.Value())
+      .Add("cause", aCause)
+      .Add("server", placement_.server_.Value())
+      .Add("placer", placed_.has_value() ? placed_->placer_.Value() : "")
+      .Add("expectedMs", placement_.waitMs_)
+      .Add("tokens", placement_.tokens_)
+      .Add("unread", placement_.unread_)
+      .Add("running", placement_.running_)
+      .Add("failureRate", placement_.failureRate_)
+      .Add("listAgeMs", Milliseconds(now - state_.serversHeard_))
+      .Add("deployment", routes_->Declared().version_.Value());
+    state_.log_.Write(line);
+    SendAttempt(aCause);
+    return;
+  }
+  TellPlacer(PlacedEvent::NotSent);
+  ++state_.refused_;
+  Refuse(kUnavailable, decision.reason_, decision.retryAfter_);
+}
+
+void
+RequestRun::TellPlacer(PlacedEvent aEvent)
+{
+  if (!placed_.has_value()) {
+    return;
+  }
+  const BackendView* view = ServerOfAttempt();
+  const Duration after = state_.loop_.GetClock().Now() - sent_;
+  state_.placing_->Tell(
+    *placed_, aEvent, after, view == nullptr ? std::nullopt : view->load_);
+  if (aEvent != PlacedEvent::FirstEvent) {
+    placed_.reset();
+  }
+}
+
+} // namespace sycamoreward::edge
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -2,6 +2,8 @@
 // line.
 
 #include "edge/RequestRun.h"
+
+#include "base/DurationUnits.h"
 #include "edge/RequestStatus.h"
 
 namespace sycamoreward::edge {
@@ -49,8 +51,8 @@
     Fail(kBadGateway, aReason);
     return;
   }
-  if (allotted_ > 0 && workspace_ != nullptr) {
-    ReturnQuota(state_.quotas_[workspace_->id_], allotted_);
+  if (isTaken_) {
+    ReturnQuota(state_.quotas_[workspace_->id_], amount_);
   }
   http::ResponseHead head;
   head.status_ = aStatus;
@@ -88,6 +90,15 @@
   End("completed", answerHead_.status_, answerHead_.status_ >= 500);
 }
 
+bool
+RequestRun::IsLate(Duration aWait) const
+{
+  if (route_ == nullptr) {
+    return false;
+  }
+  return aWait > route_->objective_ || longestPause_ > route_->longestPause_;
+}
+
 void
 RequestRun::End(const char* aReason, int aStatus, bool aIsFailure)
 {
@@ -114,6 +125,8 @@
     .Add("runs", std::uint64_t(runs_))
     .Add("expectedMs", placement_.waitMs_)
     .Add("firstByteMs", Milliseconds(wait))
+    .Add("longestPauseMs", Milliseconds(longestPause_))
+    .Add("late", IsLate(wait))
     .Add("totalMs", Milliseconds(Elapsed()));
   if (aIsFailure) {
     state_.log_.WriteImportant(line);
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -1,7 +1,7 @@
 #include "edge/RequestRun.h"
 
+#include "base/DurationUnits.h"
 #include "base/Error.h"
-#include "edge/Admission.h"
 #include "edge/RequestStatus.h"
 
 #include <algorithm>
@@ -52,8 +52,8 @@
     }
   };
   exchange_->SetCallbacks(std::move(callbacks));
-  if (Accept() && CheckQuota() && Choose("first")) {
-    SendAttempt("first");
+  if (Accept()) {
+    CheckQuota();
   }
 }
 
@@ -95,98 +95,6 @@
   return true;
 }
 
-bool
-RequestRun::CheckQuota()
-{
-  CountRequest(state_.budgets_[service_]);
-  if (workspace_ == nullptr) {
-    return true;
-  }
-  allotted_ = 1;
-  if (workspace_->countsTokens_) {
-    allotted_ = request_.hasTokens_
-                  ? double(request_.promptTokens_ + request_.outputTokens_)
-                  : double(workspace_->defaultTokens_);
-  }
-  Quota& quota = state_.quotas_[workspace_->id_];
-  const MonotonicTime now = state_.loop_.GetClock().Now();
-  if (TakeQuota(quota, allotted_, now)) {
-    return true;
-  }
-  const Duration wait = TimeUntil(quota, allotted_, now);
-  LogLine line("quota_refused");
-  line.Add("request", request_.id_.Value())
-    .Add("workspace", workspace_->id_.Value())
-    .Add("amount", allotted_)
-    .Add("level", quota.level_)
-    .Add("rate", quota.rate_)
-    .Add("burst", quota.burst_)
-    .Add("tolerance", quota.tolerance_)
-    .Add("peers", std::uint64_t(quota.peers_.size()));
-  state_.log_.WriteImportant(line);
-  allotted_ = 0;
-  // Spread, so that refused callers don't return together.
-  const double factor = 1 + state_.Draw();
-  Refuse(kTooManyRequests,
-         "quota_exceeded",
-         Duration(Duration::rep(double(wait.count()) * factor)));
-  return false;
-}
-
-bool
-RequestRun::Choose(const char* aCause)
-{
-  PoolView& pool = state_.pools_[service_];
-  PlacementQuery query;
-  query.parts_ = request_.parts_;
-  query.promptTokens_ = double(request_.promptTokens_);
-  query.ownDomain_ = state_.domain_;
-  query.tried_ = tried_;
-  query.instances_ = state_.instances_;
-  query.now_ = state_.loop_.GetClock().Now();
-  query.draw_ = state_.Draw();
-  for (auto& [id, view] : pool.servers_) {
-    view.hasIdleChannel_ = state_.channels_.HasIdle(id);
-  }
-  placement_ = ChooseServer(pool, query);
-  if (placement_.server_.Value().empty()) {
-    Refuse(kUnavailable, "no_server", kStartingRetryAfter);
-    return false;
-  }
-  AdmissionQuery admission;
-  admission.waitMs_ = placement_.waitMs_;
-  admission.ownMs_ = pool.isEngine_
-                       ? placement_.tokens_ / std::max(pool.readRate_, 1.0)
-                       : pool.workMs_;
-  admission.elapsed_ = Elapsed();
-  admission.remaining_ = Remaining();
-  admission.objective_ = route_->objective_;
-  admission.draw_ = state_.Draw();
-  const AdmissionDecision decision = DecideAdmission(admission);
-  if (pool.isEngine_ && sends_ == 0) {
-    AddDemand(state_.demand_[service_], placement_.tokens_, query.now_);
-  }
-  // Work that a server has begun already is finished while time is left.
-  if (decision.isAccepted_ || runs_ > 0) {
-    LogLine line("placed");
-    line.Add("request", request_.id_.Value())
-      .Add("cause", aCause)
-      .Add("server", placement_.server_.Value())
-      .Add("expectedMs", placement_.waitMs_)
-      .Add("tokens", placement_.tokens_)
-      .Add("unread", placement_.unread_)
-      .Add("running", placement_.running_)
-      .Add("failureRate", placement_.failureRate_)
-      .Add("listAgeMs", Milliseconds(query.now_ - state_.serversHeard_))
-      .Add("deployment", routes_->Declared().version_.Value());
-    state_.log_.Write(line);
-    return true;
-  }
-  ++state_.refused_;
-  Refuse(kUnavailable, decision.reason_, decision.retryAfter_);
-  return false;
-}
-
 http::RequestHead
 RequestRun::ServerHead() const
 {
@@ -240,15 +148,17 @@
   serverStart_ = view.server_.incarnation_;
   work_ = state_.nextWork_++;
   sent_ = state_.loop_.GetClock().Now();
-  ++view.running_;
-  if (pool.isEngine_) {
-    view.unread_[work_] = { placement_.tokens_,
-                            placement_.readStart_,
-                            placement_.readEnd_ };
-    for (const PromptPart& part : request_.parts_) {
-      view.parts_.Touch(part);
+  isPlaced_ = placed_.has_value();
+  isFirstEventTold_ = false;
+  if (!isPlaced_) {
+    std::optional<UnreadPrompt> prompt;
+    if (pool.isEngine_) {
+      prompt = { placement_.tokens_,
+                 placement_.readStart_,
+                 placement_.readEnd_ };
     }
-    if (state_.onPromptSent_) {
+    NoteSent(view, work_, prompt, request_.parts_);
+    if (pool.isEngine_ && state_.onPromptSent_) {
       state_.onPromptSent_(placement_.tokens_);
     }
   }
@@ -327,9 +237,10 @@
   } else {
     channel->Cut();
   }
-  if (BackendView* view = ServerOfAttempt()) {
-    view->running_ -= view->running_ > 0 ? 1 : 0;
-    view->unread_.erase(work_);
+  TellPlacer(PlacedEvent::Ended);
+  BackendView* view = ServerOfAttempt();
+  if (view != nullptr && !isPlaced_) {
+    NoteLeft(*view, work_);
   }
 }
 
@@ -355,9 +266,7 @@
 RequestRun::TryAgain(const char* aCause)
 {
   TakeRetry(state_.budgets_[service_]);
-  if (Choose(aCause)) {
-    SendAttempt(aCause);
-  }
+  Choose(aCause);
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -8,10 +8,12 @@
 #include "edge/EdgeState.h"
 #include "edge/EventSplitter.h"
 #include "edge/Placement.h"
+#include "edge/PlacementExchange.h"
 #include "http/CallerServer.h"
 #include "runtime/EventLoop.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,12 +40,24 @@
     Passed
   };
 
-  // Each returns false when it has ended the request.
+  // Returns false when it has ended the request.
   bool Accept();
-  bool CheckQuota();
-  bool Choose(const char* aCause);
+
+  // Each goes on with the first attempt, or refuses the request.
+  void CheckQuota();
+  void AskForQuota();
+  void RefuseQuota(const char* aReason);
+  // Chooses a server, or has a placer choose one, and sends the request there.
+  void Choose(const char* aCause);
+  void OnPlacerAnswer(const char* aCause,
+                      const PlacementQuery& aQuery,
+                      const std::optional<PlacerAnswer>& aAnswer);
+  // Sends the request to the server of placement_ unless it would be late.
+  void Admit(const char* aCause);
 
   void SendAttempt(const char* aCause);
+  // Tells the placer of the attempt, if there is one.
+  void TellPlacer(PlacedEvent aEvent);
   http::RequestHead ServerHead() const;
   void TryAgain(const char* aCause);
   bool CanTryAgain() const;
@@ -63,6 +77,8 @@
   void PassBody(std::string_view aBytes);
   void PassKept();
   void NoteBegun();
+  // Counts the request, once, as one that a server began to run.
+  void CountUsage();
 
   // Takes the request off its server. aKeep returns the connection for reuse.
   void ReleaseServer(bool aKeep);
@@ -76,6 +92,9 @@
   void AbortAnswer(const char* aReason);
   void Complete();
   void End(const char* aReason, int aStatus, bool aIsFailure);
+  // Whether the answer began later than its objective, or paused for longer
+  // than the route allows.
+  bool IsLate(Duration aWait) const;
 
   Duration Elapsed() const;
   Duration Remaining() const;
@@ -88,7 +107,10 @@
   const WorkspaceSpec* workspace_ = nullptr;
   ServiceName service_;
   MonotonicTime deadline_;
-  double allotted_ = 0;
+  // Amount of the workspace's quota that the request needs, and whether it was
+  // taken.
+  double amount_ = 0;
+  bool isTaken_ = false;
   EventLoop::TimerId deadlineTimer_ = 0;
   bool isEnded_ = false;
 
@@ -99,6 +121,11 @@
 
   // The current attempt.
   Placement placement_;
+  // Set while a placer counts the attempt.
+  std::optional<PlacedWork> placed_;
+  // A placer counts the attempt, or counted it before it ended.
+  bool isPlaced_ = false;
+  bool isFirstEventTold_ = false;
   Incarnation serverStart_;
   std::uint64_t work_ = 0;
   MonotonicTime sent_;
@@ -113,7 +140,11 @@
   std::string kept_;
   EventSplitter events_;
   bool hasBegun_ = false;
+  bool isCounted_ = false;
   MonotonicTime firstByte_;
+  // Of the pieces of a stream that were passed on.
+  MonotonicTime lastPiece_;
+  Duration longestPause_{ 0 };
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/RequestStatus.h
+++ b/src/edge/RequestStatus.h
@@ -18,10 +18,4 @@
 // instance that has just started learns them.
 constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(400);
 
-inline double
-Milliseconds(Duration aDuration)
-{
-  return double(aDuration.count()) / 1000.0;
-}
-
 } // namespace sycamoreward::edge
--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -1,5 +1,6 @@
 #include "edge/TableWatch.h"
 
+#include "base/DurationUnits.h"
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
@@ -249,8 +250,7 @@
   isAway_ = false;
   const Duration outage = now - awaySince_;
   LogLine line("store_regained");
-  line.Add("table", options_.table_)
-    .Add("outageMs", double(outage.count()) / 1000);
+  line.Add("table", options_.table_).Add("outageMs", Milliseconds(outage));
   log_.WriteImportant(line);
   if (callbacks_.onRecovered_) {
     callbacks_.onRecovered_(outage);
--- a/src/peer/MessageCodec.cpp
+++ b/src/peer/MessageCodec.cpp
@@ -19,10 +19,14 @@
 
 // Names by index in Message. A name never changes once it was released.
 constexpr std::array<const char*, std::variant_size_v<Message>> kTypeNames{
-  "Hello",         "Beat",        "Probe",      "ProbeReply", "FeedPull",
-  "FeedDelta",     "Register",    "Registered", "Record",     "Recorded",
-  "Lookup",        "LookupReply", "Follow",     "AnswerPart", "HandOver",
-  "HandOverReply", "Reports",     "Digest"
+  "Hello",          "Beat",         "Probe",
+  "ProbeReply",     "FeedPull",     "FeedDelta",
+  "Register",       "Registered",   "Record",
+  "Recorded",       "Lookup",       "LookupReply",
+  "Follow",         "AnswerPart",   "HandOver",
+  "HandOverReply",  "Reports",      "Digest",
+  "QuotaRequest",   "QuotaReply",   "PlacementRequest",
+  "PlacementReply", "PlacementNews"
 };
 
 [[noreturn]] void
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -327,4 +327,64 @@
   aArchive("rows", aValue.rows_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, QuotaRequest& aValue)
+{
+  aArchive("workspace", aValue.workspace_);
+  aArchive("amount", aValue.amount_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, QuotaReply& aValue)
+{
+  aArchive("granted", aValue.isGranted_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, PlacementRequest& aValue)
+{
+  aArchive("service", aValue.service_);
+  aArchive("domain", aValue.domain_);
+  aArchive("promptTokens", aValue.promptTokens_);
+  aArchive("parts", aValue.parts_);
+  aArchive("partTokens", aValue.partTokens_);
+  aArchive("tried", aValue.tried_);
+  aArchive("idle", aValue.idle_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, PlacementReply& aValue)
+{
+  aArchive("server", aValue.server_);
+  aArchive("work", aValue.work_);
+  aArchive("wait", aValue.waitMs_);
+  aArchive("queue", aValue.queueMs_);
+  aArchive("read", aValue.readMs_);
+  aArchive("tokens", aValue.tokens_);
+  aArchive("unread", aValue.unreadTokens_);
+  aArchive("running", aValue.running_);
+  aArchive("load", aValue.loadMs_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, PlacedNews& aValue)
+{
+  aArchive("work", aValue.work_);
+  aArchive.Enum("event", aValue.event_, PlacedEvent::NotSent);
+  aArchive("after", aValue.afterMs_);
+  aArchive("slowness", aValue.slownessPercent_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, PlacementNews& aValue)
+{
+  aArchive("news", aValue.news_);
+}
+
 } // namespace sycamoreward
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -258,6 +258,81 @@
   std::vector<RelayedRow> rows_;
 };
 
+// Asks an instance that gathers reports for use beyond what the sender may take
+// of a workspace's quota by itself.
+struct QuotaRequest
+{
+  WorkspaceId workspace_;
+  // In the quota's unit.
+  std::uint64_t amount_ = 0;
+};
+struct QuotaReply
+{
+  bool isGranted_ = false;
+};
+
+// Asks a placer for the server of a request. Prompt parts stand in two lists,
+// as in a digest.
+struct PlacementRequest
+{
+  ServiceName service_;
+  // Failure domain of the sender.
+  FailureDomainId domain_;
+  std::uint64_t promptTokens_ = 0;
+  std::vector<std::uint64_t> parts_;
+  std::vector<std::uint64_t> partTokens_;
+  // Servers that the request was sent to before.
+  std::vector<std::string> tried_;
+  // Servers to which the sender has an idle connection.
+  std::vector<std::string> idle_;
+};
+// The server, which the placer counts the request at from now on.
+struct PlacementReply
+{
+  // Empty when the placer has none.
+  ServerId server_;
+  // Names the request in PlacedNews.
+  std::uint64_t work_ = 0;
+  // Time until the answer begins, until the prompt is read, and for reading it.
+  std::uint64_t waitMs_ = 0;
+  std::uint64_t queueMs_ = 0;
+  std::uint64_t readMs_ = 0;
+  // Prompt tokens of the request that the server has to read.
+  std::uint64_t tokens_ = 0;
+  // Tokens unread and requests running there before.
+  std::uint64_t unreadTokens_ = 0;
+  std::uint64_t running_ = 0;
+  // Mean time that the placer's engines need for what they have to read.
+  std::uint64_t loadMs_ = 0;
+};
+
+enum class PlacedEvent
+{
+  // The first event has come.
+  FirstEvent,
+  Ended,
+  Failed,
+  // No connection could be made.
+  Unreachable,
+  // The request was not sent after all.
+  NotSent
+};
+
+// What became of a request that a placer counts.
+struct PlacedNews
+{
+  std::uint64_t work_ = 0;
+  PlacedEvent event_ = PlacedEvent::Ended;
+  // Time since the request was sent.
+  std::uint64_t afterMs_ = 0;
+  // The server's statement with its answer; 0 for none.
+  std::uint64_t slownessPercent_ = 0;
+};
+struct PlacementNews
+{
+  std::vector<PlacedNews> news_;
+};
+
 using Message = std::variant<Hello,
                              Beat,
                              Probe,
@@ -275,6 +350,11 @@
                              HandOver,
                              HandOverReply,
                              Reports,
-                             Digest>;
+                             Digest,
+                             QuotaRequest,
+                             QuotaReply,
+                             PlacementRequest,
+                             PlacementReply,
+                             PlacementNews>;
 
 } // namespace sycamoreward
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -27,6 +27,8 @@
                        Duration(Duration::rep(aSeconds * 1e6)));
 }
 
+const SumSource kCollector{ InstanceId("collector-1"), Incarnation(1) };
+
 PoolView
 Pool(int aServers)
 {
@@ -200,7 +202,7 @@
   for (int step = 0; step < 1600; ++step) {
     const MonotonicTime now = At(step * 0.005);
     for (Quota& quota : instances) {
-      used += TakeQuota(quota, 100, now) ? 100 : 0;
+      used += TakeQuota(quota, 100, now) == QuotaResult::Taken ? 100 : 0;
     }
     if (step % 30 == 0) {
       for (std::size_t to = 0; to < instances.size(); ++to) {
@@ -209,7 +211,7 @@
             NotePeerUse(instances[to],
                         InstanceId(std::to_string(from)),
                         instances[from].used_,
-                        false,
+                        true,
                         now);
           }
         }
@@ -232,8 +234,11 @@
     SetLimits(quota, 80000, 80000, 8000, At(0));
     SetShare(quota, index == 0 ? 52.0 / 80 : 1.0 / 80, 1, false, At(0));
     for (int step = 0; step < 1600; ++step) {
-      used += TakeQuota(quota, 100, At(step * 0.005)) ? 100 : 0;
-      used += index == 0 && TakeQuota(quota, 400, At(step * 0.005)) ? 400 : 0;
+      const MonotonicTime now = At(step * 0.005);
+      for (const int amount : { 100, index == 0 ? 400 : 0 }) {
+        used +=
+          TakeQuota(quota, amount, now) == QuotaResult::Taken ? amount : 0;
+      }
     }
   }
   cr_expect_lt(used, 80000 * 8 + 88000 + 1000);
@@ -249,10 +254,10 @@
   double own = 0;
   for (int step = 0; step < 800; ++step) {
     const MonotonicTime now = At(step * 0.01);
-    own += TakeQuota(quota, 1, now) ? 1 : 0;
+    own += TakeQuota(quota, 1, now) == QuotaResult::Taken ? 1 : 0;
     if (step % 100 == 0) {
       // The others take what they ask: 2000 a second.
-      NotePeerUse(quota, InstanceId("others"), step * 20.0, true, now);
+      NoteSumUse(quota, kCollector, step * 20.0, now);
     }
   }
   cr_expect_lt(own, 250);
@@ -269,12 +274,79 @@
   SetShare(quota, 1, 80, true, At(0));
   double used = 0;
   for (int step = 0; step < 200; ++step) {
-    used += TakeQuota(quota, 5000, At(step * 0.01)) ? 5000 : 0;
+    const QuotaResult result = TakeQuota(quota, 5000, At(step * 0.01));
+    used += result == QuotaResult::Taken ? 5000 : 0;
   }
   cr_expect_lt(used, kMost + 5000);
   cr_expect_gt(used, 0.8 * kMost);
 }
 
+// A frozen collector left ninety instances without a digest for three seconds.
+// Each took its ninetieth part meanwhile, and afterwards went on as if the rest
+// of the quota had been used: most requests were refused for eight seconds.
+Test(EdgeQuota, IsWholeAgainAfterATimeApart)
+{
+  Quota quota;
+  SetLimits(quota, 1000, 1000, 100, At(0));
+  SetShare(quota, 1.0 / 90, 1, true, At(0));
+  cr_expect(TakeQuota(quota, 12, At(0)) == QuotaResult::Taken);
+  cr_expect(TakeQuota(quota, 12, At(0)) == QuotaResult::UsedUp);
+  SetShare(quota, 1, 90, false, At(3));
+  cr_expect(TakeQuota(quota, 900, At(3)) == QuotaResult::Taken);
+}
+
+// What was used while apart counts afterwards.
+Test(EdgeQuota, CountsTheUseOfTheTimeApart)
+{
+  Quota quota;
+  SetLimits(quota, 1000, 1000, 0, At(0));
+  SetShare(quota, 0.5, 1, false, At(0));
+  cr_expect(TakeQuota(quota, 500, At(0)) == QuotaResult::Taken);
+  SetShare(quota, 1, 2, false, At(0.1));
+  NotePeerUse(quota, InstanceId("other"), 0, true, At(0.1));
+  NotePeerUse(quota, InstanceId("other"), 500, true, At(0.1));
+  cr_expect(TakeQuota(quota, 500, At(0.1)) == QuotaResult::UsedUp);
+}
+
+// Collectors that started at different times have counted different use. Their
+// difference was taken for use of the last second, which left nothing of the
+// quota after each change of the collector.
+Test(EdgeQuota, DoesNotCompareTheSumsOfTwoCollectors)
+{
+  Quota quota;
+  SetLimits(quota, 1000, 1000, 0, At(0));
+  NoteSumUse(quota, kCollector, 0, At(0));
+  NoteSumUse(quota, kCollector, 500, At(1));
+  const SumSource other{ InstanceId("collector-2"), Incarnation(1) };
+  NoteSumUse(quota, other, 90000, At(2));
+  cr_expect(TakeQuota(quota, 400, At(2)) == QuotaResult::Taken);
+  // The use between two sums of the same collector counts as before.
+  NoteSumUse(quota, other, 93000, At(3));
+  cr_expect(TakeQuota(quota, 400, At(3)) == QuotaResult::UsedUp);
+}
+
+// Two requests of a workspace in a second at one of ninety instances exceed its
+// part, while the workspace as a whole is far below its quota.
+Test(EdgeQuota, GrantsABunchAtOneInstanceWhileHalfIsLeft)
+{
+  Quota collector;
+  SetLimits(collector, 400000, 400000, 100000, At(0));
+  SetShare(collector, 1, 90, true, At(0));
+  cr_expect_not(GrantQuota(collector, 10000, At(0)));
+  double granted = 0;
+  for (int step = 0; step < 200; ++step) {
+    granted += GrantQuota(collector, 10000, At(1 + step * 0.01)) ? 10000 : 0;
+  }
+  // The bucket, and its refill of two seconds.
+  cr_expect_leq(granted, (0.35 + 2 * 0.25) * 400000);
+  cr_expect_geq(granted, 0.25 * 2 * 400000);
+  NotePeerUse(collector, InstanceId("other"), 0, true, At(10));
+  cr_expect(GrantQuota(collector, 10000, At(10)));
+  NotePeerUse(collector, InstanceId("other"), 300000, true, At(10));
+  cr_expect_not(GrantQuota(collector, 10000, At(10)),
+                "less than half of the quota is left");
+}
+
 Test(EdgePlan, ReplacesReservedEnginesOnlyWhenOthersServe)
 {
   EnginePlan plan;
@@ -294,6 +366,73 @@
   }
 }
 
+// Reserved engines that bridged a loss were kept for half a minute after it.
+Test(EdgePlan, SendsReservedEnginesAwaySoonAfterALossEverywhere)
+{
+  EnginePlan plan;
+  for (int step = 0; step <= 20; ++step) {
+    UpdatePlan(plan, PlanInputs(step, 1, 6));
+  }
+  for (const char* name : { "a", "b", "c" }) {
+    NoteLost(plan, FailureDomainId(name), At(21));
+  }
+  UpdatePlan(plan, PlanInputs(21, 1, 0));
+  // They serve after four seconds, as the reclaimable ones that can be had
+  // again do three seconds later.
+  for (int step = 22; step <= 40; ++step) {
+    UpdatePlan(plan, PlanInputs(step, 6, step < 28 ? 0 : 6));
+  }
+  for (const auto& [id, domain] : plan.domains_) {
+    cr_expect_eq(domain.ordered_.reserved_, 1);
+    cr_expect_geq(domain.ordered_.reclaimable_, 5);
+  }
+}
+
+// Reserved engines that bridged a loss filled the bound of their domains while
+// the need stayed high, so that no cheaper ones could be ordered in their
+// place.
+Test(EdgePlan, ReservedEnginesMakeRoomWithinTheBound)
+{
+  EnginePlan plan;
+  for (int step = 0; step <= 20; ++step) {
+    EnginePlanInputs inputs = PlanInputs(step, 9, 3);
+    inputs.demand_ = 600000;
+    UpdatePlan(plan, inputs);
+  }
+  for (const auto& [id, domain] : plan.domains_) {
+    cr_expect_lt(domain.ordered_.reserved_, 4);
+    cr_expect_gt(domain.ordered_.reclaimable_, 8);
+    cr_expect_leq(domain.ordered_.reserved_ + domain.ordered_.reclaimable_, 12);
+  }
+}
+
+// Replacements of single engines were taken for a reclaim, which stopped orders
+// for seconds each time.
+Test(EdgePlan, TellsAReclaimFromReplacements)
+{
+  cr_expect(IsReclaim({ 1, 30 }, { 1, 0 }, 30));
+  cr_expect(IsReclaim({ 1, 30 }, { 1, 12 }, 18));
+  cr_expect_not(IsReclaim({ 1, 30 }, { 1, 28 }, 2));
+  // As many as were ordered remain.
+  cr_expect_not(IsReclaim({ 1, 10 }, { 1, 10 }, 20));
+}
+
+// Two of three domains were lost within six seconds, and the engines of the
+// third could not carry the demand.
+Test(EdgePlan, OneOfThreeDomainsCarriesTheDemand)
+{
+  EnginePlan plan;
+  for (int step = 0; step <= 60; ++step) {
+    EnginePlanInputs inputs = PlanInputs(step, 1, 40);
+    inputs.max_ = 60;
+    inputs.demand_ = 1200000;
+    UpdatePlan(plan, inputs);
+  }
+  for (const auto& [id, domain] : plan.domains_) {
+    cr_expect_geq(domain.ordered_.reclaimable_ * 38000, 1200000);
+  }
+}
+
 Test(EdgePlan, OrdersReservedEnginesWhenReclaimableOnesAreGoneEverywhere)
 {
   // All domains lose their reclaimable engines and have none to give: only
@@ -398,7 +537,7 @@
 Test(EdgeCollectors, AreTheStrongestLiveOnesOfManyInstances)
 {
   std::vector<CollectorCandidate> few(5);
-  cr_expect(ChooseCollectors(few).empty());
+  cr_expect(ChooseStrongest(few, kCollectors).empty());
   std::vector<CollectorCandidate> many;
   many.reserve(40);
   for (int index = 0; index < 40; ++index) {
@@ -406,7 +545,7 @@
                      index < 4 ? 500u : 120u,
                      index != 0 });
   }
-  const auto collectors = ChooseCollectors(many);
+  const auto collectors = ChooseStrongest(many, kCollectors);
   cr_assert_eq(collectors.size(), kCollectors);
   for (const InstanceId& id : collectors) {
     cr_expect(id.Value() == "i1" || id.Value() == "i2" || id.Value() == "i3");
--- /dev/null
+++ b/test/correctness/ReportExchangeTest.cpp
@@ -0,0 +1,204 @@
+// Reports of many entry instances, which go to the collectors. Links are cut
+// for some seconds, as by a process that stands still.
+
+#include "edge/ReportExchange.h"
+#include "runtime/EventLoop.h"
+#include "support/FakePeerNetwork.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <vector>
+
+using namespace sycamoreward;
+using namespace sycamoreward::edge;
+
+namespace {
+
+constexpr std::size_t kInstances = 24;
+
+struct Instance
+{
+  Instance(EventLoop& aLoop,
+           DecisionLog& aLog,
+           EdgeMetrics& aMetrics,
+           FakePeerHub& aHub,
+           const PeerIdentity& aSelf)
+    : self_(aSelf)
+    , state_(aLoop, WireCodec{}, SystemBounds{}, aLog, aMetrics, 1)
+    , network_(aHub, aSelf)
+  {
+    state_.self_ = aSelf.instance_;
+    reports_ =
+      std::make_unique<ReportExchange>(state_, network_, aSelf, [this] {
+        return SelfStatus{ true, false, FencingToken(epoch_) };
+      });
+  }
+
+  PeerIdentity self_;
+  std::uint64_t epoch_ = 0;
+  EdgeState state_;
+  FakePeerNetwork network_;
+  std::unique_ptr<ReportExchange> reports_;
+};
+
+PeerIdentity
+Identity(std::size_t aIndex)
+{
+  PeerIdentity identity;
+  identity.instance_ = InstanceId("i" + std::to_string(aIndex));
+  identity.incarnation_ = Incarnation(1);
+  // The first three gather.
+  identity.strength_ = aIndex < 3 ? 500 - aIndex : 120;
+  return identity;
+}
+
+struct Fleet
+{
+  Fleet()
+  {
+    clock_.Advance(std::chrono::hours(1));
+    std::vector<PeerIdentity> members;
+    for (std::size_t index = 0; index < kInstances; ++index) {
+      members.push_back(Identity(index));
+    }
+    for (const PeerIdentity& member : members) {
+      instances_.push_back(
+        std::make_unique<Instance>(loop_, log_, metrics_, hub_, member));
+      instances_.back()->reports_->SetMembers(members);
+    }
+    Pass(std::chrono::seconds(4));
+  }
+
+  void Pass(Duration aTime)
+  {
+    constexpr Duration kStep = std::chrono::milliseconds(25);
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      clock_.Advance(kStep);
+      // A message and its answer.
+      for (int round = 0; round < 4; ++round) {
+        loop_.RunReady();
+      }
+    }
+  }
+
+  void Isolate(std::size_t aIndex, bool aIsCut)
+  {
+    for (const auto& other : instances_) {
+      const std::string self = instances_[aIndex]->self_.instance_.Value();
+      const std::string name = other->self_.instance_.Value();
+      if (aIsCut) {
+        hub_.Cut(self, name);
+      } else {
+        hub_.Restore(self, name);
+      }
+    }
+  }
+
+  ReportExchange& Reports(std::size_t aIndex)
+  {
+    return *instances_[aIndex]->reports_;
+  }
+
+  ManualClock clock_;
+  EventLoop loop_{ clock_ };
+  DecisionLogOptions logOptions_{ -1 };
+  DecisionLog log_{ loop_, logOptions_ };
+  EdgeMetrics metrics_;
+  FakePeerHub hub_{ loop_ };
+  std::vector<std::unique_ptr<Instance>> instances_;
+};
+
+} // namespace
+
+Test(ReportExchange, OnlyCollectorsAndTheHolderGather)
+{
+  Fleet fleet;
+  fleet.instances_[7]->epoch_ = 1;
+  fleet.Pass(std::chrono::seconds(4));
+  for (std::size_t index = 0; index < kInstances; ++index) {
+    cr_expect_not(fleet.Reports(index).IsUninformed(), "i%zu", index);
+    cr_expect_eq(fleet.Reports(index).GatheredFor() > Duration(0),
+                 index < 3 || index == 7,
+                 "i%zu",
+                 index);
+    cr_expect_eq(fleet.Reports(index).LiveCount(), kInstances, "i%zu", index);
+  }
+}
+
+// An instance that stood still took all others for gone, itself for a
+// collector, and asked nobody for a digest any more. As the holder of the
+// duties it sent usage without the others' counts and sent engines away.
+Test(ReportExchange, AnInstanceThatStoodStillAsksTheCollectorsAgain)
+{
+  for (const std::size_t index : { 0, 7 }) {
+    Fleet fleet;
+    fleet.Isolate(index, true);
+    fleet.Pass(std::chrono::seconds(7));
+    cr_expect(fleet.Reports(index).IsUninformed());
+    cr_expect_eq(fleet.Reports(index).GatheredFor(), Duration(0));
+    fleet.Isolate(index, false);
+    fleet.Pass(std::chrono::seconds(16));
+    cr_expect_not(fleet.Reports(index).IsUninformed());
+    for (std::size_t other = 0; other < kInstances; ++other) {
+      cr_expect_eq(fleet.Reports(other).LiveCount(), kInstances, "i%zu", other);
+      cr_expect_eq(fleet.Reports(other).GatheredFor() > Duration(0),
+                   other < 3,
+                   "i%zu after i%zu was apart",
+                   other,
+                   index);
+    }
+  }
+}
+
+// Reports of a new start count from 1 again. A collector that had heard of the
+// start by a digest dropped them as old.
+Test(ReportExchange, ReportsOfANewStartAreEntered)
+{
+  Fleet fleet;
+  fleet.Pass(std::chrono::seconds(20));
+  fleet.instances_[9].reset();
+  PeerIdentity again = Identity(9);
+  again.incarnation_ = Incarnation(2);
+  fleet.instances_[9] = std::make_unique<Instance>(
+    fleet.loop_, fleet.log_, fleet.metrics_, fleet.hub_, again);
+  std::vector<PeerIdentity> members;
+  for (std::size_t index = 0; index < kInstances; ++index) {
+    members.push_back(index == 9 ? again : Identity(index));
+  }
+  fleet.Reports(9).SetMembers(members);
+  fleet.Pass(std::chrono::seconds(3));
+  CountBegun(
+    fleet.instances_[9]->state_.usage_, WorkspaceId("w"), fleet.clock_.Wall());
+  const std::uint64_t window =
+    WindowOf(fleet.instances_[9]->state_.usage_, fleet.clock_.Wall());
+  // A holder that hears of the others by digests at first.
+  fleet.instances_[7]->epoch_ = 1;
+  fleet.Pass(std::chrono::seconds(4));
+  cr_expect_eq(SumWindow(fleet.instances_[7]->state_.usage_, window)["w"], 1);
+}
+
+// Many instances at their local bound ask the first collector.
+Test(ReportExchange, ACollectorGrantsQuotaAndOthersDoNot)
+{
+  Fleet fleet;
+  for (const auto& instance : fleet.instances_) {
+    Quota& quota = instance->state_.quotas_[WorkspaceId("w")];
+    SetLimits(quota, 100000, 100000, 20000, fleet.clock_.Now());
+  }
+  fleet.Pass(std::chrono::seconds(2));
+  const auto ask = [&](std::size_t aIndex, double aAmount) {
+    std::optional<bool> answer;
+    fleet.Reports(aIndex).AskForQuota(
+      WorkspaceId("w"), aAmount, [&](bool aIsGranted) { answer = aIsGranted; });
+    fleet.Pass(std::chrono::milliseconds(100));
+    cr_assert(answer.has_value());
+    return *answer;
+  };
+  cr_expect(ask(5, 10000));
+  cr_expect(ask(0, 10000));
+  cr_expect_not(ask(6, 90000));
+  // Nobody grants when the collectors don't answer.
+  fleet.Isolate(8, true);
+  cr_expect_not(ask(8, 1000));
+}
--- a/test/error/CtlTest.cpp
+++ b/test/error/CtlTest.cpp
@@ -475,3 +475,40 @@
             "docs/reference.md is old; run: build/bin/sycamorewardctl "
             "reference > docs/reference.md");
 }
+
+// The lines of one request stand in the logs of several instances, between
+// lines that are no JSON.
+Test(ExplainRequest, JoinsTheLinesOfSeveralInstances)
+{
+  Fixture fixture;
+  const std::string one = fixture.Write(
+    "one.log",
+    "not json\n"
+    "{\"timeUs\":1000000,\"event\":\"store_lost\",\"table\":\"servers\"}\n"
+    "{\"timeUs\":5000000,\"event\":\"request_end\",\"request\":\"r-1\","
+    "\"outcome\":\"no_answer\",\"status\":502}\n"
+    "{\"timeUs\":5000001,\"event\":\"request_end\",\"request\":\"r-2\"}\n");
+  const std::string two = fixture.Write(
+    "two.log",
+    "  4.9 edge-2 {\"timeUs\":4000000,\"event\":\"placed\",\"request\":\"r-1\","
+    "\"server\":\"s-1\"}\n");
+  const Run run = fixture.Ctl({ "explain-request", one, two, "r-1" });
+  cr_expect_eq(run.exit_, 0, "%s", run.err_.c_str());
+  const auto placed = run.out_.find("placed server=\"s-1\"");
+  const auto ended = run.out_.find("request_end outcome=\"no_answer\"");
+  const auto lost = run.out_.find("store_lost");
+  cr_assert(placed != std::string::npos && ended != std::string::npos &&
+            lost != std::string::npos);
+  cr_expect_lt(placed, ended);
+  cr_expect_lt(ended, lost);
+  cr_expect_eq(run.out_.find("r-2"), std::string::npos);
+}
+
+Test(ExplainRequest, SaysWhenNothingIsFound)
+{
+  Fixture fixture;
+  const std::string log = fixture.Write("empty.log", "");
+  cr_expect_eq(fixture.Ctl({ "explain-request", log, "r-1" }).exit_, 1);
+  cr_expect_eq(fixture.Ctl({ "explain-request", "/no/such", "r-1" }).exit_, 2);
+  cr_expect_eq(fixture.Ctl({ "explain-request", "r-1" }).exit_, 2);
+}
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -6,7 +6,10 @@
 
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
+
 #include <csignal>
+#include <sstream>
 
 using namespace sycamoreward;
 using standin::BackendFault;
@@ -39,6 +42,29 @@
   }
 }
 
+// The log line of the event that names the request, or the last of the event
+// when aRequest is empty; null when there is none.
+nlohmann::json
+FindLine(PlatformWorld& aWorld,
+         const std::string& aEvent,
+         const std::string& aRequest)
+{
+  nlohmann::json found;
+  const auto search = [&] {
+    std::istringstream lines(aWorld.edges_[0]->Output());
+    for (std::string text; std::getline(lines, text);) {
+      auto line = nlohmann::json::parse(text, nullptr, false);
+      if (line.is_object() && line.value("event", "") == aEvent &&
+          (aRequest.empty() || line.value("request", "") == aRequest)) {
+        found = std::move(line);
+      }
+    }
+    return !found.is_null();
+  };
+  aWorld.RunUntil(search, 3);
+  return found;
+}
+
 } // namespace
 
 Test(PlatformPath, ServesEachKindWholeAndHidesTheKey)
@@ -251,6 +277,52 @@
   cr_expect_eq(reported, std::uint64_t(asked));
 }
 
+// The counts of a window that was not reported yet stood in the memory of the
+// instances only.
+Test(PlatformPath, KeepsUsageWhenAllInstancesAreKilled)
+{
+  PlatformWorld world({});
+  cr_assert(world.WaitReady(kStart));
+  constexpr std::uint64_t kAsked = 12;
+  for (std::uint64_t number = 0; number < kAsked; ++number) {
+    AskAndWait(world, PlatformWorld::kOnce, "kept-" + std::to_string(number));
+  }
+  const auto reported = [&] {
+    std::uint64_t sum = 0;
+    for (const auto& [window, counts] : world.cloud_.usage_) {
+      const auto found = counts.find("one");
+      sum += found == counts.end() ? 0 : found->second;
+    }
+    return sum;
+  };
+  // The holder writes them with its next renewal.
+  const auto written = [&] {
+    std::uint64_t sum = 0;
+    const auto rows = nlohmann::json::parse(
+      world.store_.Value("duties", "usage"), nullptr, false);
+    if (!rows.is_array()) {
+      return sum;
+    }
+    for (const auto& entry : rows) {
+      for (const auto& [window, counts] : entry.at("windows").items()) {
+        sum += counts.value("one", std::uint64_t());
+      }
+    }
+    return sum;
+  };
+  cr_assert(
+    world.RunUntil([&] { return written() + reported() >= kAsked; }, 5));
+  for (const auto& edge : world.edges_) {
+    edge->Kill();
+  }
+  for (std::size_t index = 0; index < world.edges_.size(); ++index) {
+    world.StartEdge(index);
+  }
+  cr_expect(world.RunUntil([&] { return reported() >= kAsked; }, kStart));
+  cr_expect_eq(reported(), kAsked);
+  cr_expect(world.cloud_.violations_.empty());
+}
+
 Test(PlatformPath, ServesItsMetrics)
 {
   PlatformWorld world({});
@@ -263,3 +335,82 @@
     world.Get({ "127.0.0.1", world.Ports()[0].metrics_ }, "/metrics");
   cr_expect_neq(after.find("reason=\"completed\""), std::string::npos);
 }
+
+// The three kinds of failed request of docs/OPERATIONS.md, from the log alone.
+Test(PlatformPath, LogsExplainARequestThatAServerBrokeOff)
+{
+  PlatformWorldOptions options;
+  options.keepsLogs_ = true;
+  PlatformWorld world(options);
+  cr_assert(world.WaitReady(kStart));
+  SetFault(world, BackendFault::CutBefore, -1);
+  AskAndWait(world, PlatformWorld::kOnce, "broken");
+  const auto failed = FindLine(world, "attempt_failed", "broken");
+  cr_assert(failed.is_object());
+  const std::string server = failed.value("server", "");
+  cr_expect_eq(server.compare(0, 5, "desk-"), 0);
+  cr_expect(failed.contains("failure") && failed.contains("reused"));
+  const auto end = FindLine(world, "request_end", "broken");
+  cr_assert(end.is_object());
+  cr_expect_eq(end.value("status", 0), 502);
+  cr_expect_eq(end.value("runs", 0), 1);
+}
+
+Test(PlatformPath, LogsExplainARequestThatWasRefusedAtOverload)
+{
+  PlatformWorldOptions options;
+  options.edges_ = 1;
+  options.engines_ = 1;
+  options.events_ = 2000;
+  options.keepsLogs_ = true;
+  PlatformWorld world(options);
+  cr_assert(world.WaitReady(kStart));
+  std::vector<std::shared_ptr<CallerRun>> runs;
+  for (int number = 0; number < 80; ++number) {
+    runs.push_back(
+      world.Ask(0, PlatformWorld::kStream, "burst-" + std::to_string(number)));
+  }
+  std::shared_ptr<CallerRun> refused;
+  cr_assert(world.RunUntil(
+    [&] {
+      for (const auto& run : runs) {
+        if (run->status_ == 503) {
+          refused = run;
+        }
+      }
+      return refused != nullptr;
+    },
+    kAnswer));
+  cr_expect_not(refused->retryAfter_.empty());
+  cr_expect(world.RunsOf(refused->request_).empty());
+  const auto end = FindLine(world, "request_end", refused->request_);
+  cr_assert(end.is_object());
+  cr_expect_eq(end.value("outcome", ""), "overloaded");
+  cr_expect_eq(end.value("runs", -1), 0);
+  cr_expect_gt(end.value("expectedMs", 0.0), 0.0);
+}
+
+Test(PlatformPath, LogsExplainARequestLostRoundACutOfTheStore)
+{
+  PlatformWorldOptions options;
+  options.keepsLogs_ = true;
+  PlatformWorld world(options);
+  cr_assert(world.WaitReady(kStart));
+  // All servers of the service end while the store is away.
+  world.store_.faults_.isSilent_ = true;
+  world.RunFor(3);
+  world.desks_.clear();
+  AskAndWait(world, PlatformWorld::kOnce, "lost");
+  const auto lost = FindLine(world, "store_lost", "");
+  cr_assert(lost.is_object());
+  cr_expect(lost.contains("table") && lost.contains("version"));
+  const auto failed = FindLine(world, "attempt_failed", "lost");
+  cr_assert(failed.is_object());
+  cr_expect_eq(failed.value("failure", ""), "not_connected");
+  const auto end = FindLine(world, "request_end", "lost");
+  cr_assert(end.is_object());
+  cr_expect_eq(end.value("status", 0), 503);
+  cr_expect_eq(end.value("runs", -1), 0);
+  world.store_.faults_.isSilent_ = false;
+  cr_expect(FindLine(world, "store_regained", "").is_object());
+}
--- a/test/property/DutyLeaseTest.cpp
+++ b/test/property/DutyLeaseTest.cpp
@@ -185,6 +185,30 @@
                 Duration(std::chrono::seconds(2)).count());
 }
 
+// A holder that stands still is heard of for some seconds more. Nobody read the
+// row meanwhile, so that the next holder came twelve seconds after it.
+Test(DutyLease, AStandbyFollowsSoonAfterTheHolderStops)
+{
+  Instance standby = MakeInstance(1);
+  Store store;
+  store.row_ = { InstanceId("edge-9"), Incarnation(1), FencingToken(4), 1 };
+  Duration now{ 0 };
+  const Duration stopped = std::chrono::seconds(10);
+  while (standby.lease_.held_.Value() == 0 && now < std::chrono::seconds(30)) {
+    now += kStep;
+    if (now < stopped && now.count() % 1000000 == 0) {
+      store.row_.version_ = ++store.version_;
+    }
+    const bool isHeard = now < stopped + Duration(std::chrono::seconds(4));
+    Step(standby, store, FencingToken(isHeard ? 4 : 0), now);
+  }
+  cr_expect_eq(standby.lease_.held_.Value(), 5);
+  cr_expect_geq((now - stopped).count(),
+                kLease.count() - Duration(std::chrono::seconds(1)).count());
+  cr_expect_leq((now - stopped).count(),
+                Duration(std::chrono::seconds(6)).count());
+}
+
 Test(DutyLease, LeavesTheDutiesToALaterHolder)
 {
   Instance holder = MakeInstance(0);
--- a/test/property/EdgeLoadTest.cpp
+++ b/test/property/EdgeLoadTest.cpp
@@ -68,6 +68,45 @@
   cr_expect_lt(fading.p95Ms_, 0.9 * believing.p95Ms_);
 }
 
+// Eighty instances that hear of each other once a second sent several long
+// prompts to the same engine, although half of the engines were idle.
+Test(EdgeLoad, PlacersKeepPromptsApartWhereReportsAreOld)
+{
+  const auto arrivals = OfficeArrivals(20, 14, 1.3, kSeed);
+  SimulationOptions options;
+  options.instances_ = 80;
+  options.engines_ = 90;
+  options.reportInterval_ = std::chrono::seconds(1);
+  const auto each = Simulate(arrivals, options, edge::ChooseServer);
+  options.placers_ = 6;
+  const auto placers = Simulate(arrivals, options, edge::ChooseServer);
+  Print("six placers", placers);
+  Print("each instance by itself", each);
+  cr_expect_gt(placers.worthPart_, each.worthPart_ + 0.1);
+  cr_expect_lt(placers.p95Ms_, 0.7 * each.p95Ms_);
+  cr_expect_lt(placers.readTokens_, each.readTokens_);
+}
+
+// One session with most of the traffic must not fill the engines of its placer
+// while those of the others are idle.
+Test(EdgeLoad, AHotSessionSpreadsOverPlacers)
+{
+  auto arrivals = OfficeArrivals(20, 10, 1, kSeed);
+  for (std::size_t index = 0; index < arrivals.size(); ++index) {
+    if (index % 5 != 0 && arrivals[index].parts_[0].tokens_ > 2000) {
+      arrivals[index].parts_[0].id_ = 1;
+      arrivals[index].parts_[1].id_ = 1000;
+    }
+  }
+  SimulationOptions options;
+  options.engines_ = 90;
+  options.reportInterval_ = std::chrono::seconds(1);
+  options.placers_ = 6;
+  const auto placers = Simulate(arrivals, options, edge::ChooseServer);
+  Print("one hot session", placers);
+  cr_expect_gt(placers.worthPart_, 0.9);
+}
+
 Test(EdgeLoad, ABurstBeyondCapacityIsRefusedInsteadOfMadeLate)
 {
   // Twice the usual rate for a third of the time on the engines that are left
--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -59,7 +59,8 @@
 
 ChildProcess::ChildProcess(const std::string& aProgram,
                            const std::vector<std::string>& aArguments,
-                           const std::string& aLogFile)
+                           const std::string& aLogFile,
+                           bool aKeepsOutput)
 {
   const std::string path = std::string(PROGRAM_DIRECTORY) + "/" + aProgram;
   int ends[2];
@@ -70,7 +71,12 @@
   }
   close(ends[1]);
   firstLine_ = ReadLine(ends[0]);
-  close(ends[0]);
+  if (aKeepsOutput) {
+    outputFd_ = ends[0];
+    fcntl(outputFd_, F_SETFL, O_NONBLOCK);
+  } else {
+    close(ends[0]);
+  }
   cr_assert(
     !firstLine_.empty(), "%s did not print its address", aProgram.c_str());
 }
@@ -78,6 +84,20 @@
 ChildProcess::~ChildProcess()
 {
   Kill();
+  if (outputFd_ >= 0) {
+    close(outputFd_);
+  }
+}
+
+const std::string&
+ChildProcess::Output()
+{
+  char block[4096];
+  ssize_t size = 0;
+  while (outputFd_ >= 0 && (size = read(outputFd_, block, sizeof block)) > 0) {
+    output_.append(block, std::size_t(size));
+  }
+  return output_;
 }
 
 void
--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -15,9 +15,11 @@
   // Starts PROGRAM_DIRECTORY/aProgram and reads its first line of output, which
   // is a JSON object with the addresses in use. Fails the test when the program
   // does not print one. Log output goes to aLogFile, or is dropped when empty.
+  // With aKeepsOutput the rest of the output can be read.
   ChildProcess(const std::string& aProgram,
                const std::vector<std::string>& aArguments,
-               const std::string& aLogFile = "");
+               const std::string& aLogFile = "",
+               bool aKeepsOutput = false);
 
   // Kills the process when it still runs.
   ~ChildProcess();
@@ -26,6 +28,8 @@
 
   const std::string& FirstLine() const { return firstLine_; }
   pid_t Pid() const { return pid_; }
+  // Output after the first line, so far.
+  const std::string& Output();
 
   // SIGKILL and wait.
   void Kill();
@@ -41,6 +45,9 @@
 private:
   pid_t pid_ = -1;
   std::string firstLine_;
+  std::string output_;
+  // Unset when the output is not kept.
+  int outputFd_ = -1;
 };
 
 } // namespace sycamoreward
--- a/test/support/EngineQueueSimulation.cpp
+++ b/test/support/EngineQueueSimulation.cpp
@@ -46,8 +46,18 @@
   std::vector<Running> running_;
   MonotonicTime lastReport_;
   std::uint64_t nextWork_ = 1;
+  // With placers: what is known of them, and the engines of each.
+  std::vector<edge::PlacerState> placers_;
+  std::vector<std::set<ServerId>> owned_;
 };
 
+// Number of instances that choose engines.
+int
+Choosers(const SimulationOptions& aOptions)
+{
+  return aOptions.placers_ > 0 ? aOptions.placers_ : aOptions.instances_;
+}
+
 World
 MakeWorld(const SimulationOptions& aOptions)
 {
@@ -67,7 +77,19 @@
     pool.servers_[view.server_.id_] = view;
     world.engines_[view.server_.id_] = {};
   }
-  world.views_.assign(std::size_t(aOptions.instances_), pool);
+  world.views_.assign(std::size_t(Choosers(aOptions)), pool);
+  for (int index = 0; index < aOptions.placers_; ++index) {
+    world.placers_.push_back(
+      { InstanceId("placer-" + std::to_string(index)), 0, {}, {} });
+  }
+  world.owned_.resize(world.placers_.size());
+  for (const auto& [id, engine] : world.engines_) {
+    if (!world.placers_.empty()) {
+      const auto owner =
+        edge::OwnerOf(id, world.placers_, world.placers_.size());
+      world.owned_[owner].insert(id);
+    }
+  }
   return world;
 }
 
@@ -120,6 +142,33 @@
                 running.end());
 }
 
+// The instance that places the request. With placers it sees its own engines
+// only.
+int
+ChooseInstance(World& aWorld,
+               edge::PlacementQuery& aQuery,
+               double aDraw,
+               MonotonicTime aNow)
+{
+  if (aWorld.placers_.empty()) {
+    return int(aDraw * aWorld.options_.instances_);
+  }
+  const auto index =
+    edge::ChoosePlacer(
+      aWorld.placers_, aWorld.placers_.size(), aQuery.parts_, aNow, aDraw)
+      .value_or(0);
+  const PoolView& pool = aWorld.views_[index];
+  double unread = 0;
+  for (const ServerId& id : aWorld.owned_[index]) {
+    unread += edge::OwnUnreadTokens(pool.servers_.at(id), aNow);
+  }
+  aWorld.placers_[index].loadMs_ =
+    unread / double(aWorld.owned_[index].size()) / pool.readRate_;
+  aWorld.placers_[index].heard_ = aNow;
+  aQuery.candidates_ = &aWorld.owned_[index];
+  return int(index);
+}
+
 // Places the request on the engine and returns when its first event comes.
 MonotonicTime
 Send(World& aWorld,
@@ -180,13 +229,13 @@
     if (now - world.lastReport_ >= aOptions.reportInterval_) {
       Report(world, now);
     }
-    const int instance = int(draw(random) * aOptions.instances_);
     edge::PlacementQuery query;
     query.parts_ = arrival.parts_;
     query.promptTokens_ = arrival.promptTokens_;
     query.ownDomain_ = FailureDomainId("north");
-    query.instances_ = std::size_t(aOptions.instances_);
+    query.instances_ = std::size_t(Choosers(aOptions));
     query.now_ = now;
+    const int instance = ChooseInstance(world, query, draw(random), now);
     query.draw_ = draw(random);
     const auto& pool = world.views_[std::size_t(instance)];
     const edge::Placement placement = aPolicy(pool, query);
--- a/test/support/EngineQueueSimulation.h
+++ b/test/support/EngineQueueSimulation.h
@@ -6,6 +6,7 @@
 
 #include "edge/Admission.h"
 #include "edge/Placement.h"
+#include "edge/Placers.h"
 
 #include <cstdint>
 #include <functional>
@@ -31,6 +32,8 @@
   double readRate_ = 38.4;
   // Interval and age of what the instances tell each other. 0 for at once.
   Duration reportInterval_{ 0 };
+  // Instances that place the requests of all; 0 when each places its own.
+  int placers_ = 0;
   bool admits_ = true;
   std::uint64_t seed_ = 1;
 };
--- a/test/support/PlatformWorld.cpp
+++ b/test/support/PlatformWorld.cpp
@@ -202,7 +202,8 @@
   edges_[aIndex] = std::make_unique<ChildProcess>(
     "sycamoreward-edge",
     std::vector<std::string>{ "--settings", path },
-    path + ".log");
+    path + ".log",
+    options_.keepsLogs_);
 }
 
 bool
--- a/test/support/PlatformWorld.h
+++ b/test/support/PlatformWorld.h
@@ -47,6 +47,8 @@
   // The addresses of backend servers in the store are those of a link that the
   // test can cut.
   bool hasBackendLinks_ = false;
+  // The instances' log lines can be read from edges_.
+  bool keepsLogs_ = false;
   // The same for the store, one link for each instance.
   bool hasStoreLinks_ = false;
 };
--- a/tools/sycamorewardctl/Commands.cpp
+++ b/tools/sycamorewardctl/Commands.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
 #include "Apply.h"
+#include "ExplainRequest.h"
 #include "JournalVerify.h"
 #include "Output.h"
 #include "Watch.h"
@@ -281,6 +282,11 @@
   if (command == "validate") {
     return Validate(aContext);
   }
+  if (command == "explain-request") {
+    const auto& words = aContext.options_.arguments_;
+    return ExplainRequest(
+      { words.begin(), words.end() - 1 }, words.back(), aContext.out_);
+  }
   if (command == "explain") {
     return Explain(aContext);
   }
--- /dev/null
+++ b/tools/sycamorewardctl/ExplainRequest.cpp
@@ -0,0 +1,140 @@
+#include "ExplainRequest.h"
+
+#include "base/Error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+
+namespace sycamoreward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// State changes within this time before the request's last line are shown: the
+// longest time limit of a request, in microseconds.
+constexpr std::int64_t kContextUs = 15'000'000;
+
+// Events that change what a process believes or can do.
+const std::set<std::string> kStateEvents{ "started",
+                                          "stopped",
+                                          "ready",
+                                          "not_ready",
+                                          "drain_started",
+                                          "drain_ended",
+                                          "store_lost",
+                                          "store_regained",
+                                          "deployment_in_force",
+                                          "pause_noticed",
+                                          "deployment_refused",
+                                          "engines_reclaimed",
+                                          "order_failed",
+                                          "duties_claimed",
+                                          "duties_lost" };
+
+struct LogEntry
+{
+  std::int64_t timeUs_ = 0;
+  std::string file_;
+  Json line_;
+};
+
+// Reads the JSON object in a line. A prefix before it, as log collectors add
+// one, is skipped; anything else gives a discarded value.
+Json
+ReadLine(const std::string& aLine)
+{
+  const auto begin = aLine.find('{');
+  return begin == std::string::npos
+           ? Json(Json::value_t::discarded)
+           : Json::parse(aLine.substr(begin), nullptr, false);
+}
+
+void
+ReadFile(const std::string& aFile,
+         const std::string& aRequest,
+         std::vector<LogEntry>& aOfRequest,
+         std::vector<LogEntry>& aOfState)
+{
+  std::ifstream input(aFile);
+  if (!input) {
+    throw UserError(
+      "read log", aFile, "The log \"" + aFile + "\" can't be read.");
+  }
+  for (std::string text; std::getline(input, text);) {
+    Json line = ReadLine(text);
+    if (!line.is_object()) {
+      continue;
+    }
+    const auto time = line.find("timeUs");
+    const auto event = line.find("event");
+    if (time == line.end() || !time->is_number_integer() ||
+        event == line.end() || !event->is_string()) {
+      continue;
+    }
+    const auto request = line.find("request");
+    const bool isOfRequest = request != line.end() && *request == aRequest;
+    if (isOfRequest || kStateEvents.count(event->get<std::string>()) != 0) {
+      LogEntry entry{ time->get<std::int64_t>(), aFile, std::move(line) };
+      (isOfRequest ? aOfRequest : aOfState).push_back(std::move(entry));
+    }
+  }
+}
+
+void
+Print(const LogEntry& aEntry, std::int64_t aFromUs, std::ostream& aOut)
+{
+  const double seconds = double(aEntry.timeUs_ - aFromUs) / 1e6;
+  char time[32];
+  std::snprintf(time, sizeof time, "%+10.3f s ", seconds);
+  aOut << time << aEntry.file_ << ": "
+       << aEntry.line_["event"].get<std::string>();
+  for (const auto& [name, value] : aEntry.line_.items()) {
+    if (name != "timeUs" && name != "event" && name != "request") {
+      aOut << " " << name << "=" << value.dump();
+    }
+  }
+  aOut << "\n";
+}
+
+} // namespace
+
+int
+ExplainRequest(const std::vector<std::string>& aFiles,
+               const std::string& aRequest,
+               std::ostream& aOut)
+{
+  std::vector<LogEntry> lines;
+  std::vector<LogEntry> state;
+  for (const std::string& file : aFiles) {
+    ReadFile(file, aRequest, lines, state);
+  }
+  if (lines.empty()) {
+    aOut << "No line names the request " << aRequest << ".\n";
+    return 1;
+  }
+  const auto byTime = [](const LogEntry& aLeft, const LogEntry& aRight) {
+    return aLeft.timeUs_ < aRight.timeUs_;
+  };
+  std::stable_sort(lines.begin(), lines.end(), byTime);
+  std::stable_sort(state.begin(), state.end(), byTime);
+  const std::int64_t first = lines.front().timeUs_;
+  const std::int64_t last = lines.back().timeUs_;
+  aOut << "Request " << aRequest << ":\n";
+  for (const LogEntry& entry : lines) {
+    Print(entry, first, aOut);
+  }
+  aOut << "State changes in the " << kContextUs / 1'000'000
+       << " s before its last line:\n";
+  for (const LogEntry& entry : state) {
+    if (entry.timeUs_ <= last && entry.timeUs_ >= last - kContextUs) {
+      Print(entry, first, aOut);
+    }
+  }
+  return 0;
+}
+
+} // namespace sycamoreward
--- a/tools/sycamorewardctl/Options.cpp
+++ b/tools/sycamorewardctl/Options.cpp
@@ -31,18 +31,27 @@
   "  explain KIND[.FIELD]|settings\n"
   "                              show fields, units, ranges and defaults\n"
   "  request ID                  show the life of a request (--callers)\n"
+  "  explain-request FILE... ID  show what logs of sycamoreward-edge say of a\n"
+  "                              request\n"
   "  journal verify --table IP:PORT --object-store IP:PORT --bucket NAME\n"
   "                 --region NAME check the hash chain of the ledger\n"
   "  reference                   print the reference page in Markdown\n\n"
-  "Exit codes: 0 done, and for diff: equal; 1 diff found a difference, or\n"
-  "journal verify a broken chain; 2 an error.\n";
+  "Exit codes: 0 done, and for diff: equal; 1 diff found a difference,\n"
+  "journal verify a broken chain, or explain-request no line; 2 an error.\n";
 
 // Least and most words after each command.
 const std::map<std::string, std::pair<std::size_t, std::size_t>> kArguments{
-  { "validate", { 0, 0 } }, { "diff", { 0, 0 } },    { "apply", { 0, 0 } },
-  { "get", { 1, 2 } },      { "watch", { 1, 1 } },   { "delete", { 0, 2 } },
-  { "explain", { 1, 1 } },  { "request", { 1, 1 } }, { "reference", { 0, 0 } },
-  { "journal", { 1, 1 } }
+  { "validate", { 0, 0 } },
+  { "diff", { 0, 0 } },
+  { "apply", { 0, 0 } },
+  { "get", { 1, 2 } },
+  { "watch", { 1, 1 } },
+  { "delete", { 0, 2 } },
+  { "explain", { 1, 1 } },
+  { "request", { 1, 1 } },
+  { "reference", { 0, 0 } },
+  { "journal", { 1, 1 } },
+  { "explain-request", { 2, 1000 } }
 };
 
 [[noreturn]] void
