--- a/src/edge/PlacementExchange.cpp
+++ b/src/edge/PlacementExchange.cpp
@@ -312,11 +312,14 @@
 void
 PlacementExchange::Flush()
 {
-  for (auto& [id, news] : news_) {
-    for (const PeerIdentity& placer : placers_) {
-      if (placer.instance_ == id) {
-        network_.Send(placer, PlacementNews{ std::move(news) });
-      }
+  for (auto& entry : news_) {
+    const InstanceId& id = entry.first;
+    const auto placer =
+      std::find_if(placers_.begin(), placers_.end(), [&](const auto& aPlacer) {
+        return aPlacer.instance_ == id;
+      });
+    if (placer != placers_.end()) {
+      network_.Send(*placer, PlacementNews{ std::move(entry.second) });
     }
   }
   // News of an instance that places no more are of no use.
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -366,6 +366,7 @@
   PlatformWorld world(options);
   cr_assert(world.WaitReady(kStart));
   std::vector<std::shared_ptr<CallerRun>> runs;
+  runs.reserve(80);
   for (int number = 0; number < 80; ++number) {
     runs.push_back(
       world.Ask(0, PlatformWorld::kStream, "burst-" + std::to_string(number)));
