Let an instance without a digest read the store at once

Change: a call for a digest that has no answer after 350 ms makes the instance read the store itself; a collector that did not answer is passed over for 3.5 s.

Ruled out: a shorter age of digests, which would also cut quotas after one late digest.

ReportExchange/ReadsTheStoreItselfSoonAfterItsCollectorIsCutOff.

--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-// Reply time after which another collector is asked.
-constexpr Duration kDigestLimit = std::chrono::milliseconds(900);
+// Reply time after which the instance reads the store itself and another
+// collector is asked. A digest takes some milliseconds; with a second for it,
+// instances cut off from their collector learned of leaving servers too late.
+constexpr Duration kDigestLimit = std::chrono::milliseconds(350);
 
 // Interval in which rows are asked for while the store is away.
 constexpr Duration kRowsInterval = std::chrono::milliseconds(700);
@@ -28,6 +30,7 @@
 {
   // A collector that does not hear the others may be one in its own view only.
   bool hasAsked = isCollector_ && !IsUninformed();
+  const MonotonicTime now = state_.loop_.GetClock().Now();
   std::vector<InstanceId> targets = collectors_;
   // The holder of the duties needs the counts of all.
   for (const auto& [id, peer] : peers_) {
@@ -44,9 +47,13 @@
     }
     const auto lacking = withoutRows_.find(target);
     const bool isLast = target == targets.back();
-    const bool isPassedOver =
-      lacking != withoutRows_.end() && !isLast &&
-      state_.loop_.GetClock().Now() - lacking->second < kGoneAfter;
+    const bool lacksRows =
+      lacking != withoutRows_.end() && now - lacking->second < kGoneAfter;
+    // Other collectors may hear it still and list it as live.
+    const MonotonicTime unanswered = found->second.unanswered_;
+    const bool isSilent =
+      unanswered != MonotonicTime() && now - unanswered < kSilentAfterCollected;
+    const bool isPassedOver = !isLast && (lacksRows || isSilent);
     if (hasAsked || isPassedOver) {
       network_.Send(found->second.identity_, aMessage);
     } else {
@@ -74,6 +81,10 @@
                   }
                   // The next collector is asked: this one counts as silent for
                   // a while.
+                  lacksRows_ = true;
+                  if (relay_.onMissing_) {
+                    relay_.onMissing_();
+                  }
                   const auto found = peers_.find(id);
                   if (found != peers_.end()) {
                     const MonotonicTime now = state_.loop_.GetClock().Now();
@@ -267,10 +278,11 @@
 ReportExchange::EnterRows(const InstanceId& aFrom, const Digest& aDigest)
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
-  if (!relay_.enter_ || relay_.enter_(aDigest)) {
-    rowsHeard_ = now;
-  } else {
+  lacksRows_ = relay_.enter_ && !relay_.enter_(aDigest);
+  if (lacksRows_) {
     withoutRows_[aFrom] = now;
+  } else {
+    rowsHeard_ = now;
   }
 }
 
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kMemberInterval = std::chrono::seconds(15);
 constexpr Duration kCommonStart = std::chrono::milliseconds(1200);
 constexpr Duration kMemberRetry = std::chrono::milliseconds(400);
-constexpr Duration kTick = std::chrono::milliseconds(500);
+constexpr Duration kTick = std::chrono::milliseconds(250);
 // Larger rows are read from the store by each instance: a collector's link
 // would take seconds to send them to all.
 constexpr std::size_t kMostRelayedBytes = 16 * 1024;
@@ -133,6 +133,7 @@
   relay.isStoreAway_ = [this] {
     return deploymentWatch_->IsAway() || serverWatch_->IsAway();
   };
+  relay.onMissing_ = [this] { UpdateReading(); };
   reports_.SetRelay(std::move(relay));
 }
 
@@ -340,12 +341,18 @@
 }
 
 void
-Edge::Tick()
+Edge::UpdateReading()
 {
-  state_.wallOffset_ = reports_.WallOffset();
   const bool readsStore = reports_.ReadsStore();
   deploymentWatch_->SetPaused(!readsStore);
   serverWatch_->SetPaused(!readsStore);
+}
+
+void
+Edge::Tick()
+{
+  state_.wallOffset_ = reports_.WallOffset();
+  UpdateReading();
   placing_.SetPlacers(reports_.Placers());
   const bool isReady = IsReady();
   if (isReady != wasReady_) {
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -87,6 +87,8 @@
   void ReadMembers();
   void WriteMember();
   void OnMembers(const StoreReply& aReply);
+  // Reads the store here, or waits for the rows of collectors.
+  void UpdateReading();
   void Tick();
   void CheckDrained();
 
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -213,8 +213,8 @@
 bool
 ReportExchange::ReadsStore() const
 {
-  const bool isOld =
-    !hasDigest_ || state_.loop_.GetClock().Now() - rowsHeard_ > kDigestAge;
+  const bool isOld = !hasDigest_ || lacksRows_ ||
+                     state_.loop_.GetClock().Now() - rowsHeard_ > kDigestAge;
   return IsMesh() || isOld || isCollector_;
 }
 
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -39,6 +39,8 @@
   std::function<bool(const Digest& aDigest)> enter_;
   // Whether the store does not answer this instance.
   std::function<bool()> isStoreAway_;
+  // Called when a collector did not answer: the rows have to be read here.
+  std::function<void()> onMissing_;
 };
 
 class ReportExchange
@@ -176,6 +178,8 @@
   std::map<WorkspaceId, MonotonicTime> nextQuotaRequest_;
   // When a digest last had all tables, and collectors that lacked one lately.
   MonotonicTime rowsHeard_;
+  // The last call for a digest brought no rows.
+  bool lacksRows_ = false;
   std::map<InstanceId, MonotonicTime> withoutRows_;
   std::uint64_t sequence_ = 0;
   std::uint64_t timer_ = 0;
--- a/test/correctness/ReportExchangeTest.cpp
+++ b/test/correctness/ReportExchangeTest.cpp
@@ -178,6 +178,25 @@
   cr_expect_eq(SumWindow(fleet.instances_[7]->state_.usage_, window)["w"], 1);
 }
 
+// An instance that was cut off from its collector heard nothing of leaving
+// servers for four seconds, a second more than the platform allows.
+Test(ReportExchange, ReadsTheStoreItselfSoonAfterItsCollectorIsCutOff)
+{
+  Fleet fleet;
+  cr_expect_not(fleet.Reports(8).ReadsStore());
+  fleet.Isolate(0, true);
+  Duration passed{ 0 };
+  while (!fleet.Reports(8).ReadsStore() && passed < std::chrono::seconds(5)) {
+    fleet.Pass(std::chrono::milliseconds(25));
+    passed += std::chrono::milliseconds(25);
+  }
+  cr_expect_leq(passed.count(),
+                Duration(std::chrono::milliseconds(1600)).count());
+  // The next collector has the rows.
+  fleet.Pass(std::chrono::milliseconds(1200));
+  cr_expect_not(fleet.Reports(8).ReadsStore());
+}
+
 // Many instances at their local bound ask the first collector.
 Test(ReportExchange, ACollectorGrantsQuotaAndOthersDoNot)
 {
