Keep the collectors in one list and bring groups together again

Digests with whole tables took longer than the time limit; each instance took its collector for gone, and instances ended with different collectors, weak ones among them.

Change: a collector without an answer is not asked for a while, but stays in the list while the others hear it. An instance asks one of the strongest instances that it does not hear every 4 s.

Ruled out: digests that pass on members told by other digests, which two collectors would keep alive for each other.

ReportExchange/GroupsThatWereApartComeTogether fails without the probe.

Conclusion: lists of collectors must not depend on one instance's time-outs.

--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -16,6 +16,11 @@
 // instances cut off from their collector learned of leaving servers too late.
 constexpr Duration kDigestLimit = std::chrono::milliseconds(350);
 
+// Interval in which an instance asks a collector of the whole system that it
+// does not hear. Without it two groups with collectors of their own would not
+// learn of each other again.
+constexpr Duration kProbeInterval = std::chrono::seconds(4);
+
 // Interval in which rows are asked for while the store is away.
 constexpr Duration kRowsInterval = std::chrono::milliseconds(700);
 
@@ -58,40 +63,74 @@
       network_.Send(found->second.identity_, aMessage);
     } else {
       hasAsked = true;
-      AskForDigest(found->second.identity_, aMessage);
+      AskForDigest(found->second.identity_, aMessage, false);
+    }
+  }
+  ProbeStronger(aMessage);
+}
+
+void
+ReportExchange::ProbeStronger(const Reports& aMessage)
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (now - probed_ < kProbeInterval) {
+    return;
+  }
+  probed_ = now;
+  std::vector<CollectorCandidate> candidates;
+  candidates.push_back({ self_.instance_, self_.strength_, true });
+  for (const auto& [id, peer] : peers_) {
+    candidates.push_back(
+      { id, peer.identity_.strength_, !peer.report_.isLeaving_ });
+  }
+  for (const InstanceId& id : ChooseStrongest(candidates, kCollectors)) {
+    const auto found = peers_.find(id);
+    if (found != peers_.end() && !IsHeard(found->second)) {
+      AskForDigest(found->second.identity_, aMessage, true);
+      return;
     }
   }
 }
 
 void
-ReportExchange::AskForDigest(const PeerIdentity& aCollector, Reports aMessage)
+ReportExchange::OnRowsMissing()
+{
+  lacksRows_ = true;
+  if (relay_.onMissing_) {
+    relay_.onMissing_();
+  }
+}
+
+void
+ReportExchange::AskForDigest(const PeerIdentity& aCollector,
+                             Reports aMessage,
+                             bool aIsProbe)
 {
   aMessage.wantsDigest_ = true;
   if (relay_.versions_) {
     aMessage.rowVersions_ = relay_.versions_();
   }
-  network_.Call(aCollector,
-                std::move(aMessage),
-                kDigestLimit,
-                [this, id = aCollector.instance_](const PeerReply& aReply) {
-                  if (aReply.message_.has_value() &&
-                      std::holds_alternative<Digest>(*aReply.message_)) {
-                    EnterDigest(id, std::get<Digest>(*aReply.message_));
-                    return;
-                  }
-                  // The next collector is asked: this one counts as silent for
-                  // a while.
-                  lacksRows_ = true;
-                  if (relay_.onMissing_) {
-                    relay_.onMissing_();
-                  }
-                  const auto found = peers_.find(id);
-                  if (found != peers_.end()) {
-                    const MonotonicTime now = state_.loop_.GetClock().Now();
-                    found->second.heard_ = now - kSilentAfterCollected;
-                    found->second.unanswered_ = now;
-                  }
-                });
+  network_.Call(
+    aCollector,
+    std::move(aMessage),
+    kDigestLimit,
+    [this, id = aCollector.instance_, aIsProbe](const PeerReply& aReply) {
+      if (aReply.message_.has_value() &&
+          std::holds_alternative<Digest>(*aReply.message_)) {
+        EnterDigest(id, std::get<Digest>(*aReply.message_));
+        return;
+      }
+      // The next collector is asked. This one stays a collector
+      // while the others hear it: with lists that differ, each
+      // collector would hear a part of the instances.
+      const auto found = peers_.find(id);
+      if (found != peers_.end()) {
+        found->second.unanswered_ = state_.loop_.GetClock().Now();
+      }
+      if (!aIsProbe) {
+        OnRowsMissing();
+      }
+    });
 }
 
 Digest
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -131,7 +131,12 @@
   void AddServers(InstanceReport& aReport) const;
   void AddCounts(InstanceReport& aReport) const;
   void SendToCollectors(const Reports& aMessage);
-  void AskForDigest(const PeerIdentity& aCollector, Reports aMessage);
+  // A probe asks an instance that may be gone; its failure means nothing.
+  void AskForDigest(const PeerIdentity& aCollector,
+                    Reports aMessage,
+                    bool aIsProbe);
+  void ProbeStronger(const Reports& aMessage);
+  void OnRowsMissing();
   Digest MakeDigest(const InstanceId& aReceiver, const Reports& aRequest) const;
   void EnterDigest(const InstanceId& aFrom, const Digest& aDigest);
   void EnterDigestMembers(const Digest& aDigest);
@@ -180,6 +185,7 @@
   MonotonicTime rowsHeard_;
   // The last call for a digest brought no rows.
   bool lacksRows_ = false;
+  MonotonicTime probed_;
   std::map<InstanceId, MonotonicTime> withoutRows_;
   std::uint64_t sequence_ = 0;
   std::uint64_t timer_ = 0;
--- a/test/correctness/ReportExchangeTest.cpp
+++ b/test/correctness/ReportExchangeTest.cpp
@@ -197,6 +197,41 @@
   cr_expect_not(fleet.Reports(8).ReadsStore());
 }
 
+// Two groups that each had collectors of their own never learned of each other
+// again: the holder of the duties saw a third of the demand and sent engines
+// away.
+Test(ReportExchange, GroupsThatWereApartComeTogether)
+{
+  Fleet fleet;
+  // The last half is cut off from the first, and from the store's view none is.
+  const auto cut = [&](bool aIsCut) {
+    for (std::size_t one = 0; one < kInstances / 2; ++one) {
+      for (std::size_t other = kInstances / 2; other < kInstances; ++other) {
+        const std::string left = fleet.instances_[one]->self_.instance_.Value();
+        const std::string right =
+          fleet.instances_[other]->self_.instance_.Value();
+        if (aIsCut) {
+          fleet.hub_.Cut(left, right);
+        } else {
+          fleet.hub_.Restore(left, right);
+        }
+      }
+    }
+  };
+  cut(true);
+  fleet.Pass(std::chrono::seconds(16));
+  cr_expect_lt(fleet.Reports(20).LiveCount(), kInstances);
+  cut(false);
+  fleet.Pass(std::chrono::seconds(12));
+  for (std::size_t index = 0; index < kInstances; ++index) {
+    cr_expect_eq(fleet.Reports(index).LiveCount(), kInstances, "i%zu", index);
+    cr_expect_eq(fleet.Reports(index).GatheredFor() > Duration(0),
+                 index < 3,
+                 "i%zu",
+                 index);
+  }
+}
+
 // Many instances at their local bound ask the first collector.
 Test(ReportExchange, ACollectorGrantsQuotaAndOthersDoNot)
 {
