--- a/src/base/DurationUnits.h
+++ b/src/base/DurationUnits.h
@@ -4,6 +4,9 @@
 
 #include "base/Clock.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace sycamoreward {
 
 constexpr double
@@ -18,4 +21,25 @@
   return double(aDuration.count()) / 1e6;
 }
 
+constexpr Duration
+FromMilliseconds(double aMilliseconds)
+{
+  return Duration(Duration::rep(aMilliseconds * 1e3));
+}
+
+constexpr Duration
+FromSeconds(double aSeconds)
+{
+  return Duration(Duration::rep(aSeconds * 1e6));
+}
+
+// Part that is left of a value that halves in each aHalfLife; 1 for times to
+// come.
+inline double
+HalfLifePart(Duration aAge, Duration aHalfLife)
+{
+  return std::exp2(-double(std::max<Duration::rep>(aAge.count(), 0)) /
+                   double(aHalfLife.count()));
+}
+
 } // namespace sycamoreward
--- a/src/edge/Admission.cpp
+++ b/src/edge/Admission.cpp
@@ -24,7 +24,7 @@
 ReturnTime(double aExcessMs, double aDraw)
 {
   const double base = std::clamp(aExcessMs, kMinReturnMs, kMaxReturnMs);
-  return Duration(Duration::rep(base * (1 + aDraw) * 1000));
+  return FromMilliseconds(base * (1 + aDraw));
 }
 
 } // namespace
--- a/src/edge/BackendServer.h
+++ b/src/edge/BackendServer.h
@@ -30,12 +30,9 @@
   MonotonicTime listed_;
 };
 
-// How busy a server said that it was.
+// What a server said of its machine.
 struct ReportedLoad
 {
-  std::uint32_t running_ = 0;
-  std::uint32_t waiting_ = 0;
-  std::uint32_t slots_ = 0;
   // How long work takes on the machine, as a multiple of the usual time.
   double slowness_ = 1;
   MonotonicTime at_;
--- a/src/edge/Collectors.cpp
+++ b/src/edge/Collectors.cpp
@@ -1,21 +1,11 @@
 #include "edge/Collectors.h"
 
-#include <xxhash.h>
+#include "routing/Rendezvous.h"
 
 #include <algorithm>
 
 namespace sycamoreward::edge {
 
-namespace {
-
-std::uint64_t
-Score(const InstanceId& aId)
-{
-  return XXH64(aId.Value().data(), aId.Value().size(), 0);
-}
-
-} // namespace
-
 std::vector<InstanceId>
 ChooseStrongest(const std::vector<CollectorCandidate>& aCandidates,
                 std::size_t aCount)
@@ -34,7 +24,8 @@
       if (aLeft.strength_ != aRight.strength_) {
         return aLeft.strength_ > aRight.strength_;
       }
-      return Score(aLeft.id_) < Score(aRight.id_);
+      return RendezvousScore(aLeft.id_.Value(), 0) <
+             RendezvousScore(aRight.id_.Value(), 0);
     });
   std::vector<InstanceId> strongest;
   for (const CollectorCandidate& candidate : live) {
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -139,6 +139,22 @@
   aState.serversHeard_ = aState.loop_.GetClock().Now();
 }
 
+BackendView*
+FindServer(EdgeState& aState,
+           const ServiceName& aService,
+           const ServerId& aServer,
+           Incarnation aStart)
+{
+  const auto pool = aState.pools_.find(aService);
+  if (pool == aState.pools_.end()) {
+    return nullptr;
+  }
+  const auto found = pool->second.servers_.find(aServer);
+  const bool isSame = found != pool->second.servers_.end() &&
+                      found->second.server_.incarnation_ == aStart;
+  return isSame ? &found->second : nullptr;
+}
+
 void
 SetInstanceCount(EdgeState& aState, std::size_t aInstances)
 {
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -126,6 +126,14 @@
 ApplyServers(EdgeState& aState,
              const std::map<ServerId, BackendServer>& aServers);
 
+// The server as it was at the given start; null when it is not listed any more
+// or has started again.
+BackendView*
+FindServer(EdgeState& aState,
+           const ServiceName& aService,
+           const ServerId& aServer,
+           Incarnation aStart);
+
 // Sets the share of this instance in what is bounded for the whole system.
 void
 SetInstanceCount(EdgeState& aState, std::size_t aInstances);
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -1,5 +1,7 @@
 #include "edge/EnginePlan.h"
 
+#include "base/DurationUnits.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -75,8 +77,7 @@
       needed, std::min(aPlan.needed_ * 1.1, needed * kMostRefusedFactor));
   }
   const double fade =
-    std::exp2(-double((aInputs.now_ - aPlan.neededAt_).count()) /
-              double(kNeedHalfLife.count()));
+    HalfLifePart(aInputs.now_ - aPlan.neededAt_, kNeedHalfLife);
   aPlan.needed_ = std::max(needed, aPlan.needed_ * fade);
   aPlan.neededAt_ = aInputs.now_;
   return aPlan.needed_ * (1 + kSpare);
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -1,8 +1,7 @@
 #include "edge/Placement.h"
 
 #include "base/DurationUnits.h"
-
-#include <xxhash.h>
+#include "routing/Rendezvous.h"
 
 #include <algorithm>
 #include <limits>
@@ -49,18 +48,6 @@
 // A stream holds a slot for about this time.
 constexpr double kStreamMs = 1000;
 
-Duration
-FromMilliseconds(double aMilliseconds)
-{
-  return Duration(Duration::rep(aMilliseconds * 1000.0));
-}
-
-std::uint64_t
-RendezvousScore(std::uint64_t aSession, const ServerId& aServer)
-{
-  return XXH64(aServer.Value().data(), aServer.Value().size(), aSession);
-}
-
 // Rank of each server for the session, by rendezvous hashing.
 std::map<ServerId, std::size_t>
 RankServers(const PoolView& aPool, std::uint64_t aSession)
@@ -68,7 +55,7 @@
   std::vector<std::pair<std::uint64_t, const ServerId*>> scores;
   for (const auto& [id, view] : aPool.servers_) {
     if (!view.server_.isDraining_) {
-      scores.emplace_back(RendezvousScore(aSession, id), &id);
+      scores.emplace_back(RendezvousScore(id.Value(), aSession), &id);
     }
   }
   std::sort(
@@ -233,7 +220,7 @@
     const auto found = aPool.servers_.find(id);
     if (found != aPool.servers_.end() && !found->second.server_.isDraining_) {
       order.emplace_back(found->second.server_.isReclaimable_,
-                         RendezvousScore(0, id),
+                         RendezvousScore(id.Value(), 0),
                          &found->second);
     }
   }
--- a/src/edge/PlacementExchange.cpp
+++ b/src/edge/PlacementExchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/PlacementExchange.h"
 
 #include "base/DurationUnits.h"
+#include "edge/MessageCount.h"
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
@@ -25,18 +26,6 @@
 // Servers with an idle connection that a request names.
 constexpr std::size_t kMostIdleNamed = 40;
 
-std::uint64_t
-ToCount(double aValue)
-{
-  return aValue <= 0 ? 0 : std::uint64_t(aValue);
-}
-
-Duration
-FromMilliseconds(std::uint64_t aMilliseconds)
-{
-  return std::chrono::milliseconds(aMilliseconds);
-}
-
 PlacementRequest
 MakeRequest(const PoolView& aPool, const PlacementQuery& aQuery)
 {
@@ -87,8 +76,7 @@
     [this](const PeerIdentity& /*aFrom*/,
            const Message& aMessage,
            const PeerNetwork::Responder& aRespond) {
-      const auto& request = std::get<PlacementRequest>(aMessage);
-      aRespond(Place(request, request.domain_));
+      aRespond(Place(std::get<PlacementRequest>(aMessage)));
     });
   network_.OnMessage<PlacementNews>(
     [this](const PeerIdentity& /*aFrom*/,
@@ -145,7 +133,7 @@
   const PeerIdentity placer = placers_[*chosen];
   PlacementRequest request = MakeRequest(aPool, aQuery);
   if (placer.instance_ == state_.self_) {
-    Answer(placer.instance_, Place(request, aQuery.ownDomain_), aOnAnswer);
+    Answer(placer.instance_, Place(request), aOnAnswer);
     return;
   }
   network_.Call(
@@ -191,16 +179,16 @@
   placement.server_ = aReply.server_;
   placement.waitMs_ = double(aReply.waitMs_);
   placement.tokens_ = double(aReply.tokens_);
-  placement.readStart_ = now + FromMilliseconds(aReply.queueMs_);
-  placement.readEnd_ = placement.readStart_ + FromMilliseconds(aReply.readMs_);
+  placement.readStart_ = now + std::chrono::milliseconds(aReply.queueMs_);
+  placement.readEnd_ =
+    placement.readStart_ + std::chrono::milliseconds(aReply.readMs_);
   placement.unread_ = double(aReply.unreadTokens_);
   placement.running_ = double(aReply.running_);
   aOnAnswer(answer);
 }
 
 PlacementReply
-PlacementExchange::Place(const PlacementRequest& aRequest,
-                         const FailureDomainId& aDomain)
+PlacementExchange::Place(const PlacementRequest& aRequest)
 {
   const auto found = state_.pools_.find(aRequest.service_);
   if (found == state_.pools_.end() || !isPlacer_) {
@@ -210,7 +198,6 @@
   UpdateOwned(pool);
   const MonotonicTime now = state_.loop_.GetClock().Now();
   PlacementQuery query = MakeQuery(aRequest);
-  query.ownDomain_ = aDomain;
   query.now_ = now;
   query.draw_ = state_.Draw();
   query.candidates_ = &owned_[pool.service_].servers_;
@@ -326,19 +313,6 @@
   news_.clear();
 }
 
-BackendView*
-PlacementExchange::FindServer(const Work& aWork)
-{
-  const auto pool = state_.pools_.find(aWork.service_);
-  if (pool == state_.pools_.end()) {
-    return nullptr;
-  }
-  const auto found = pool->second.servers_.find(aWork.server_);
-  const bool isSame = found != pool->second.servers_.end() &&
-                      found->second.server_.incarnation_ == aWork.start_;
-  return isSame ? &found->second : nullptr;
-}
-
 void
 PlacementExchange::Enter(const PlacedNews& aNews)
 {
@@ -350,7 +324,8 @@
   if (aNews.event_ != PlacedEvent::FirstEvent) {
     works_.erase(found);
   }
-  BackendView* view = FindServer(work);
+  BackendView* view =
+    FindServer(state_, work.service_, work.server_, work.start_);
   if (view == nullptr) {
     return;
   }
@@ -367,7 +342,7 @@
                      *view,
                      aNews.work_,
                      work.sent_,
-                     work.sent_ + FromMilliseconds(aNews.afterMs_));
+                     work.sent_ + std::chrono::milliseconds(aNews.afterMs_));
       return;
     case PlacedEvent::NotSent:
       break;
@@ -392,7 +367,10 @@
       ++work;
       continue;
     }
-    if (BackendView* view = FindServer(work->second)) {
+    if (BackendView* view = FindServer(state_,
+                                       work->second.service_,
+                                       work->second.server_,
+                                       work->second.start_)) {
       NoteLeft(*view, work->first);
     }
     work = works_.erase(work);
--- a/src/edge/PlacementExchange.h
+++ b/src/edge/PlacementExchange.h
@@ -65,14 +65,12 @@
     bool isShort_ = false;
   };
 
-  PlacementReply Place(const PlacementRequest& aRequest,
-                       const FailureDomainId& aDomain);
+  PlacementReply Place(const PlacementRequest& aRequest);
   void Enter(const PlacedNews& aNews);
   void Answer(
     const InstanceId& aPlacer,
     const PlacementReply& aReply,
     const std::function<void(std::optional<PlacerAnswer>)>& aOnAnswer);
-  BackendView* FindServer(const Work& aWork);
   void UpdateOwned(const PoolView& aPool);
   void Flush();
   void Sweep();
--- a/src/edge/Placers.cpp
+++ b/src/edge/Placers.cpp
@@ -1,6 +1,6 @@
 #include "edge/Placers.h"
 
-#include <xxhash.h>
+#include "routing/Rendezvous.h"
 
 #include <algorithm>
 
@@ -18,13 +18,6 @@
 // A figure of a placer is used for this time.
 constexpr Duration kLoadAge = std::chrono::seconds(3);
 
-// Rendezvous hash of a placer for a key.
-std::uint64_t
-Score(std::uint64_t aKey, const InstanceId& aPlacer)
-{
-  return XXH64(aPlacer.Value().data(), aPlacer.Value().size(), aKey);
-}
-
 double
 Load(const PlacerState& aPlacer, MonotonicTime aNow)
 {
@@ -57,11 +50,11 @@
         const std::vector<PlacerState>& aPlacers,
         std::size_t aCount)
 {
-  const std::uint64_t key =
-    XXH64(aEngine.Value().data(), aEngine.Value().size(), 0);
+  const std::uint64_t key = RendezvousScore(aEngine.Value(), 0);
   std::size_t best = 0;
   for (std::size_t index = 1; index < aCount; ++index) {
-    if (Score(key, aPlacers[index].id_) > Score(key, aPlacers[best].id_)) {
+    if (RendezvousScore(aPlacers[index].id_.Value(), key) >
+        RendezvousScore(aPlacers[best].id_.Value(), key)) {
       best = index;
     }
   }
@@ -89,7 +82,8 @@
     shared != 0 ? shared : std::uint64_t(aDraw * 4294967296.0);
   std::sort(
     order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return Score(key, aPlacers[aLeft].id_) > Score(key, aPlacers[aRight].id_);
+      return RendezvousScore(aPlacers[aLeft].id_.Value(), key) >
+             RendezvousScore(aPlacers[aRight].id_.Value(), key);
     });
   if (order.size() > 1 &&
       Load(aPlacers[order[0]], aNow) >
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -33,13 +33,6 @@
 // Fixed part of the time to the first event: connection, first step, network.
 constexpr double kFirstEventBaseMs = 15;
 
-double
-Fade(Duration aAge, Duration aHalfLife)
-{
-  return std::exp2(-double(std::max<Duration::rep>(aAge.count(), 0)) /
-                   double(aHalfLife.count()));
-}
-
 } // namespace
 
 double
@@ -70,7 +63,7 @@
 double
 UnreadTokens(const BackendView& aView, double aMean, MonotonicTime aNow)
 {
-  const double fresh = Fade(aNow - aView.peerAt_, kPeerHalfLife);
+  const double fresh = HalfLifePart(aNow - aView.peerAt_, kPeerHalfLife);
   return OwnUnreadTokens(aView, aNow) + aView.peerUnreadTokens_ * fresh +
          aMean * (1 - fresh);
 }
@@ -94,7 +87,8 @@
 double
 FailureRate(const BackendView& aView, MonotonicTime aNow)
 {
-  return aView.failureRate_ * Fade(aNow - aView.failureAt_, kFailureHalfLife);
+  return aView.failureRate_ *
+         HalfLifePart(aNow - aView.failureAt_, kFailureHalfLife);
 }
 
 double
@@ -107,7 +101,7 @@
     return std::max(aView.load_->slowness_, kMinSlowness);
   }
   return 1 + (aView.slowness_ - 1) *
-               Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+               HalfLifePart(aNow - aView.slownessAt_, kSlownessHalfLife);
 }
 
 void
@@ -158,8 +152,9 @@
   const double observed = Milliseconds(aNow - aSent);
   const double ratio =
     std::clamp(observed / expected, kMinSlowness, kMaxSlowness);
-  const double known = 1 + (aView.slowness_ - 1) *
-                             Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+  const double known =
+    1 + (aView.slowness_ - 1) *
+          HalfLifePart(aNow - aView.slownessAt_, kSlownessHalfLife);
   aView.slowness_ = known + kSlownessWeight * (ratio - known);
   aView.slownessAt_ = aNow;
   const bool wasAlone = prompt.start_ == aSent;
@@ -179,8 +174,9 @@
   const double observed = Milliseconds(aTime);
   const double ratio = std::clamp(
     observed / std::max(aPool.workMs_, 1.0), kMinSlowness, kMaxSlowness);
-  const double known = 1 + (aView.slowness_ - 1) *
-                             Fade(aNow - aView.slownessAt_, kSlownessHalfLife);
+  const double known =
+    1 + (aView.slowness_ - 1) *
+          HalfLifePart(aNow - aView.slownessAt_, kSlownessHalfLife);
   aView.slowness_ = known + kSlownessWeight * (ratio - known);
   aView.slownessAt_ = aNow;
   aPool.workMs_ += kWorkWeight * (observed - aPool.workMs_);
--- a/src/edge/Quota.cpp
+++ b/src/edge/Quota.cpp
@@ -272,7 +272,7 @@
   const double missing = std::min(aAmount, 0.9 * most) - level;
   const double seconds =
     rate <= 0 ? 0 : std::clamp(missing / rate, 0.0, kMaxWaitSeconds);
-  return Duration(Duration::rep(seconds * 1e6));
+  return FromSeconds(seconds);
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/QuotaExchange.cpp
+++ b/src/edge/QuotaExchange.cpp
@@ -1,10 +1,9 @@
 // The part of ReportExchange that shares quotas.
 
+#include "edge/MessageCount.h"
 #include "edge/ReportExchange.h"
 #include "runtime/EventLoop.h"
 
-#include <algorithm>
-
 namespace sycamoreward::edge {
 
 namespace {
@@ -67,22 +66,21 @@
     aOnAnswer(false);
     return;
   }
-  network_.Call(
-    found->second.identity_,
-    QuotaRequest{ aWorkspace, std::uint64_t(std::max(aAmount, 0.0)) },
-    kQuotaRequestLimit,
-    [this, aWorkspace, aOnAnswer = std::move(aOnAnswer)](
-      const PeerReply& aReply) {
-      const bool isGranted =
-        aReply.message_.has_value() &&
-        std::holds_alternative<QuotaReply>(*aReply.message_) &&
-        std::get<QuotaReply>(*aReply.message_).isGranted_;
-      if (!isGranted) {
-        nextQuotaRequest_[aWorkspace] =
-          state_.loop_.GetClock().Now() + kQuotaRequestPause;
-      }
-      aOnAnswer(isGranted);
-    });
+  network_.Call(found->second.identity_,
+                QuotaRequest{ aWorkspace, ToCount(aAmount) },
+                kQuotaRequestLimit,
+                [this, aWorkspace, aOnAnswer = std::move(aOnAnswer)](
+                  const PeerReply& aReply) {
+                  const bool isGranted =
+                    aReply.message_.has_value() &&
+                    std::holds_alternative<QuotaReply>(*aReply.message_) &&
+                    std::get<QuotaReply>(*aReply.message_).isGranted_;
+                  if (!isGranted) {
+                    nextQuotaRequest_[aWorkspace] =
+                      state_.loop_.GetClock().Now() + kQuotaRequestPause;
+                  }
+                  aOnAnswer(isGranted);
+                });
 }
 
 void
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/ReportExchange.h"
 
 #include "base/DurationUnits.h"
+#include "edge/MessageCount.h"
 #include "edge/ReportTimes.h"
 #include "runtime/EventLoop.h"
 
@@ -35,12 +36,6 @@
 // Age above which a server's statement on its machine is not passed on.
 constexpr Duration kSlownessAge = std::chrono::milliseconds(600);
 
-std::uint64_t
-ToCount(double aValue)
-{
-  return aValue <= 0 ? 0 : std::uint64_t(aValue);
-}
-
 } // namespace
 
 ReportExchange::ReportExchange(EdgeState& aState,
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -130,14 +130,7 @@
 BackendView*
 RequestRun::ServerOfAttempt()
 {
-  const auto pool = state_.pools_.find(service_);
-  if (pool == state_.pools_.end()) {
-    return nullptr;
-  }
-  const auto found = pool->second.servers_.find(placement_.server_);
-  const bool isSame = found != pool->second.servers_.end() &&
-                      found->second.server_.incarnation_ == serverStart_;
-  return isSame ? &found->second : nullptr;
+  return FindServer(state_, service_, placement_.server_, serverStart_);
 }
 
 void
@@ -207,11 +200,10 @@
   constexpr double kSilenceFactor = 3;
   constexpr double kSilenceBaseMs = 500;
   const double silenceMs = placement_.waitMs_ * kSilenceFactor + kSilenceBaseMs;
-  silenceTimer_ =
-    state_.loop_.CallAfter(Duration(Duration::rep(silenceMs * 1000)), [self] {
-      self->silenceTimer_ = 0;
-      self->OnSilence();
-    });
+  silenceTimer_ = state_.loop_.CallAfter(FromMilliseconds(silenceMs), [self] {
+    self->silenceTimer_ = 0;
+    self->OnSilence();
+  });
 }
 
 void
--- a/test/property/EdgeLoadTest.cpp
+++ b/test/property/EdgeLoadTest.cpp
@@ -27,6 +27,17 @@
               aResult.readTokens_ / 1e6);
 }
 
+// Reports of a fleet with collectors come once a second.
+SimulationOptions
+ManyInstances()
+{
+  SimulationOptions options;
+  options.instances_ = 80;
+  options.engines_ = 90;
+  options.reportInterval_ = std::chrono::seconds(1);
+  return options;
+}
+
 } // namespace
 
 Test(EdgeLoad, PromptsAreCountedByTokensAndSentWhereTheyAreHeld)
@@ -46,10 +57,7 @@
   // Many instances with a report a second: without the fading of old figures
   // all of them choose the server that was idle a second ago.
   const auto arrivals = OfficeArrivals(20, 14, 1, kSeed);
-  SimulationOptions options;
-  options.instances_ = 80;
-  options.engines_ = 90;
-  options.reportInterval_ = std::chrono::seconds(1);
+  SimulationOptions options = ManyInstances();
   const auto fading = Simulate(arrivals, options, edge::ChooseServer);
   const auto believing = Simulate(
     arrivals,
@@ -73,10 +81,7 @@
 Test(EdgeLoad, PlacersKeepPromptsApartWhereReportsAreOld)
 {
   const auto arrivals = OfficeArrivals(20, 14, 1.3, kSeed);
-  SimulationOptions options;
-  options.instances_ = 80;
-  options.engines_ = 90;
-  options.reportInterval_ = std::chrono::seconds(1);
+  SimulationOptions options = ManyInstances();
   const auto each = Simulate(arrivals, options, edge::ChooseServer);
   options.placers_ = 6;
   const auto placers = Simulate(arrivals, options, edge::ChooseServer);
--- a/tools/sycamoreward-edge/Main.cpp
+++ b/tools/sycamoreward-edge/Main.cpp
@@ -8,61 +8,19 @@
 #include "SettingsFile.h"
 #include "StoreClient.h"
 #include "base/Clock.h"
-#include "base/Error.h"
 #include "edge/Edge.h"
+#include "program/Program.h"
 #include "runtime/EventLoop.h"
 #include "sycamoreward/Version.h"
 #include "telemetry/Log.h"
 
-#include <cxxopts.hpp>
-
 #include <csignal>
-#include <cstdlib>
-#include <iostream>
 #include <malloc.h>
 
 using namespace sycamoreward;
 
 namespace {
 
-constexpr const char* kSettingsVariable = "SYCAMOREWARD_CONFIG";
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
-cxxopts::Options
-MakeOptions()
-{
-  cxxopts::Options options(
-    "sycamoreward-edge",
-    "Entry instance of sycamoreward on the platform. Exit codes: 0 ended on "
-    "request, 1 failed, 2 wrong arguments or settings.");
-  options.add_options() //
-    ("settings",
-     "Settings file; the default is the variable SYCAMOREWARD_CONFIG",
-     cxxopts::value<std::string>())                       //
-    ("check-settings", "Check the settings file and end") //
-    ("version", "Print the version")                      //
-    ("help", "Print this text");
-  return options;
-}
-
-std::string
-SettingsPath(const cxxopts::ParseResult& aParsed)
-{
-  if (aParsed.count("settings") != 0) {
-    return aParsed["settings"].as<std::string>();
-  }
-  const char* path = std::getenv(kSettingsVariable);
-  if (path == nullptr || *path == '\0') {
-    throw UserError("start",
-                    "",
-                    "Neither --settings nor SYCAMOREWARD_CONFIG names a "
-                    "settings file.");
-  }
-  return path;
-}
-
 edge::RowCodec
 Rows()
 {
@@ -93,7 +51,7 @@
   return options;
 }
 
-int
+void
 Run(const std::string& aPath)
 {
   const platform::PlatformSettings settings = platform::LoadSettingsFile(aPath);
@@ -132,29 +90,12 @@
   });
   loop.Run();
   log.WriteImportant(edge::LogLine("stopped"));
-  return kExitOk;
 }
 
-int
-RunProgram(int aCount, char** aArguments)
+void
+Check(const std::string& aPath)
 {
-  cxxopts::Options options = MakeOptions();
-  const auto parsed = options.parse(aCount, aArguments);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help() << std::endl;
-    return kExitOk;
-  }
-  if (parsed.count("version") != 0) {
-    std::cout << "sycamoreward-edge " << kVersion << std::endl;
-    return kExitOk;
-  }
-  const std::string path = SettingsPath(parsed);
-  if (parsed.count("check-settings") != 0) {
-    platform::LoadSettingsFile(path);
-    std::cout << path << ": no faults" << std::endl;
-    return kExitOk;
-  }
-  return Run(path);
+  platform::LoadSettingsFile(aPath);
 }
 
 } // namespace
@@ -167,16 +108,13 @@
   mallopt(M_ARENA_MAX, 1);
   mallopt(M_TRIM_THRESHOLD, 256 * 1024);
   std::signal(SIGPIPE, SIG_IGN);
-  try {
-    return RunProgram(aCount, aArguments);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "sycamoreward-edge: " << error.what() << std::endl;
-    return kExitUsage;
-  } catch (const UserError& error) {
-    std::cerr << "sycamoreward-edge: " << error.what() << std::endl;
-    return kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sycamoreward-edge: " << error.what() << std::endl;
-    return kExitFailed;
-  }
+  return RunProgram({ "sycamoreward-edge",
+                      "Entry instance of sycamoreward on the platform.",
+                      "Settings file; the default is the variable "
+                      "SYCAMOREWARD_CONFIG",
+                      "SYCAMOREWARD_CONFIG",
+                      Check,
+                      Run },
+                    aCount,
+                    aArguments);
 }
--- a/tools/sycamorewardd/Main.cpp
+++ b/tools/sycamorewardd/Main.cpp
@@ -1,13 +1,12 @@
 // The program sycamorewardd: one entry instance.
 
 #include "base/Clock.h"
+#include "program/Program.h"
 #include "runtime/EventLoop.h"
 #include "settings/Settings.h"
 #include "sycamoreward/EntryInstance.h"
-#include "sycamoreward/Version.h"
 #include "telemetry/Log.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
@@ -17,26 +16,6 @@
 
 namespace {
 
-// Exit codes, also given by --help.
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
-cxxopts::Options
-MakeOptions()
-{
-  cxxopts::Options options(
-    "sycamorewardd",
-    "Entry instance of sycamoreward. Exit codes: 0 ended on request, 1 failed, "
-    "2 wrong arguments or settings.");
-  options.add_options()                                                  //
-    ("settings", "Settings file in YAML", cxxopts::value<std::string>()) //
-    ("check-settings", "Check the settings file and end")                //
-    ("version", "Print the version")                                     //
-    ("help", "Print this text");
-  return options;
-}
-
 void
 RereadLogLevel(const std::string& aFile)
 {
@@ -50,7 +29,7 @@
   }
 }
 
-int
+void
 RunInstance(const std::string& aFile)
 {
   const Settings settings = LoadSettings(aFile);
@@ -68,33 +47,12 @@
                                { "peers", instance.PeerAddress() } }
             << std::endl;
   loop.Run();
-  return kExitOk;
 }
 
-int
-RunProgram(int aCount, char** aArguments)
+void
+CheckSettings(const std::string& aFile)
 {
-  cxxopts::Options options = MakeOptions();
-  const auto parsed = options.parse(aCount, aArguments);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help() << std::endl;
-    return kExitOk;
-  }
-  if (parsed.count("version") != 0) {
-    std::cout << "sycamorewardd " << kVersion << std::endl;
-    return kExitOk;
-  }
-  if (parsed.count("settings") == 0) {
-    std::cerr << "sycamorewardd: --settings FILE is missing." << std::endl;
-    return kExitUsage;
-  }
-  const std::string file = parsed["settings"].as<std::string>();
-  if (parsed.count("check-settings") != 0) {
-    LoadSettings(file);
-    std::cout << file << ": no faults" << std::endl;
-    return kExitOk;
-  }
-  return RunInstance(file);
+  LoadSettings(aFile);
 }
 
 } // namespace
@@ -102,16 +60,12 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return RunProgram(aCount, aArguments);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "sycamorewardd: " << error.what() << std::endl;
-    return kExitUsage;
-  } catch (const UserError& error) {
-    std::cerr << "sycamorewardd: " << error.what() << std::endl;
-    return kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sycamorewardd: " << error.what() << std::endl;
-    return kExitFailed;
-  }
+  return RunProgram({ "sycamorewardd",
+                      "Entry instance of sycamoreward.",
+                      "Settings file in YAML",
+                      nullptr,
+                      CheckSettings,
+                      RunInstance },
+                    aCount,
+                    aArguments);
 }
