Learn the read rate from prompts that wait behind a short queue

Cause: only prompts whose predicted start was the moment of sending counted, and the mean of the other instances' prompts makes nearly every predicted start later, so small deployments kept the first estimate of 30 tokens/ms. The plan of engines and the expected waits were off by the same factor. Change: prompts whose estimated queue is at most half of their own reading time count, with the queue's tokens; the first observations weigh more; a recently reported slowness is divided out.

--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -13,6 +13,9 @@
 constexpr double kFailureWeight = 0.25;
 constexpr double kSlownessWeight = 0.3;
 constexpr double kReadRateWeight = 0.05;
+// The first estimate of the read rate counts like this many observations, so
+// that observed values replace it within a second of traffic.
+constexpr double kInitialReadRateCount = 2;
 constexpr double kWorkWeight = 0.05;
 // Half-lives of observations. Server outages last for seconds; with a shorter
 // half-life, requests would be sent to a failed server again too soon.
@@ -26,8 +29,16 @@
 // Maximum age of a slowness reported by a server. The reported values change
 // several times per second.
 constexpr Duration kMaxReportedSlownessAge = std::chrono::milliseconds(700);
-// Smaller prompts are not used to estimate the read rate.
-constexpr double kReadRateMinTokens = 2000;
+// Smaller prompts are not used to estimate the read rate: the network and the
+// step in progress take as long as reading them.
+constexpr double kReadRateMinTokens = 1500;
+// The same if the prompt's estimated wait behind other prompts is longer than
+// this fraction of its own reading time. The tokens of other instances' prompts
+// are only known on average, and waiting behind them must not count as reading.
+constexpr double kReadRateMaxQueueFraction = 0.5;
+// Maximum factor between an observed read rate and the estimate. The number of
+// cached tokens can be far off.
+constexpr double kMaxReadRateFactor = 4;
 // Maximum fraction of a prompt that counts as read before its first event has
 // arrived, even if the event is late.
 constexpr double kMaxReadFraction = 0.8;
@@ -35,6 +46,37 @@
 // first step and the network.
 constexpr double kFirstEventBaseMs = 15;
 
+// Updates the pool's read rate with a prompt whose first event arrived at aNow.
+void
+RecordReadRate(PoolView& aPool,
+               const BackendView& aView,
+               const UnreadPrompt& aPrompt,
+               MonotonicTime aSent,
+               MonotonicTime aNow)
+{
+  const double queue = Milliseconds(aPrompt.start_ - aSent);
+  const double own = Milliseconds(aPrompt.end_ - aPrompt.start_);
+  if (aPrompt.tokens_ < kReadRateMinTokens || own <= 0 ||
+      queue > own * kReadRateMaxQueueFraction) {
+    return;
+  }
+  // An engine that shares its machine reads more slowly for a while. The pool's
+  // rate is that of an undisturbed engine.
+  const bool hasLoad = aView.load_.has_value() &&
+                       aNow - aView.load_->at_ < kMaxReportedSlownessAge;
+  const double slowness = hasLoad ? aView.load_->slowness_ : 1;
+  const double tokens = aPrompt.tokens_ * (1 + queue / own);
+  const double rate =
+    std::clamp(tokens * slowness /
+                 std::max(Milliseconds(aNow - aSent) - kFirstEventBaseMs, 1.0),
+               aPool.readRate_ / kMaxReadRateFactor,
+               aPool.readRate_ * kMaxReadRateFactor);
+  aPool.readRateCount_ += 1;
+  const double weight = std::max(
+    kReadRateWeight, 1 / (aPool.readRateCount_ + kInitialReadRateCount));
+  aPool.readRate_ += weight * (rate - aPool.readRate_);
+}
+
 } // namespace
 
 double
@@ -160,12 +202,7 @@
           DecayFactor(aNow - aView.slownessAt_, kSlownessHalfLife);
   aView.slowness_ = decayed + kSlownessWeight * (ratio - decayed);
   aView.slownessAt_ = aNow;
-  const bool wasAlone = prompt.start_ == aSent;
-  if (wasAlone && prompt.tokens_ >= kReadRateMinTokens) {
-    const double rate =
-      prompt.tokens_ / std::max(observed - kFirstEventBaseMs, 1.0);
-    aPool.readRate_ += kReadRateWeight * (rate - aPool.readRate_);
-  }
+  RecordReadRate(aPool, aView, prompt, aSent, aNow);
 }
 
 void
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -66,6 +66,8 @@
   std::map<ServerId, BackendView> servers_;
   // Estimated prompt tokens that an engine reads per millisecond.
   double readRate_ = 0;
+  // Number of prompts that readRate_ was estimated from.
+  double readRateCount_ = 0;
   // Estimated mean time of a request at a server of a plain service, in
   // milliseconds.
   double workMs_ = 0;
--- a/test/property/EdgeLoadTest.cpp
+++ b/test/property/EdgeLoadTest.cpp
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
 #include <cstdio>
 
 using namespace sycamoreward;
@@ -138,3 +139,26 @@
   const auto result = Simulate(arrivals, {}, edge::ChooseServer);
   cr_expect_lt(result.refusedFraction_, 0.005);
 }
+
+// Guards against a read rate that is never learned. Only prompts that were sent
+// to an idle engine counted, and the mean of the other instances' prompts made
+// all engines look busy, so the first estimate was kept for good: engines that
+// read twice as fast were ordered twice as often as needed.
+Test(EdgeLoad, LearnsTheReadRateOfFastAndSlowEngines)
+{
+  for (const double rate : { 12.0, 38.4, 64.0, 180.0 }) {
+    SimulationOptions options;
+    options.readRate_ = rate;
+    options.assumedReadRate_ = 30;
+    options.reportInterval_ = std::chrono::milliseconds(150);
+    // Engines in proportion, so that they are equally busy at each rate.
+    options.engines_ = int(std::ceil(18 * 38.4 / rate));
+    const auto arrivals = OfficeArrivals(20, 1, 1, kSeed);
+    const auto result = Simulate(arrivals, options, edge::ChooseServer);
+    std::printf("engines that read %.1f tokens/ms: learned %.1f\n",
+                rate,
+                result.learnedReadRate_);
+    cr_expect_gt(result.learnedReadRate_, 0.6 * rate);
+    cr_expect_lt(result.learnedReadRate_, 1.4 * rate);
+  }
+}
--- a/test/support/EngineQueueSimulation.cpp
+++ b/test/support/EngineQueueSimulation.cpp
@@ -66,7 +66,8 @@
   PoolView pool;
   pool.isEngine_ = true;
   pool.maxConnections_ = 4000;
-  pool.readRate_ = aOptions.readRate_;
+  pool.readRate_ = aOptions.assumedReadRate_ > 0 ? aOptions.assumedReadRate_
+                                                 : aOptions.readRate_;
   for (int index = 0; index < aOptions.engines_; ++index) {
     edge::BackendView view;
     view.server_.id_ = ServerId("engine-" + std::to_string(index));
@@ -260,6 +261,9 @@
     value += arrival.value_ * (isOnTime ? 1.0 : 0.1);
     waits.push_back(double((first - now).count()) / 1000);
   }
+  for (const PoolView& pool : cluster.views_) {
+    result.learnedReadRate_ += pool.readRate_ / double(cluster.views_.size());
+  }
   std::sort(waits.begin(), waits.end());
   const auto count = double(aArrivals.size());
   result.valueFraction_ = value / totalValue;
--- a/test/support/EngineQueueSimulation.h
+++ b/test/support/EngineQueueSimulation.h
@@ -29,7 +29,10 @@
 {
   int instances_ = 6;
   int engines_ = 18;
+  // Prompt tokens that an engine reads per millisecond, and the instances'
+  // first estimate of it; 0 if they know it.
   double readRate_ = 38.4;
+  double assumedReadRate_ = 0;
   // Interval between the reports that the instances exchange. With 0, each
   // arrival is placed with current reports.
   Duration reportInterval_{ 0 };
@@ -49,6 +52,8 @@
   // milliseconds.
   double p95Ms_ = 0;
   double readTokens_ = 0;
+  // Mean over the instances of the read rate that they have learned.
+  double learnedReadRate_ = 0;
 };
 
 // Chooses a server for one request. aPool is the view of the placing instance.
