Order reserved engines with a margin of their own

Cause: when no reclaimable engines were to be had, reserved ones replaced the whole margin of the cheap ones, and refused orders for reclaimable engines released reserved ones for half a second at a time. Change: reserved engines cover the busy ones, a smaller margin, and the loss of one more domain's reclaimable engines. After a loss an order for reclaimable engines counts only as far as engines are present.

--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -14,16 +14,22 @@
 // are, the less likely a burst finds all of them busy. The value follows from
 // eighteen engines for a demand of five and a half, as the offices run them.
 constexpr double kBurstReserve = 5;
+// The same for engines that can only be had as reserved ones.
+constexpr double kReservedBurstReserve = 2.5;
 // Maximum factor by which refusals may raise the need.
 constexpr double kMaxRefusedFactor = 1.5;
 // Minimum number of engines per failure domain, on average. With fewer, a burst
 // of a few long prompts fills all of them.
 constexpr double kMinEnginesPerDomain = 6;
+constexpr double kMinReservedPerDomain = 3;
 // Engines kept beyond those that the demand needs, as a fraction.
 constexpr double kSpareFraction = 0.15;
 // Half-life of the need after the demand has fallen. It decays slowly because
 // starting an engine takes seconds and its memory is empty at first.
 constexpr Duration kNeedHalfLife = std::chrono::seconds(20);
+// The same for the need that reserved engines cover. They cost several times
+// as much, so they are kept for a shorter time.
+constexpr Duration kReservedNeedHalfLife = std::chrono::seconds(8);
 // Minimum number of reserved engines of each failure domain. They serve the
 // most urgent requests while reclaimable ones are started elsewhere.
 constexpr std::uint32_t kReservedBase = 1;
@@ -49,6 +55,10 @@
 // busy engines. Two of three domains were seen to be lost within six seconds.
 constexpr std::size_t kMaxDomainsLostTogether = 2;
 constexpr double kAfterLossCapacityFactor = 1.1;
+// Capacity that must be left when one more domain loses its reclaimable
+// engines: a multiple of the busy engines, and a margin as a multiple of the
+// square root of their number.
+constexpr double kSurvivorBurstReserve = 1;
 // Maximum price of a reclaimable engine, as a fraction of a reserved one's.
 // Above it the saving does not justify the risk.
 constexpr double kMaxReclaimablePrice = 0.6;
@@ -66,25 +76,40 @@
   return aInputs.demand_ / std::max(aInputs.engineRate_, 1.0);
 }
 
-double
-NeededEngines(EnginePlan& aPlan, const EnginePlanInputs& aInputs)
+// Updates aNeed, which decays by half in aHalfLife after the demand has fallen,
+// with the engines that the demand keeps busy and a margin for bursts.
+void
+UpdateNeed(double& aNeed,
+           double aBurstReserve,
+           Duration aHalfLife,
+           Duration aElapsed,
+           const EnginePlanInputs& aInputs)
 {
-  if (aInputs.demand_ <= 0) {
-    // Before the first requests, the existing engines are assumed to be needed.
-    aPlan.neededAt_ = aInputs.now_;
-    return aPlan.needed_ * (1 + kSpareFraction);
-  }
   const double busy = BusyEngines(aInputs);
-  double needed = busy + kBurstReserve * std::sqrt(busy);
+  double needed = busy + aBurstReserve * std::sqrt(busy);
   if (aInputs.hasRefused_) {
-    needed = std::max(
-      needed, std::min(aPlan.needed_ * 1.1, needed * kMaxRefusedFactor));
+    needed =
+      std::max(needed, std::min(aNeed * 1.1, needed * kMaxRefusedFactor));
   }
-  const double decay =
-    DecayFactor(aInputs.now_ - aPlan.neededAt_, kNeedHalfLife);
-  aPlan.needed_ = std::max(needed, aPlan.needed_ * decay);
+  aNeed = std::max(needed, aNeed * DecayFactor(aElapsed, aHalfLife));
+}
+
+// Updates the needs of the plan. Before the first requests, the existing
+// engines are assumed to be needed.
+void
+UpdateNeeds(EnginePlan& aPlan, const EnginePlanInputs& aInputs)
+{
+  const Duration elapsed = aInputs.now_ - aPlan.neededAt_;
   aPlan.neededAt_ = aInputs.now_;
-  return aPlan.needed_ * (1 + kSpareFraction);
+  if (aInputs.demand_ <= 0) {
+    return;
+  }
+  UpdateNeed(aPlan.needed_, kBurstReserve, kNeedHalfLife, elapsed, aInputs);
+  UpdateNeed(aPlan.reservedNeed_,
+             kReservedBurstReserve,
+             kReservedNeedHalfLife,
+             elapsed,
+             aInputs);
 }
 
 // Returns the number of reserved engines to order in a domain. They are
@@ -126,20 +151,47 @@
   return serving;
 }
 
+// Notes whether the domain's reclaimable engines were added to since the last
+// loss.
+void
+UpdateProof(DomainPlan& aDomain, const EngineCounts& aPresent)
+{
+  if (aPresent.reclaimable_ > aDomain.knownReclaimable_) {
+    aDomain.isUnproven_ = false;
+  }
+  aDomain.knownReclaimable_ = aPresent.reclaimable_;
+}
+
+// Reclaimable engines that can be expected to serve.
+struct ExpectedEngines
+{
+  double total_ = 0;
+  // Those of the domain with the most.
+  double largestDomain_ = 0;
+};
+
+void
+AddExpected(ExpectedEngines& aExpected, double aDomain)
+{
+  aExpected.total_ += aDomain;
+  aExpected.largestDomain_ = std::max(aExpected.largestDomain_, aDomain);
+}
+
 // Sets the number of reclaimable engines to order in each domain and returns
-// how many can be expected in all. In domains with a recent loss, the present
+// those that can be expected. In domains with a recent loss, the present
 // engines are kept.
-double
+ExpectedEngines
 OrderReclaimable(EnginePlan& aPlan,
                  const EnginePlanInputs& aInputs,
                  double aNeeded)
 {
   std::uint32_t openDomains = 0;
-  double expected = 0;
+  ExpectedEngines expected;
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
+    UpdateProof(domain, counts);
     if (HasRecentLoss(domain, aInputs.now_)) {
-      expected += counts.reclaimable_;
+      AddExpected(expected, counts.reclaimable_);
       domain.ordered_.reclaimable_ = counts.reclaimable_;
     } else {
       ++openDomains;
@@ -151,7 +203,7 @@
                              : kAfterLossCapacityFactor * BusyEngines(aInputs) /
                                  double(domains - kMaxDomainsLostTogether);
   const double share = std::max(
-    afterLoss, (aNeeded - expected) / double(std::max(openDomains, 1u)));
+    afterLoss, (aNeeded - expected.total_) / double(std::max(openDomains, 1u)));
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
     if (HasRecentLoss(domain, aInputs.now_)) {
@@ -163,7 +215,10 @@
     domain.ordered_.reclaimable_ =
       std::uint32_t(std::clamp(std::ceil(share), 0.0, double(room)));
     domain.lacksRoom_ = share > double(room);
-    expected += domain.ordered_.reclaimable_;
+    const std::uint32_t ordered = domain.ordered_.reclaimable_;
+    AddExpected(expected,
+                domain.isUnproven_ ? std::min(counts.reclaimable_, ordered)
+                                   : ordered);
   }
   return expected;
 }
@@ -187,20 +242,34 @@
           double(counts.reserved_ + counts.reclaimable_) / (1 + kSpareFraction);
       }
     }
+    aPlan.reservedNeed_ = aPlan.needed_;
   }
-  const double needed =
-    std::max(NeededEngines(aPlan, aInputs), kMinEnginesPerDomain * domains);
+  UpdateNeeds(aPlan, aInputs);
+  const double needed = std::max(aPlan.needed_ * (1 + kSpareFraction),
+                                 kMinEnginesPerDomain * domains);
+  const double reservedNeed =
+    std::min(needed,
+             std::max(aPlan.reservedNeed_ * (1 + kSpareFraction),
+                      kMinReservedPerDomain * domains));
   const std::uint32_t base = std::max(kReservedBase, aInputs.min_);
-  double expected = 0;
+  ExpectedEngines expected;
   if (aInputs.reclaimablePrice_ <= kMaxReclaimablePrice) {
     expected = OrderReclaimable(aPlan, aInputs, needed - base * domains);
   }
-  const double missing = std::max(0.0, (needed - expected) / domains);
+  // Engines that must not depend on the reclaimable ones of a single domain.
+  const double busy = BusyEngines(aInputs);
+  const double survivors = std::min(reservedNeed,
+                                    kAfterLossCapacityFactor * busy +
+                                      kSurvivorBurstReserve * std::sqrt(busy));
+  const double missing = std::max(
+    { 0.0,
+      (reservedNeed - expected.total_) / domains,
+      (survivors - expected.total_ + expected.largestDomain_) / domains });
   aPlan.demand_ = aInputs.demand_;
   aPlan.engineRate_ = aInputs.engineRate_;
   aPlan.serving_ = ServingEngines(aInputs);
   const auto surplus = std::uint32_t(
-    std::max(0.0, std::floor((aPlan.serving_ - needed) / domains)));
+    std::max(0.0, std::floor((aPlan.serving_ - reservedNeed) / domains)));
   const bool canReplace = aPlan.serving_ >= kMinReplaceServingFraction * needed;
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
@@ -236,6 +305,7 @@
   }
   domain.lossTime_ = aNow;
   domain.hasLoss_ = true;
+  domain.isUnproven_ = true;
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -4,7 +4,10 @@
 // Reclaimable engines carry the load because they are cheap; a base of reserved
 // engines survives when all reclaimable ones of a domain are reclaimed. The
 // plan handles two load patterns: a slow wave of the demand, and the sudden
-// loss of all reclaimable engines of a failure domain.
+// loss of all reclaimable engines of a failure domain, with no others available
+// for a while. In the second case reserved engines replace only what the demand
+// keeps busy and a small margin, because the full margin is not worth their
+// price.
 
 #include "base/Clock.h"
 #include "base/Ids.h"
@@ -46,6 +49,12 @@
   // order for them was refused.
   MonotonicTime lossTime_;
   bool hasLoss_ = false;
+  // Reclaimable engines were lost or refused, and none has been added since. An
+  // order counts only as far as its engines are present.
+  bool isUnproven_ = false;
+  // Reclaimable engines that were present when the loss was recorded or the
+  // domain was last planned, to detect new ones.
+  std::uint32_t knownReclaimable_ = 0;
   // More reclaimable engines are needed than the bound leaves room for.
   bool lacksRoom_ = false;
   // When the number of reserved engines was last lowered.
@@ -58,6 +67,8 @@
   // Engines that the demand needs, without the spare ones. Decays slowly after
   // the demand has fallen.
   double needed_ = 0;
+  // The same with the smaller margin for which reserved engines are ordered.
+  double reservedNeed_ = 0;
   MonotonicTime neededAt_;
   bool isStarted_ = false;
   // Inputs of the last update, and the engines that were serving then. Logged
