Learn the read rate from prompts that take 25 ms or more to read

The number of tokens that an engine has to read is itself estimated too high, by the same factor in demand, waits and rate, so it cancels. For fast engines the fixed part of the time to the first event was as long as the reading. Change: a prompt counts if reading it is expected to take 25 ms, instead of from 1,500 tokens on. Never learned, it would be off by the ratio of the rates, up to six.

--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -29,9 +29,9 @@
 // Maximum age of a slowness reported by a server. The reported values change
 // several times per second.
 constexpr Duration kMaxReportedSlownessAge = std::chrono::milliseconds(700);
-// Smaller prompts are not used to estimate the read rate: the network and the
-// step in progress take as long as reading them.
-constexpr double kReadRateMinTokens = 1500;
+// Prompts whose estimated reading time is shorter are not used to estimate the
+// read rate: the network and the step in progress take as long as reading them.
+constexpr double kReadRateMinReadMs = 25;
 // The same if the prompt's estimated wait behind other prompts is longer than
 // this fraction of its own reading time. The tokens of other instances' prompts
 // are only known on average, and waiting behind them must not count as reading.
@@ -56,8 +56,7 @@
 {
   const double queue = Milliseconds(aPrompt.start_ - aSent);
   const double own = Milliseconds(aPrompt.end_ - aPrompt.start_);
-  if (aPrompt.tokens_ < kReadRateMinTokens || own <= 0 ||
-      queue > own * kReadRateMaxQueueFraction) {
+  if (own < kReadRateMinReadMs || queue > own * kReadRateMaxQueueFraction) {
     return;
   }
   // An engine that shares its machine reads more slowly for a while. The pool's
--- a/test/support/EngineQueueSimulation.cpp
+++ b/test/support/EngineQueueSimulation.cpp
@@ -226,6 +226,8 @@
   double totalValue = 0;
   int onTime = 0;
   int refused = 0;
+  double expectedReadMs = 0;
+  double actualReadMs = 0;
   std::vector<double> waits;
   for (const SimulatedArrival& arrival : aArrivals) {
     const MonotonicTime now = At(arrival.at_);
@@ -254,8 +256,13 @@
       ++refused;
       continue;
     }
+    const double readBefore = result.readTokens_;
     const MonotonicTime first =
       Send(cluster, instance, arrival, placement, now, result.readTokens_);
+    if (&arrival - aArrivals.data() >= std::ptrdiff_t(aArrivals.size() / 2)) {
+      expectedReadMs += placement.tokens_ / pool.readRate_;
+      actualReadMs += (result.readTokens_ - readBefore) / aOptions.readRate_;
+    }
     const bool isOnTime = first - now <= arrival.objective_;
     onTime += isOnTime ? 1 : 0;
     value += arrival.value_ * (isOnTime ? 1.0 : 0.1);
@@ -266,6 +273,7 @@
   }
   std::sort(waits.begin(), waits.end());
   const auto count = double(aArrivals.size());
+  result.expectedReadFraction_ = expectedReadMs / std::max(actualReadMs, 1.0);
   result.valueFraction_ = value / totalValue;
   result.onTimeFraction_ = onTime / count;
   result.refusedFraction_ = refused / count;
--- a/test/support/EngineQueueSimulation.h
+++ b/test/support/EngineQueueSimulation.h
@@ -54,6 +54,9 @@
   double readTokens_ = 0;
   // Mean over the instances of the read rate that they have learned.
   double learnedReadRate_ = 0;
+  // Sum of the reading times that were expected in the second half of the
+  // arrivals, as a fraction of the actual ones.
+  double expectedReadFraction_ = 0;
 };
 
 // Chooses a server for one request. aPool is the view of the placing instance.
