--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -25,6 +25,11 @@
 // Cost of each running request: it makes the steps of the engine slightly
 // longer, and a new prompt delays its tokens.
 constexpr double kRunningCostMs = 0.6;
+// Cost of each millisecond in which the engine reads parts of the prompt that
+// it does not hold, beyond the wait itself. Reading keeps the engine from other
+// prompts, and objectives usually allow a longer queue, so a session stays with
+// the engines that hold its parts while their queues are moderately longer.
+constexpr double kReadingCostFactor = 4;
 // Costs that differ by at most this much count as equal. Otherwise several
 // instances with the same reports would choose the same server.
 constexpr double kEqualCostMs = 6;
@@ -156,6 +161,8 @@
     cost += kConnectMs;
   }
   if (aPool.isEngine_) {
+    cost += kReadingCostFactor *
+            Milliseconds(aPlacement.readEnd_ - aPlacement.readStart_);
     cost += aPlacement.running_ * kRunningCostMs;
   }
   if (aQuery.shortPromptServers_ != nullptr) {
