Give instances that start the quota levels of their peers

Each start began with a full quota. Test: EdgeQuota/AnInstanceThatHasJustStartedTakesOverTheLevelOfItsPeers.

--- a/src/edge/Quota.cpp
+++ b/src/edge/Quota.cpp
@@ -30,6 +30,9 @@
 constexpr double kGrantRateFraction = 0.25;
 // Grants are given while at least this fraction of the quota is left.
 constexpr double kMinGrantLevelFraction = 0.5;
+// Levels below this fraction of the capacity are reported to peers. Most
+// workspaces are above it, and then a report needs no entry for them.
+constexpr double kReportedLevelFraction = 0.5;
 // Maximum wait time that a refused caller is given.
 constexpr double kMaxWaitSeconds = 3;
 // Key of the sum among the peers.
@@ -131,8 +134,12 @@
   aQuota.rate_ = aRate;
   aQuota.burst_ = aBurst;
   aQuota.tolerance_ = aTolerance;
-  aQuota.level_ =
-    isNew ? Capacity(aQuota) : std::min(aQuota.level_, Capacity(aQuota));
+  aQuota.level_ = isNew ? std::min(aQuota.peerLevel_.value_or(Capacity(aQuota)),
+                                   Capacity(aQuota))
+                        : std::min(aQuota.level_, Capacity(aQuota));
+  if (isNew) {
+    aQuota.startedAt_ = aNow;
+  }
   aQuota.shareLevel_ = isNew
                          ? SharedCapacity(aQuota)
                          : std::min(aQuota.shareLevel_, SharedCapacity(aQuota));
@@ -243,6 +250,36 @@
   peer.lastReport_ = aNow;
 }
 
+void
+RecordPeerLevel(Quota& aQuota,
+                const InstanceId& aPeer,
+                double aLevel,
+                MonotonicTime aNow)
+{
+  if (aQuota.peers_.count(aPeer) != 0) {
+    return;
+  }
+  if (aQuota.rate_ <= 0) {
+    aQuota.peerLevel_ = std::min(aQuota.peerLevel_.value_or(aLevel), aLevel);
+    return;
+  }
+  if (Seconds(aNow - aQuota.startedAt_) <= kMaxUseSeconds) {
+    Refill(aQuota, aNow);
+    aQuota.level_ = std::min(aQuota.level_, aLevel);
+  }
+}
+
+std::optional<double>
+LevelForPeers(const Quota& aQuota, MonotonicTime aNow)
+{
+  const double level =
+    aQuota.level_ + aQuota.rate_ * Seconds(aNow - aQuota.at_);
+  if (aQuota.rate_ <= 0 || level >= kReportedLevelFraction * Capacity(aQuota)) {
+    return std::nullopt;
+  }
+  return std::max(level, 0.0);
+}
+
 void
 RecordAggregateUse(Quota& aQuota,
                    const AggregateSource& aSource,
--- a/src/edge/Quota.h
+++ b/src/edge/Quota.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace sycamoreward::edge {
@@ -57,6 +58,10 @@
   // late, and at most burst + tolerance.
   double level_ = 0;
   MonotonicTime at_;
+  // When this instance first knew the limits, and the lowest level that a peer
+  // had reported by then.
+  MonotonicTime startedAt_;
+  std::optional<double> peerLevel_;
   // Amount that the instances in contact with each other can consume while the
   // share is below one. Kept apart from the level, so that only actual use
   // counts once all instances are in contact again.
@@ -124,6 +129,20 @@
               bool aIsContinuous,
               MonotonicTime aNow);
 
+// Applies the level that a peer has reported before any of its use was
+// recorded. An instance that has just started does not know the use of the last
+// seconds, so it takes the lowest level of its peers. Later levels are ignored.
+void
+RecordPeerLevel(Quota& aQuota,
+                const InstanceId& aPeer,
+                double aLevel,
+                MonotonicTime aNow);
+
+// Returns the level at aNow if so much of the quota is used that an instance
+// which has just started should know it.
+std::optional<double>
+LevelForPeers(const Quota& aQuota, MonotonicTime aNow);
+
 // Records the use of all other instances as summed up by aSource.
 void
 RecordAggregateUse(Quota& aQuota,
--- a/src/edge/QuotaExchange.cpp
+++ b/src/edge/QuotaExchange.cpp
@@ -26,6 +26,12 @@
   const bool isContinuous = IsReporting(aPeer);
   const bool isSameStart =
     aPeer.reportedIncarnation_ == aReport.identity_.incarnation_;
+  for (const auto& [workspace, level] : aReport.quotaLevels_) {
+    RecordPeerLevel(state_.quotas_[WorkspaceId(workspace)],
+                    aReport.identity_.instance_,
+                    double(level),
+                    now);
+  }
   for (const auto& [workspace, used] : aReport.used_) {
     std::uint64_t before = 0;
     const auto last = aPeer.report_.used_.find(workspace);
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -322,6 +322,10 @@
   }
   for (const auto& [workspace, quota] : state_.quotas_) {
     aReport.used_[workspace.Value()] = ToCount(quota.used_);
+    const auto level = LevelForPeers(quota, now);
+    if (IsMesh() && level.has_value()) {
+      aReport.quotaLevels_[workspace.Value()] = ToCount(*level);
+    }
   }
   const auto& own = state_.usage_.own_;
   std::uint64_t skipped =
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -287,6 +287,7 @@
   aArchive("dutyEpoch", aValue.dutyEpoch_);
   aArchive("servers", aValue.servers_);
   aArchive("used", aValue.used_);
+  aArchive("quotaLevels", aValue.quotaLevels_);
   aArchive("begun", aValue.begun_);
   aArchive("demand", aValue.demand_);
   aArchive("refused", aValue.refused_);
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -218,6 +218,9 @@
   std::vector<ServerUse> servers_;
   // Quota consumed since the start of the instance, by workspace.
   std::map<std::string, std::uint64_t> used_;
+  // Amount that can be consumed now, of workspaces that have used much of their
+  // quota.
+  std::map<std::string, std::uint64_t> quotaLevels_;
   std::vector<WindowUse> begun_;
   // Prompt tokens per second that engines had to read, by service, and the
   // number of requests refused for lack of capacity since the start.
