Keep the reserved margin without the largest domain, and plan at once after a take-over

Change: reclaimable engines of the largest domain do not count towards the margin of the reserved ones. The list has to settle once after the start of an instance, whether or not it holds the duties.

--- a/src/edge/DutyOrders.cpp
+++ b/src/edge/DutyOrders.cpp
@@ -13,11 +13,20 @@
 // Backoff between calls for an order that the platform does not carry out.
 constexpr Duration kMinOrderRetry = std::chrono::seconds(1);
 constexpr Duration kMaxOrderRetry = std::chrono::seconds(8);
-constexpr Duration kListSettleTime = std::chrono::milliseconds(1500);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
+void
+DutyTask::CheckServerList()
+{
+  std::size_t listed = 0;
+  for (const auto& [name, pool] : state_.pools_) {
+    listed += pool.servers_.size();
+  }
+  UpdateListState(listState_, listed, state_.loop_.GetClock().Now());
+}
+
 void
 DutyTask::CheckOrders()
 {
@@ -61,15 +70,7 @@
     }
   }
   DetectReclaims(pool, inputs, plan);
-  if (pool.servers_.size() != listedServers_) {
-    listedServers_ = pool.servers_.size();
-    listedSince_ = now;
-  }
-  // Engines register one after the other at the start. A plan made from only
-  // some of them would release the rest.
-  const bool isSettled =
-    listedServers_ > 0 && now - listedSince_ >= kListSettleTime;
-  if (!plan.isStarted_ && !isSettled) {
+  if (!plan.isStarted_ && !listState_.hasSettled_) {
     return;
   }
   UpdatePlan(plan, inputs);
--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -108,6 +108,7 @@
   }
   CheckSuspension();
   CheckLease();
+  CheckServerList();
   if (HoldsLease() && HasCompleteSums()) {
     CheckUsage();
     CheckOrders();
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -82,6 +82,10 @@
   void OnUsageStored(std::uint64_t aWindow, const StoreReply& aReply);
   void SendUsage(std::uint64_t aWindow);
 
+  // Notes whether the list of servers has settled, also while another instance
+  // holds the duties: a holder that takes over while engines are being lost
+  // must order at once.
+  void CheckServerList();
   void CheckOrders();
   void PlanService(const ServiceSpec& aService);
   // Finds reclaimable engines that have begun to leave, and records a loss for
@@ -117,9 +121,7 @@
   std::set<ServerId> leaving_;
   double refused_ = 0;
   MonotonicTime lastPlan_;
-  // Number of listed engines, and since when it has not changed.
-  std::size_t listedServers_ = 0;
-  MonotonicTime listedSince_;
+  ServerListState listState_;
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -55,10 +55,8 @@
 // busy engines. Two of three domains were seen to be lost within six seconds.
 constexpr std::size_t kMaxDomainsLostTogether = 2;
 constexpr double kAfterLossCapacityFactor = 1.1;
-// Capacity that must be left when one more domain loses its reclaimable
-// engines: a multiple of the busy engines, and a margin as a multiple of the
-// square root of their number.
-constexpr double kSurvivorBurstReserve = 1;
+// Time without a change after which the list of servers is complete.
+constexpr Duration kListSettleTime = std::chrono::milliseconds(1500);
 // Maximum price of a reclaimable engine, as a fraction of a reserved one's.
 // Above it the saving does not justify the risk.
 constexpr double kMaxReclaimablePrice = 0.6;
@@ -256,15 +254,11 @@
   if (aInputs.reclaimablePrice_ <= kMaxReclaimablePrice) {
     expected = OrderReclaimable(aPlan, aInputs, needed - base * domains);
   }
-  // Engines that must not depend on the reclaimable ones of a single domain.
-  const double busy = BusyEngines(aInputs);
-  const double survivors = std::min(reservedNeed,
-                                    kAfterLossCapacityFactor * busy +
-                                      kSurvivorBurstReserve * std::sqrt(busy));
-  const double missing = std::max(
-    { 0.0,
-      (reservedNeed - expected.total_) / domains,
-      (survivors - expected.total_ + expected.largestDomain_) / domains });
+  // Another domain may lose its reclaimable engines before others can start, so
+  // those of the largest domain do not count. A single domain has no others.
+  const double lasting =
+    expected.total_ - (domains > 1 ? expected.largestDomain_ : 0);
+  const double missing = std::max(0.0, (reservedNeed - lasting) / domains);
   aPlan.demand_ = aInputs.demand_;
   aPlan.engineRate_ = aInputs.engineRate_;
   aPlan.serving_ = ServingEngines(aInputs);
@@ -285,6 +279,20 @@
   }
 }
 
+void
+UpdateListState(ServerListState& aState,
+                std::size_t aListed,
+                MonotonicTime aNow)
+{
+  if (aListed != aState.listed_) {
+    aState.listed_ = aListed;
+    aState.changedAt_ = aNow;
+  }
+  if (aListed > 0 && aNow - aState.changedAt_ >= kListSettleTime) {
+    aState.hasSettled_ = true;
+  }
+}
+
 bool
 IsReclaim(const EngineCounts& aOrdered,
           const EngineCounts& aPresent,
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -78,6 +78,22 @@
   double serving_ = 0;
 };
 
+// Whether the list of servers is complete enough to plan from. Servers register
+// one after the other when the system starts, and a plan made from only some of
+// them would release the rest. Later changes of the list do not matter.
+struct ServerListState
+{
+  std::size_t listed_ = 0;
+  MonotonicTime changedAt_;
+  bool hasSettled_ = false;
+};
+
+// Updates the state with the number of servers that are listed now.
+void
+UpdateListState(ServerListState& aState,
+                std::size_t aListed,
+                MonotonicTime aNow);
+
 // Updates the plan. The resulting orders are in domains_[].ordered_.
 void
 UpdatePlan(EnginePlan& aPlan, const EnginePlanInputs& aInputs);
