Release reserved engines at once before the first requests

Cause: the reserved engines that are found at the start were replaced one by one for five seconds into the traffic, though no engine holds sessions before it. Change: before the first requests the surplus is released in one step.

--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -114,12 +114,13 @@
 // released a few at a time, as far as others serve in their place. aSurplus is
 // the number of serving engines of the domain beyond its share of the need.
 // aCanReplace allows releasing some for reclaimable ones that the domain's
-// bound leaves no room for.
+// bound leaves no room for. aHasRequests is false before the first requests.
 std::uint32_t
 ReservedOrder(DomainPlan& aDomain,
               std::uint32_t aTarget,
               std::uint32_t aSurplus,
               bool aCanReplace,
+              bool aHasRequests,
               MonotonicTime aNow)
 {
   const std::uint32_t ordered = aDomain.ordered_.reserved_;
@@ -127,7 +128,10 @@
     return aTarget;
   }
   const std::uint32_t excess = ordered - aTarget;
-  std::uint32_t step = std::min(aSurplus, std::max(1u, excess / kLowerDivisor));
+  // Before the first requests no engine holds sessions.
+  const std::uint32_t atOnce =
+    aHasRequests ? std::max(1u, excess / kLowerDivisor) : excess;
+  std::uint32_t step = std::min(aSurplus, atOnce);
   if (aCanReplace) {
     step = std::max(step, std::max(1u, excess / kReplaceDivisor));
   }
@@ -274,8 +278,8 @@
       replaces
         ? base
         : std::min(room, std::max(base, std::uint32_t(std::ceil(missing))));
-    domain.ordered_.reserved_ =
-      ReservedOrder(domain, target, surplus, replaces, aInputs.now_);
+    domain.ordered_.reserved_ = ReservedOrder(
+      domain, target, surplus, replaces, aInputs.demand_ > 0, aInputs.now_);
   }
 }
 
