--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -14,13 +14,15 @@
 // are, the less likely a burst finds all of them busy. The value follows from
 // eighteen engines for a demand of five and a half, as the offices run them.
 constexpr double kBurstReserve = 5;
-// The same for engines that can only be had as reserved ones.
+// The same for the need that reserved engines cover while no reclaimable ones
+// are to be had.
 constexpr double kReservedBurstReserve = 2.5;
 // Maximum factor by which refusals may raise the need.
 constexpr double kMaxRefusedFactor = 1.5;
 // Minimum number of engines per failure domain, on average. With fewer, a burst
 // of a few long prompts fills all of them.
 constexpr double kMinEnginesPerDomain = 6;
+// The same for the need that reserved engines cover.
 constexpr double kMinReservedPerDomain = 3;
 // Engines kept beyond those that the demand needs, as a fraction.
 constexpr double kSpareFraction = 0.15;
@@ -153,13 +155,13 @@
   return serving;
 }
 
-// Notes whether the domain's reclaimable engines were added to since the last
-// loss.
+// Trusts orders for reclaimable engines again when the domain has got new ones
+// since the last loss.
 void
-UpdateProof(DomainPlan& aDomain, const EngineCounts& aPresent)
+UpdateSupply(DomainPlan& aDomain, const EngineCounts& aPresent)
 {
   if (aPresent.reclaimable_ > aDomain.knownReclaimable_) {
-    aDomain.isUnproven_ = false;
+    aDomain.isSupplyUncertain_ = false;
   }
   aDomain.knownReclaimable_ = aPresent.reclaimable_;
 }
@@ -191,7 +193,7 @@
   ExpectedEngines expected;
   for (const auto& [id, counts] : aInputs.present_) {
     DomainPlan& domain = aPlan.domains_[id];
-    UpdateProof(domain, counts);
+    UpdateSupply(domain, counts);
     if (HasRecentLoss(domain, aInputs.now_)) {
       AddExpected(expected, counts.reclaimable_);
       domain.ordered_.reclaimable_ = counts.reclaimable_;
@@ -219,8 +221,9 @@
     domain.lacksRoom_ = share > double(room);
     const std::uint32_t ordered = domain.ordered_.reclaimable_;
     AddExpected(expected,
-                domain.isUnproven_ ? std::min(counts.reclaimable_, ordered)
-                                   : ordered);
+                domain.isSupplyUncertain_
+                  ? std::min(counts.reclaimable_, ordered)
+                  : ordered);
   }
   return expected;
 }
@@ -260,9 +263,10 @@
   }
   // Another domain may lose its reclaimable engines before others can start, so
   // those of the largest domain do not count. A single domain has no others.
-  const double lasting =
+  const double afterNextLoss =
     expected.total_ - (domains > 1 ? expected.largestDomain_ : 0);
-  const double missing = std::max(0.0, (reservedNeed - lasting) / domains);
+  const double missing =
+    std::max(0.0, (reservedNeed - afterNextLoss) / domains);
   aPlan.demand_ = aInputs.demand_;
   aPlan.engineRate_ = aInputs.engineRate_;
   aPlan.serving_ = ServingEngines(aInputs);
@@ -317,7 +321,7 @@
   }
   domain.lossTime_ = aNow;
   domain.hasLoss_ = true;
-  domain.isUnproven_ = true;
+  domain.isSupplyUncertain_ = true;
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -51,7 +51,7 @@
   bool hasLoss_ = false;
   // Reclaimable engines were lost or refused, and none has been added since. An
   // order counts only as far as its engines are present.
-  bool isUnproven_ = false;
+  bool isSupplyUncertain_ = false;
   // Reclaimable engines that were present when the loss was recorded or the
   // domain was last planned, to detect new ones.
   std::uint32_t knownReclaimable_ = 0;
