Limit the preference for held parts by the objective

Change: beyond a quarter of the objective each millisecond of waiting costs as much as one of reading. Placers get the objective with the request; without it there is no preference. SessionsStayWhileTheQueueIsModeratelyLonger also checks a short objective.

--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -27,9 +27,12 @@
 constexpr double kRunningCostMs = 0.6;
 // Cost of each millisecond in which the engine reads parts of the prompt that
 // it does not hold, beyond the wait itself. Reading keeps the engine from other
-// prompts, and objectives usually allow a longer queue, so a session stays with
-// the engines that hold its parts while their queues are moderately longer.
+// prompts, so a session stays with the engines that hold its parts while their
+// queues are moderately longer.
 constexpr double kReadingCostFactor = 4;
+// Fraction of the objective up to which a queue counts as moderate. Waiting
+// beyond it costs as much as reading, because the answer could be late.
+constexpr double kModerateWaitFraction = 0.25;
 // Costs that differ by at most this much count as equal. Otherwise several
 // instances with the same reports would choose the same server.
 constexpr double kEqualCostMs = 6;
@@ -150,6 +153,22 @@
   return placement;
 }
 
+// Returns the cost of reading the prompt beyond the wait, or 0 if the objective
+// is not known.
+double
+ReadingCost(const PlacementQuery& aQuery, const Placement& aPlacement)
+{
+  const double moderateMs =
+    Milliseconds(aQuery.objective_) * kModerateWaitFraction;
+  if (moderateMs <= 0) {
+    return 0;
+  }
+  const double readMs =
+    Milliseconds(aPlacement.readEnd_ - aPlacement.readStart_);
+  return kReadingCostFactor *
+         (readMs + std::max(0.0, aPlacement.waitMs_ - moderateMs));
+}
+
 double
 Cost(const PoolView& aPool,
      const BackendView& aView,
@@ -161,8 +180,7 @@
     cost += kConnectMs;
   }
   if (aPool.isEngine_) {
-    cost += kReadingCostFactor *
-            Milliseconds(aPlacement.readEnd_ - aPlacement.readStart_);
+    cost += ReadingCost(aQuery, aPlacement);
     cost += aPlacement.running_ * kRunningCostMs;
   }
   if (aQuery.shortPromptServers_ != nullptr) {
--- a/src/edge/Placement.h
+++ b/src/edge/Placement.h
@@ -17,6 +17,8 @@
   std::vector<PromptPart> parts_;
   // Tokens of the whole prompt, cached or not.
   double promptTokens_ = 0;
+  // Time within which the answer has its full value; 0 if it is not known.
+  Duration objective_{ 0 };
   FailureDomainId ownDomain_;
   // Servers to which this request was already sent; they are not chosen again.
   std::set<ServerId> tried_;
--- a/src/edge/PlacementExchange.cpp
+++ b/src/edge/PlacementExchange.cpp
@@ -35,6 +35,7 @@
   request.service_ = aPool.service_;
   request.domain_ = aQuery.ownDomain_;
   request.promptTokens_ = ToCount(aQuery.promptTokens_);
+  request.objectiveMs_ = ToCount(Milliseconds(aQuery.objective_));
   for (const PromptPart& part : aQuery.parts_) {
     request.parts_.push_back(part.id_);
     request.partTokens_.push_back(part.tokens_);
@@ -56,6 +57,7 @@
   PlacementQuery query;
   query.ownDomain_ = aRequest.domain_;
   query.promptTokens_ = double(aRequest.promptTokens_);
+  query.objective_ = FromMilliseconds(double(aRequest.objectiveMs_));
   const std::size_t count =
     std::min(aRequest.parts_.size(), aRequest.partTokens_.size());
   for (std::size_t index = 0; index < count; ++index) {
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -97,6 +97,7 @@
   PlacementQuery query;
   query.parts_ = request_.parts_;
   query.promptTokens_ = double(request_.promptTokens_);
+  query.objective_ = route_->objective_;
   query.ownDomain_ = state_.domain_;
   query.tried_ = tried_;
   query.instances_ = state_.instances_;
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -350,6 +350,7 @@
   aArchive("service", aValue.service_);
   aArchive("domain", aValue.domain_);
   aArchive("promptTokens", aValue.promptTokens_);
+  aArchive("objectiveMs", aValue.objectiveMs_);
   aArchive("parts", aValue.parts_);
   aArchive("partTokens", aValue.partTokens_);
   aArchive("tried", aValue.tried_);
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -292,6 +292,8 @@
   // Failure domain of the sender.
   FailureDomainId domain_;
   std::uint64_t promptTokens_ = 0;
+  // Time within which the answer has its full value; 0 if it is not known.
+  std::uint64_t objectiveMs_ = 0;
   std::vector<std::uint64_t> parts_;
   std::vector<std::uint64_t> partTokens_;
   // Servers to which the request was sent before.
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -118,6 +118,7 @@
   pool.servers_[ServerId("s0")].parts_.Touch(part);
   PlacementQuery query = Query(5900);
   query.parts_ = { part, { 8, 1000 } };
+  query.objective_ = std::chrono::milliseconds(2500);
   const std::set<ServerId> both{ ServerId("s0"), ServerId("s1") };
   query.candidates_ = &both;
   // The engine reads 38 tokens/ms, so the part takes 129 ms.
@@ -130,6 +131,10 @@
   cr_expect_eq(choose(200), "s0");
   cr_expect_eq(choose(400), "s0");
   cr_expect_eq(choose(2000), "s1");
+  // With a short objective the queue may make the answer late.
+  query.objective_ = std::chrono::milliseconds(400);
+  cr_expect_eq(choose(100), "s0");
+  cr_expect_eq(choose(400), "s1");
 }
 
 Test(EdgePlacement, PrefersTheServerWithTheShorterQueueOfTokens)
