Check a recent load report in one place, and give the list state a name of its own

Cause: the last reading of the change found the check of a reported slowness's age written twice in PoolView, and a struct ServerListState beside the class of that name in src/configuration.

--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -121,7 +121,7 @@
   std::set<ServerId> leaving_;
   double refused_ = 0;
   MonotonicTime lastPlan_;
-  ServerListState listState_;
+  ServerListSettling listState_;
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -288,7 +288,7 @@
 }
 
 void
-UpdateListState(ServerListState& aState,
+UpdateListState(ServerListSettling& aState,
                 std::size_t aListed,
                 MonotonicTime aNow)
 {
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -81,7 +81,7 @@
 // Whether the list of servers is complete enough to plan from. Servers register
 // one after the other when the system starts, and a plan made from only some of
 // them would release the rest. Later changes of the list do not matter.
-struct ServerListState
+struct ServerListSettling
 {
   std::size_t listed_ = 0;
   MonotonicTime changedAt_;
@@ -90,7 +90,7 @@
 
 // Updates the state with the number of servers that are listed now.
 void
-UpdateListState(ServerListState& aState,
+UpdateListState(ServerListSettling& aState,
                 std::size_t aListed,
                 MonotonicTime aNow);
 
--- a/src/edge/PoolView.cpp
+++ b/src/edge/PoolView.cpp
@@ -46,6 +46,14 @@
 // first step and the network.
 constexpr double kFirstEventBaseMs = 15;
 
+// Whether the server has reported its load so recently that its slowness holds.
+bool
+HasRecentLoad(const BackendView& aView, MonotonicTime aNow)
+{
+  return aView.load_.has_value() &&
+         aNow - aView.load_->at_ < kMaxReportedSlownessAge;
+}
+
 // Updates the pool's read rate with a prompt whose first event arrived at aNow.
 void
 RecordReadRate(PoolView& aPool,
@@ -61,9 +69,8 @@
   }
   // An engine that shares its machine reads more slowly for a while. The pool's
   // rate is that of an undisturbed engine.
-  const bool hasLoad = aView.load_.has_value() &&
-                       aNow - aView.load_->at_ < kMaxReportedSlownessAge;
-  const double slowness = hasLoad ? aView.load_->slowness_ : 1;
+  const double slowness =
+    HasRecentLoad(aView, aNow) ? aView.load_->slowness_ : 1;
   const double tokens = aPrompt.tokens_ * (1 + queue / own);
   const double rate =
     std::clamp(tokens * slowness /
@@ -140,8 +147,7 @@
 {
   // A recent value reported by the server is exact; the observed value also
   // includes the queue at the server.
-  if (aView.load_.has_value() &&
-      aNow - aView.load_->at_ < kMaxReportedSlownessAge) {
+  if (HasRecentLoad(aView, aNow)) {
     return std::max(aView.load_->slowness_, kMinSlowness);
   }
   return 1 + (aView.slowness_ - 1) *
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -577,7 +577,7 @@
 // reclaims and orders no engines until the list stops to change.
 Test(EdgePlan, PlansFromAListThatChangesAfterItHasSettled)
 {
-  ServerListState state;
+  ServerListSettling state;
   for (int step = 0; step < 10; ++step) {
     UpdateListState(state, std::size_t(step), At(step * 0.2));
   }
