Log how long the store's calls took around an outage

store_lost and store_regained now carry callMs, the duration of the last call, and store_regained the number of failed calls. No decision changes.

--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -4,6 +4,7 @@
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamoreward::edge {
 
@@ -61,6 +62,7 @@
     pages_.clear();
     pagesVersion_ = 0;
   }
+  callStart_ = loop_.GetClock().Now();
   store_.Read(options_.table_,
               aAfter,
               [this, generation = ++generation_](const StoreReply& aReply) {
@@ -181,6 +183,7 @@
   if (isPaused_) {
     return;
   }
+  callStart_ = loop_.GetClock().Now();
   store_.Watch(options_.table_,
                version_,
                options_.wait_,
@@ -224,11 +227,13 @@
 void
 TableWatch::OnFailure()
 {
+  ++failedCalls_;
   if (!isUnreachable_) {
     isUnreachable_ = true;
     unreachableSince_ = lastUpdate_;
     LogLine line("store_lost");
     line.Add("table", options_.table_).Add("version", version_);
+    line.Add("callMs", Milliseconds(loop_.GetClock().Now() - callStart_));
     log_.WriteImportant(line);
   }
   backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
@@ -247,13 +252,17 @@
   const MonotonicTime now = loop_.GetClock().Now();
   lastUpdate_ = now;
   backoff_ = Duration(0);
+  const std::uint64_t failedCalls = std::exchange(failedCalls_, 0);
   if (!isUnreachable_) {
     return;
   }
   isUnreachable_ = false;
   const Duration outage = now - unreachableSince_;
   LogLine line("store_regained");
-  line.Add("table", options_.table_).Add("outageMs", Milliseconds(outage));
+  line.Add("table", options_.table_)
+    .Add("outageMs", Milliseconds(outage))
+    .Add("callMs", Milliseconds(now - callStart_))
+    .Add("failedCalls", failedCalls);
   log_.WriteImportant(line);
   if (callbacks_.onRecovered_) {
     callbacks_.onRecovered_(outage);
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -110,6 +110,11 @@
   std::uint64_t timer_ = 0;
   // Replies to calls of an earlier step are ignored.
   std::uint64_t generation_ = 0;
+  // When the last call began, and the number of calls that failed since the
+  // last reply. In the log they tell a call that the store never answered from
+  // a late answer.
+  MonotonicTime callStart_;
+  std::uint64_t failedCalls_ = 0;
 };
 
 } // namespace sycamoreward::edge
