Log the calls for the table of instances and the share of the quotas

members_call and members_call_failed show whether an instance that has started has read the table of the others, quota_share what fraction of each quota it uses and why. No decision changes.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -309,6 +309,7 @@
                           false });
   store_.Write(write, [this](const StoreReply& aReply) {
     isMemberWritten_ = aReply.status_ == StoreStatus::Ok;
+    LogMemberCall("write", isMemberWritten_);
     memberTimer_ = loop_.CallAfter(
       isMemberWritten_ ? Duration(0) : kMemberRetryDelay, [this] {
         if (isMemberWritten_) {
@@ -325,6 +326,7 @@
 {
   store_.Read(kMemberTable, "", [this](const StoreReply& aReply) {
     const bool isRead = aReply.status_ == StoreStatus::Ok;
+    LogMemberCall("read", isRead);
     if (isRead) {
       OnMembers(aReply);
     }
@@ -336,6 +338,14 @@
   });
 }
 
+void
+Edge::LogMemberCall(const char* aCall, bool aIsAnswered)
+{
+  LogLine line(aIsAnswered ? "members_call" : "members_call_failed");
+  line.Add("call", aCall).Add("instances", std::uint64_t(reports_.LiveCount()));
+  log_.WriteImportant(line);
+}
+
 void
 Edge::OnMembers(const StoreReply& aReply)
 {
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -92,6 +92,9 @@
   void OnStoreRecovered(Duration aOutage);
   void ReadMembers();
   void WriteMember();
+  // Logs a call for the table of instances. An instance whose calls fail does
+  // not know the others.
+  void LogMemberCall(const char* aCall, bool aIsAnswered);
   void OnMembers(const StoreReply& aReply);
   // Switches between reading the store directly and using rows relayed by
   // collectors.
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -201,6 +201,15 @@
     silent = peers_.size() + 1 - live;
   }
   const double share = double(live) / double(live + silent);
+  if (share != quotaShare_) {
+    quotaShare_ = share;
+    LogLine line("quota_share");
+    line.Add("share", share)
+      .Add("live", std::uint64_t(live))
+      .Add("silent", std::uint64_t(silent))
+      .Add("known", std::uint64_t(peers_.size() + 1));
+    state_.log_.WriteImportant(line);
+  }
   for (auto& [workspace, quota] : state_.quotas_) {
     SetShare(quota, share, live, !IsMesh(), now);
   }
