Notice the return of the store without waiting out a long poll

Callers saw 401 for a key that was in force elsewhere, up to 3.4 s after an outage of the store. A watch waits 2 s for changes and times out 0.6 s later; while the store was down each call still asked for that wait, so one sent just before the return kept the instance from asking again for 2.6 s, plus 0.8 s of backoff. A wait that suits the calm case decided how fast the instance recovers.

A failed store is now asked for changes without a wait. The call times out after 0.6 s and the next one follows within 0.8 s, so the return is noticed within 1.4 s. TableWatch/AppliesARevisionInTimeAfterAnOutage failed before for changes 0 to 1 s after the return and passes now; 30 s of outage cost at most 30 calls (TableWatch/AsksAnUnreachableStoreRarely).

--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Backoff between calls that fail. The upper bound keeps the time to detect the
-// return of the store well under the time that instances have to apply changes.
+// Backoff between calls that fail. A failed store is asked for changes without a
+// wait, so its return is noticed within the timeout of such a call plus the
+// backoff. The sum stays under the time that instances have to apply changes.
 constexpr Duration kMinBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 // Maximum number of deleted rows that are kept for other instances.
@@ -186,7 +187,7 @@
   callStart_ = loop_.GetClock().Now();
   store_.Watch(options_.table_,
                version_,
-               options_.wait_,
+               isUnreachable_ ? Duration(0) : options_.wait_,
                [this, generation = ++generation_](const StoreReply& aReply) {
                  if (generation == generation_) {
                    OnChanges(aReply);
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -22,8 +22,9 @@
 struct TableWatchOptions
 {
   std::string table_;
-  // Longest wait for a change. After an outage in which the store did not
-  // answer, a new wait begins within this time.
+  // Longest wait for a change while the store answers. A call that was sent
+  // just before the store stopped answering delays the detection of its return
+  // by this time.
   Duration wait_ = std::chrono::milliseconds(2000);
   // Changes within this time are fetched with one call, because calls are
   // priced.
