Bound the use of a quota by what instances confirm to each other

A workspace had up to 7% more than its quota run, and more after restarts. Three causes of one class, a level that an instance believes without knowing the use of the others:

* Each side of a partition used the level from before the cut until it noticed, 1.2 s later.
An instance may now consume only a small part of the platform's tolerance, and its equal share of the rate, beyond what the others have confirmed.
Reports carry the last report heard of the receiver.
A request that does not fit asks for confirmation and waits up to 80 ms for it.
* The share after a cut started from the whole level.
It starts from the share of the level, less what was consumed unnoticed.
What a restarted peer has used since its start counts whole.

Among more than ten instances the local limit falls to the equal share while reports are older than 1.3 s.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -16,6 +16,12 @@
 constexpr Duration kMemberInterval = std::chrono::seconds(15);
 constexpr Duration kStartupTime = std::chrono::milliseconds(1200);
 constexpr Duration kMemberRetryDelay = std::chrono::milliseconds(400);
+// The list is read after the own row is written, so that of two instances that
+// start together one sees the other, but it does not wait longer than this for
+// the store to answer the write.
+constexpr Duration kMemberReadDelay = std::chrono::milliseconds(100);
+// Without the list, requests of limited workspaces are refused.
+constexpr Duration kFirstReadRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 // Larger rows are not relayed; each instance reads them from the store. Sending
 // them to all instances would occupy a collector's link for seconds.
@@ -94,6 +100,7 @@
     reports_.RequestQuota(aWorkspace, aAmount, std::move(aOnAnswer));
   };
   state_.placementExchange_ = &placementExchange_;
+  state_.onQuotaUsed_ = [this] { reports_.ReportSoon(); };
   state_.onPromptSent_ = [this](double aTokens) { reports_.NoteSent(aTokens); };
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
@@ -119,7 +126,7 @@
       std::make_shared<RequestRun>(state_, std::move(aExchange))->Start();
     });
   SetUpRelay();
-  WriteMember();
+  Join();
   Tick();
 }
 
@@ -208,8 +215,11 @@
 
 Edge::~Edge()
 {
-  for (const std::uint64_t timer :
-       { tickTimer_, memberTimer_, entryLapseTimer_, drainTimer_ }) {
+  for (const std::uint64_t timer : { tickTimer_,
+                                     memberTimer_,
+                                     memberReadTimer_,
+                                     entryLapseTimer_,
+                                     drainTimer_ }) {
     loop_.CancelTimer(timer);
   }
 }
@@ -218,8 +228,9 @@
 Edge::IsReady() const
 {
   const bool hasPeers = loop_.GetClock().Now() - started_ >= kPeerReportTime;
-  return !isDraining_ && hasPeers && state_.routes_ != nullptr &&
-         serverWatch_ != nullptr && serverWatch_->HasSnapshot();
+  return !isDraining_ && hasPeers && reports_.KnowsMembers() &&
+         state_.routes_ != nullptr && serverWatch_ != nullptr &&
+         serverWatch_->HasSnapshot();
 }
 
 std::vector<Address>
@@ -298,9 +309,27 @@
     loop_.CallAfter(state_.bounds_.entryLapseTime_, [this] { OnServerRows(); });
 }
 
+void
+Edge::Join()
+{
+  memberTimer_ = loop_.CallAfter(kMemberReadDelay, [this] { WriteMember(); });
+  ScheduleMemberRead(2 * kMemberReadDelay);
+  store_.Read(kMemberTable, "", [this](const StoreReply& aReply) {
+    if (aReply.status_ == StoreStatus::Ok && aReply.rows_.empty() &&
+        !reports_.KnowsMembers()) {
+      SetQuotasUnused(state_);
+    }
+    if (!isMemberWriteStarted_) {
+      loop_.CancelTimer(memberTimer_);
+      WriteMember();
+    }
+  });
+}
+
 void
 Edge::WriteMember()
 {
+  isMemberWriteStarted_ = true;
   StoreWrite write;
   write.rows_.push_back({ kMemberTable,
                           options_.self_.instance_.Value(),
@@ -310,17 +339,22 @@
   store_.Write(write, [this](const StoreReply& aReply) {
     isMemberWritten_ = aReply.status_ == StoreStatus::Ok;
     LogMemberCall("write", isMemberWritten_);
-    memberTimer_ = loop_.CallAfter(
-      isMemberWritten_ ? Duration(0) : kMemberRetryDelay, [this] {
-        if (isMemberWritten_) {
-          ReadMembers();
-        } else {
-          WriteMember();
-        }
-      });
+    if (!isMemberWritten_) {
+      memberTimer_ =
+        loop_.CallAfter(kMemberRetryDelay, [this] { WriteMember(); });
+    } else if (!reports_.KnowsMembers()) {
+      ScheduleMemberRead(Duration(0));
+    }
   });
 }
 
+void
+Edge::ScheduleMemberRead(Duration aDelay)
+{
+  loop_.CancelTimer(memberReadTimer_);
+  memberReadTimer_ = loop_.CallAfter(aDelay, [this] { ReadMembers(); });
+}
+
 void
 Edge::ReadMembers()
 {
@@ -333,8 +367,9 @@
     // Instances that start together write their rows within a second.
     const bool isStarting = loop_.GetClock().Now() - started_ < kStartupTime;
     const Duration pause = isStarting ? kStartupTime : kMemberInterval;
-    memberTimer_ = loop_.CallAfter(isRead ? pause : kMemberRetryDelay,
-                                   [this] { ReadMembers(); });
+    const Duration retry =
+      reports_.KnowsMembers() ? kMemberRetryDelay : kFirstReadRetryDelay;
+    ScheduleMemberRead(isRead ? pause : retry);
   });
 }
 
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -90,7 +90,11 @@
   void OnDeploymentRows();
   void OnServerRows();
   void OnStoreRecovered(Duration aOutage);
+  // Adds this instance to the table of instances and reads the others. An empty
+  // table means that the system starts for the first time.
+  void Join();
   void ReadMembers();
+  void ScheduleMemberRead(Duration aDelay);
   void WriteMember();
   // Logs a call for the table of instances. An instance whose calls fail does
   // not know the others.
@@ -120,11 +124,13 @@
   MonotonicTime started_;
   bool wasReady_ = false;
   bool isMemberWritten_ = false;
+  bool isMemberWriteStarted_ = false;
   bool isDraining_ = false;
   MonotonicTime drainStarted_;
   std::function<void()> onDrained_;
   std::uint64_t tickTimer_ = 0;
   std::uint64_t memberTimer_ = 0;
+  std::uint64_t memberReadTimer_ = 0;
   std::uint64_t entryLapseTimer_ = 0;
   std::uint64_t drainTimer_ = 0;
 };
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -82,8 +82,16 @@
       QuotaTolerance(aState.bounds_, workspace, aState.instances_);
     if (quota.rate_ != workspace.ratePerSecond_ ||
         quota.burst_ != workspace.burst_ || quota.tolerance_ != tolerance) {
+      const bool isNew = quota.rate_ == 0;
       SetLimits(
         quota, workspace.ratePerSecond_, workspace.burst_, tolerance, now);
+      if (isNew) {
+        SetShare(quota, aState.quotaShare_, now);
+      }
+      // A workspace that is added later is unused everywhere.
+      if (isNew && aState.routes_ == nullptr && !aState.areQuotasUnused_) {
+        AssumeUsedUp(quota);
+      }
     }
   }
 }
@@ -157,6 +165,15 @@
   return isSame ? &found->second : nullptr;
 }
 
+void
+SetQuotasUnused(EdgeState& aState)
+{
+  aState.areQuotasUnused_ = true;
+  for (auto& [workspace, quota] : aState.quotas_) {
+    AssumeUnused(quota);
+  }
+}
+
 void
 SetInstanceCount(EdgeState& aState, std::size_t aInstances)
 {
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -81,6 +81,10 @@
   std::shared_ptr<const RouteTable> routes_;
   std::map<ServiceName, PoolView> pools_;
   std::map<WorkspaceId, Quota> quotas_;
+  // The part of each quota that this instance may consume.
+  QuotaShare quotaShare_;
+  // Whether no instance has run before this one, so that no quota is used.
+  bool areQuotasUnused_ = false;
   std::map<ServiceName, RetryBudget> budgets_;
   UsageCounts usage_;
   ChannelPool channels_;
@@ -108,6 +112,9 @@
                      double aAmount,
                      std::function<void(bool aIsGranted)> aOnAnswer)>
     askForQuota_;
+  // Called when much use of a quota should be reported to the others. May be
+  // unset.
+  std::function<void()> onQuotaUsed_;
   // Asks placers for the server of a request. Null when each instance places
   // its own requests.
   PlacementExchange* placementExchange_ = nullptr;
@@ -142,6 +149,10 @@
            const ServerId& aServer,
            Incarnation aStart);
 
+// Records that no instance has run before this one.
+void
+SetQuotasUnused(EdgeState& aState);
+
 // Sets the number of instances that share the system-wide limits, and updates
 // this instance's share.
 void
--- a/src/edge/Quota.cpp
+++ b/src/edge/Quota.cpp
@@ -30,9 +30,18 @@
 constexpr double kGrantRateFraction = 0.25;
 // Grants are given while at least this fraction of the quota is left.
 constexpr double kMinGrantLevelFraction = 0.5;
-// Levels below this fraction of the capacity are reported to peers. Most
-// workspaces are above it, and then a report needs no entry for them.
-constexpr double kReportedLevelFraction = 0.5;
+// Levels below this fraction of the capacity are reported to peers. A peer that
+// reports none has a full quota.
+constexpr double kReportedLevelFraction = 0.95;
+// Use of all instances together that the others have not confirmed yet, as a
+// fraction of the tolerance.
+constexpr double kUnconfirmedFraction = 0.6;
+// Longest time until the other instances notice that one is silent and reduce
+// their share.
+constexpr double kDetectionSeconds = 1.5;
+// While reports are older than this, an instance may consume only its equal
+// share of the rate.
+constexpr Duration kMaxReportAge = std::chrono::milliseconds(1300);
 // Maximum wait time that a refused caller is given.
 constexpr double kMaxWaitSeconds = 3;
 // Key of the sum among the peers.
@@ -57,6 +66,32 @@
                   kMinLocalCapacity);
 }
 
+// Number of instances that share the whole quota, the unreachable ones
+// included.
+double
+AllInstances(const Quota& aQuota)
+{
+  return aQuota.share_ > 0 ? aQuota.instances_ / aQuota.share_
+                           : aQuota.instances_;
+}
+
+double
+UnconfirmedCapacity(const Quota& aQuota)
+{
+  return kUnconfirmedFraction * aQuota.tolerance_ / AllInstances(aQuota);
+}
+
+// Returns whether this instance has recent reports of the others' use.
+bool
+HasRecentReports(const Quota& aQuota, MonotonicTime aNow)
+{
+  MonotonicTime last = aQuota.startedAt_;
+  for (const auto& [id, peer] : aQuota.peers_) {
+    last = std::max(last, peer.lastReport_);
+  }
+  return aNow - last <= kMaxReportAge;
+}
+
 // Returns whether aAmount fits into a bucket. An amount above 90% of the
 // capacity fits while the bucket is at least 90% full.
 bool
@@ -93,10 +128,12 @@
     std::max(aQuota.level_, -(aQuota.burst_ + aQuota.rate_ * kMaxUseSeconds));
   aQuota.shareLevel_ = std::min(
     SharedCapacity(aQuota), aQuota.shareLevel_ + aQuota.share_ * gained - used);
+  const double equalShare = gained / AllInstances(aQuota);
+  const double factor = HasRecentReports(aQuota, aNow) ? kLocalFactor : 1;
   aQuota.localLevel_ =
-    std::min(LocalCapacity(aQuota),
-             aQuota.localLevel_ +
-               aQuota.share_ * gained * kLocalFactor / aQuota.instances_);
+    std::min(LocalCapacity(aQuota), aQuota.localLevel_ + factor * equalShare);
+  aQuota.unconfirmedLevel_ = std::min(UnconfirmedCapacity(aQuota),
+                                      aQuota.unconfirmedLevel_ + equalShare);
   aQuota.grantLevel_ =
     std::min(aQuota.rate_ * kGrantSeconds,
              aQuota.grantLevel_ + gained * kGrantRateFraction);
@@ -112,6 +149,31 @@
     std::min(SharedCapacity(aQuota), aQuota.shareLevel_ - aUse);
 }
 
+// Returns what TryConsumeQuota would, without consuming.
+QuotaResult
+Check(Quota& aQuota, double aAmount, MonotonicTime aNow)
+{
+  if (aQuota.rate_ <= 0) {
+    return QuotaResult::Consumed;
+  }
+  Refill(aQuota, aNow);
+  const bool fitsShare =
+    aQuota.share_ >= 1 ||
+    (aQuota.share_ > 0 &&
+     Fits(aAmount, aQuota.shareLevel_, SharedCapacity(aQuota)));
+  if (!fitsShare || !Fits(aAmount, aQuota.level_, Capacity(aQuota))) {
+    return QuotaResult::Exhausted;
+  }
+  const bool fitsLocal =
+    !aQuota.isLocallyLimited_ ||
+    Fits(aAmount, aQuota.localLevel_, LocalCapacity(aQuota));
+  const bool fitsUnconfirmed =
+    !aQuota.needsConfirmation_ ||
+    Fits(aAmount, aQuota.unconfirmedLevel_, UnconfirmedCapacity(aQuota));
+  return fitsLocal && fitsUnconfirmed ? QuotaResult::Consumed
+                                      : QuotaResult::LocallyLimited;
+}
+
 double
 MaxUse(const Quota& aQuota)
 {
@@ -146,6 +208,23 @@
   aQuota.at_ = aNow;
 }
 
+void
+AssumeUsedUp(Quota& aQuota)
+{
+  aQuota.isLevelAssumed_ = !aQuota.peerLevel_.has_value();
+  aQuota.level_ = std::min(aQuota.level_, aQuota.peerLevel_.value_or(0));
+  aQuota.shareLevel_ = 0;
+}
+
+void
+AssumeUnused(Quota& aQuota)
+{
+  if (aQuota.isLevelAssumed_) {
+    aQuota.isLevelAssumed_ = false;
+    aQuota.level_ = Capacity(aQuota) - aQuota.used_;
+  }
+}
+
 void
 SetShare(Quota& aQuota,
          double aShare,
@@ -157,7 +236,14 @@
     Refill(aQuota, aNow);
   }
   if (aQuota.share_ >= 1 && aShare < 1) {
-    aQuota.shareLevel_ = aQuota.level_;
+    // Until the silence was noticed, the instances in contact with this one
+    // consumed from the whole level; what exceeds their share is deducted.
+    const double consumed =
+      aQuota.needsConfirmation_
+        ? aShare * (kUnconfirmedFraction * aQuota.tolerance_ +
+                    kDetectionSeconds * aQuota.rate_)
+        : 0;
+    aQuota.shareLevel_ = aShare * aQuota.level_ - (1 - aShare) * consumed;
   }
   aQuota.share_ = aShare;
   aQuota.shareLevel_ = std::min(aQuota.shareLevel_, SharedCapacity(aQuota));
@@ -168,34 +254,57 @@
   aQuota.isLocallyLimited_ = aIsLocallyLimited;
 }
 
+void
+SetShare(Quota& aQuota, const QuotaShare& aShare, MonotonicTime aNow)
+{
+  SetShare(
+    aQuota, aShare.share_, aShare.instances_, aShare.isLocallyLimited_, aNow);
+  aQuota.needsConfirmation_ = aShare.needsConfirmation_;
+}
+
+void
+ConfirmUse(Quota& aQuota, double aUsed, MonotonicTime aNow)
+{
+  if (aQuota.rate_ > 0) {
+    Refill(aQuota, aNow);
+  }
+  aQuota.confirmedUse_ = std::max(aQuota.confirmedUse_, aUsed);
+  const double unconfirmed = aQuota.used_ - aQuota.confirmedUse_;
+  aQuota.unconfirmedLevel_ = std::max(
+    aQuota.unconfirmedLevel_, UnconfirmedCapacity(aQuota) - unconfirmed);
+}
+
+bool
+HasMuchUnconfirmedUse(const Quota& aQuota)
+{
+  return aQuota.needsConfirmation_ && aQuota.rate_ > 0 &&
+         aQuota.unconfirmedLevel_ < 0.5 * UnconfirmedCapacity(aQuota);
+}
+
+bool
+CanConsume(Quota& aQuota, double aAmount, MonotonicTime aNow)
+{
+  return Check(aQuota, aAmount, aNow) == QuotaResult::Consumed;
+}
+
 QuotaResult
 TryConsumeQuota(Quota& aQuota, double aAmount, MonotonicTime aNow)
 {
-  if (aQuota.rate_ <= 0) {
+  const QuotaResult result = Check(aQuota, aAmount, aNow);
+  if (result == QuotaResult::Consumed) {
+    aQuota.localLevel_ -= aAmount;
+    aQuota.unconfirmedLevel_ -= aAmount;
     aQuota.used_ += aAmount;
-    return QuotaResult::Consumed;
-  }
-  Refill(aQuota, aNow);
-  const bool fitsShare =
-    aQuota.share_ >= 1 ||
-    Fits(aAmount, aQuota.shareLevel_, SharedCapacity(aQuota));
-  if (!fitsShare || !Fits(aAmount, aQuota.level_, Capacity(aQuota))) {
-    return QuotaResult::Exhausted;
+    Deduct(aQuota, aAmount);
   }
-  if (aQuota.isLocallyLimited_ &&
-      !Fits(aAmount, aQuota.localLevel_, LocalCapacity(aQuota))) {
-    return QuotaResult::LocallyLimited;
-  }
-  aQuota.localLevel_ -= aAmount;
-  aQuota.used_ += aAmount;
-  Deduct(aQuota, aAmount);
-  return QuotaResult::Consumed;
+  return result;
 }
 
 void
 ConsumeGranted(Quota& aQuota, double aAmount, MonotonicTime aNow)
 {
   Refill(aQuota, aNow);
+  aQuota.unconfirmedLevel_ -= aAmount;
   aQuota.used_ += aAmount;
   Deduct(aQuota, aAmount);
 }
@@ -220,6 +329,17 @@
 {
   // used_ is not lowered, because peers treat a decrease as a restart.
   Deduct(aQuota, -aAmount);
+  aQuota.unconfirmedLevel_ =
+    std::min(UnconfirmedCapacity(aQuota), aQuota.unconfirmedLevel_ + aAmount);
+}
+
+void
+RestartPeerUse(Quota& aQuota, const InstanceId& aPeer)
+{
+  const auto found = aQuota.peers_.find(aPeer);
+  if (found != aQuota.peers_.end()) {
+    found->second.used_ = 0;
+  }
 }
 
 void
@@ -265,7 +385,11 @@
   }
   if (Seconds(aNow - aQuota.startedAt_) <= kMaxUseSeconds) {
     Refill(aQuota, aNow);
-    aQuota.level_ = std::min(aQuota.level_, aLevel);
+    // The peer may not know what this instance has used since its start.
+    const double level = std::min(aLevel, Capacity(aQuota)) - aQuota.used_;
+    aQuota.level_ =
+      aQuota.isLevelAssumed_ ? level : std::min(aQuota.level_, level);
+    aQuota.isLevelAssumed_ = false;
   }
 }
 
--- a/src/edge/Quota.h
+++ b/src/edge/Quota.h
@@ -39,8 +39,9 @@
   Consumed,
   // The quota is used up.
   Exhausted,
-  // The quota has capacity left, but this instance has reached its local limit.
-  // An instance that receives all use reports may grant more.
+  // The quota has capacity left, but this instance has reached its local limit
+  // or has too much unconfirmed use. An instance that receives all use reports
+  // may grant more, or the others may confirm the use.
   LocallyLimited
 };
 
@@ -62,6 +63,9 @@
   // had reported by then.
   MonotonicTime startedAt_;
   std::optional<double> peerLevel_;
+  // Whether the level is an assumption, because this instance has just started
+  // and no other has told it the level.
+  bool isLevelAssumed_ = false;
   // Amount that the instances in contact with each other can consume while the
   // share is below one. Kept apart from the level, so that only actual use
   // counts once all instances are in contact again.
@@ -76,8 +80,15 @@
   double grantLevel_ = 0;
   // Number of instances among which requests are spread.
   double instances_ = 1;
-  // Use of this instance since its start.
+  // Use of this instance since its start, and how much of it all others in
+  // contact know.
   double used_ = 0;
+  double confirmedUse_ = 0;
+  // Whether the others have to confirm the use, and the amount that this
+  // instance can consume before they confirm more. It bounds what partitioned
+  // instances consume without knowing of each other.
+  bool needsConfirmation_ = false;
+  double unconfirmedLevel_ = 0;
   std::map<InstanceId, QuotaPeer> peers_;
 };
 
@@ -90,6 +101,26 @@
           double aTolerance,
           MonotonicTime aNow);
 
+// Assumes that a new quota is used up until a peer tells its level. An instance
+// that has just started does not know the use of its predecessor and its peers.
+void
+AssumeUsedUp(Quota& aQuota);
+
+// Undoes AssumeUsedUp.
+void
+AssumeUnused(Quota& aQuota);
+
+// The part of the quotas that one instance may consume.
+struct QuotaShare
+{
+  // Fraction that the instances in contact with each other may use; 0 while the
+  // other instances are unknown.
+  double share_ = 1;
+  std::size_t instances_ = 1;
+  bool isLocallyLimited_ = false;
+  bool needsConfirmation_ = false;
+};
+
 // Sets the fraction of the quota that aInstances in contact with each other may
 // use. aIsLocallyLimited limits this instance on its own, for reports that
 // arrive about a second late.
@@ -100,6 +131,22 @@
          bool aIsLocallyLimited,
          MonotonicTime aNow);
 
+// Applies aShare.
+void
+SetShare(Quota& aQuota, const QuotaShare& aShare, MonotonicTime aNow);
+
+// Records that all other instances in contact know the use up to aUsed.
+void
+ConfirmUse(Quota& aQuota, double aUsed, MonotonicTime aNow);
+
+// Returns whether so much use is unconfirmed that it should be reported now.
+bool
+HasMuchUnconfirmedUse(const Quota& aQuota);
+
+// Returns whether aAmount can be consumed at aNow.
+bool
+CanConsume(Quota& aQuota, double aAmount, MonotonicTime aNow);
+
 // Consumes aAmount if the quota allows it, and deducts nothing otherwise.
 QuotaResult
 TryConsumeQuota(Quota& aQuota, double aAmount, MonotonicTime aNow);
@@ -119,6 +166,10 @@
 void
 RefundQuota(Quota& aQuota, double aAmount);
 
+// Makes the total use of a peer that has restarted count from zero.
+void
+RestartPeerUse(Quota& aQuota, const InstanceId& aPeer);
+
 // Records the total use that a peer reports. If aIsContinuous is false, there
 // was a gap since its last report: the value only becomes the base of later
 // differences.
@@ -138,8 +189,8 @@
                 double aLevel,
                 MonotonicTime aNow);
 
-// Returns the level at aNow if so much of the quota is used that an instance
-// which has just started should know it.
+// Returns the level at aNow unless the quota is nearly unused, for instances
+// that have just started.
 std::optional<double>
 LevelForPeers(const Quota& aQuota, MonotonicTime aNow);
 
--- a/src/edge/QuotaExchange.cpp
+++ b/src/edge/QuotaExchange.cpp
@@ -4,6 +4,9 @@
 #include "edge/ReportExchange.h"
 #include "runtime/EventLoop.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace sycamoreward::edge {
 
 namespace {
@@ -26,13 +29,20 @@
   const bool isContinuous = IsReporting(aPeer);
   const bool isSameStart =
     aPeer.reportedIncarnation_ == aReport.identity_.incarnation_;
-  for (const auto& [workspace, level] : aReport.quotaLevels_) {
-    RecordPeerLevel(state_.quotas_[WorkspaceId(workspace)],
-                    aReport.identity_.instance_,
-                    double(level),
-                    now);
-  }
   for (const auto& [workspace, used] : aReport.used_) {
+    Quota& quota = state_.quotas_[WorkspaceId(workspace)];
+    if (IsMesh() && !aReport.isLoadOnly_) {
+      const auto level = aReport.quotaLevels_.find(workspace);
+      RecordPeerLevel(quota,
+                      aReport.identity_.instance_,
+                      level == aReport.quotaLevels_.end()
+                        ? std::numeric_limits<double>::infinity()
+                        : double(level->second),
+                      now);
+    }
+    if (!isSameStart) {
+      RestartPeerUse(quota, aReport.identity_.instance_);
+    }
     std::uint64_t before = 0;
     const auto last = aPeer.report_.used_.find(workspace);
     if (isSameStart && last != aPeer.report_.used_.end()) {
@@ -42,7 +52,7 @@
       aPeer.reportedUse_[workspace] += used - before;
     }
     if (IsMesh() || isCollector_) {
-      RecordPeerUse(state_.quotas_[WorkspaceId(workspace)],
+      RecordPeerUse(quota,
                     aReport.identity_.instance_,
                     double(used),
                     IsMesh() || isContinuous,
@@ -51,12 +61,126 @@
   }
 }
 
+void
+ReportExchange::AddUse(InstanceReport& aReport) const
+{
+  if (!aReport.isLoadOnly_) {
+    return;
+  }
+  for (const auto& [workspace, quota] : state_.quotas_) {
+    if (quota.needsConfirmation_ && quota.used_ > quota.confirmedUse_) {
+      aReport.used_[workspace.Value()] = ToCount(quota.used_);
+    }
+  }
+}
+
+void
+ReportExchange::RecordHeard(const PeerIdentity& aSender,
+                            const Reports& aMessage)
+{
+  const auto found = peers_.find(aSender.instance_);
+  if (found == peers_.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  if (aMessage.wantsHeard_) {
+    Reports answer;
+    answer.heardIncarnation_ = peer.reportedIncarnation_;
+    answer.heardSequence_ = peer.report_.sequence_;
+    network_.Send(peer.identity_, std::move(answer));
+  }
+  if (aMessage.heardIncarnation_ == self_.incarnation_) {
+    peer.heardSequence_ = aMessage.heardSequence_;
+    ConfirmUseOfHeardReports();
+  }
+}
+
+void
+ReportExchange::ConfirmUseOfHeardReports()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  bool hasLive = false;
+  std::uint64_t heard = std::numeric_limits<std::uint64_t>::max();
+  for (const auto& [id, peer] : peers_) {
+    if (IsLive(peer)) {
+      hasLive = true;
+      heard = std::min(heard, peer.heardSequence_);
+    }
+  }
+  if (!hasLive) {
+    // The share alone limits an instance without contact.
+    for (auto& [workspace, quota] : state_.quotas_) {
+      ConfirmUse(quota, quota.used_, now);
+    }
+    AnswerWaiters();
+    return;
+  }
+  while (!unconfirmed_.empty() && unconfirmed_.front().sequence_ <= heard) {
+    for (const auto& [workspace, used] : unconfirmed_.front().used_) {
+      ConfirmUse(state_.quotas_[WorkspaceId(workspace)], double(used), now);
+    }
+    unconfirmed_.pop_front();
+  }
+  AnswerWaiters();
+}
+
+void
+ReportExchange::AwaitConfirmation(Waiter aWaiter)
+{
+  waiters_.push_back(std::move(aWaiter));
+  ConfirmUseOfHeardReports();
+  if (waiters_.empty()) {
+    return;
+  }
+  ReportSoon();
+  if (waiterTimer_ == 0) {
+    waiterTimer_ = state_.loop_.CallAfter(kQuotaRequestTimeout, [this] {
+      waiterTimer_ = 0;
+      AnswerWaiters();
+    });
+  }
+}
+
+void
+ReportExchange::AnswerWaiters()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  // An answer may add waiters.
+  std::list<Waiter> waiters = std::move(waiters_);
+  waiters_.clear();
+  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
+    const bool isGranted =
+      CanConsume(state_.quotas_[waiter->workspace_], waiter->amount_, now);
+    if (isGranted || now >= waiter->until_) {
+      waiter->onAnswer_(isGranted);
+      waiter = waiters.erase(waiter);
+    } else {
+      ++waiter;
+    }
+  }
+  waiters_.splice(waiters_.begin(), waiters);
+  if (!waiters_.empty() && waiterTimer_ == 0) {
+    waiterTimer_ =
+      state_.loop_.CallAfter(waiters_.front().until_ - now, [this] {
+        waiterTimer_ = 0;
+        AnswerWaiters();
+      });
+  }
+}
+
 void
 ReportExchange::RequestQuota(const WorkspaceId& aWorkspace,
                              double aAmount,
                              std::function<void(bool aIsGranted)> aOnAnswer)
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (IsMesh()) {
+    AwaitConfirmation({ aWorkspace,
+                        aAmount,
+                        std::move(aOnAnswer),
+                        now + kQuotaRequestTimeout });
+    return;
+  }
   const auto next = nextQuotaRequest_.find(aWorkspace);
   if (next != nextQuotaRequest_.end() && now < next->second) {
     aOnAnswer(false);
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -34,6 +34,9 @@
 // Number of windows that a report carries: those whose usage is not reported to
 // the platform yet.
 constexpr std::uint64_t kReportedWindows = 4;
+// Reports that are kept until the others confirm them. The oldest are dropped
+// while an instance is silent.
+constexpr std::size_t kMaxUnconfirmedReports = 128;
 // Age above which the slowness that a backend server reported is not forwarded.
 constexpr Duration kMaxSlownessAge = std::chrono::milliseconds(600);
 
@@ -55,6 +58,7 @@
     for (const InstanceReport& report : reports.reports_) {
       ApplyReport(report);
     }
+    RecordHeard(aFrom, reports);
     if (reports.wantsDigest_) {
       aRespond(MakeDigest(aFrom.instance_, reports));
     }
@@ -65,6 +69,8 @@
            const PeerNetwork::Responder& aRespond) {
       OnQuotaRequest(std::get<QuotaRequest>(aMessage), aRespond);
     });
+  // Without knowing the others, an instance would use all of each quota.
+  state_.quotaShare_.share_ = 0;
   timer_ = state_.loop_.CallAfter(kReportInterval, [this] { Tick(); });
 }
 
@@ -72,6 +78,7 @@
 {
   state_.loop_.CancelTimer(timer_);
   state_.loop_.CancelTimer(loadTimer_);
+  state_.loop_.CancelTimer(waiterTimer_);
 }
 
 void
@@ -89,6 +96,10 @@
       peer.identity_ = member;
     }
   }
+  if (!knowsMembers_) {
+    knowsMembers_ = true;
+    UpdateShare();
+  }
 }
 
 void
@@ -109,7 +120,15 @@
 void
 ReportExchange::NoteSent(double aTokens)
 {
-  if (aTokens < kMinLoadReportTokens || loadTimer_ != 0 || !IsMesh()) {
+  if (aTokens >= kMinLoadReportTokens) {
+    ReportSoon();
+  }
+}
+
+void
+ReportExchange::ReportSoon()
+{
+  if (loadTimer_ != 0 || !IsMesh()) {
     return;
   }
   loadTimer_ = state_.loop_.CallAfter(kLoadReportDelay, [this] {
@@ -130,6 +149,13 @@
   if (!aIsLoadOnly) {
     AddCounts(report);
   }
+  if (IsMesh()) {
+    AddUse(report);
+    if (unconfirmed_.size() >= kMaxUnconfirmedReports) {
+      unconfirmed_.pop_front();
+    }
+    unconfirmed_.push_back({ report.sequence_, report.used_ });
+  }
   return report;
 }
 
@@ -146,6 +172,11 @@
     return;
   }
   for (const auto& [id, peer] : peers_) {
+    const bool isHeard = peer.hasReport_ && IsLive(peer);
+    message.heardIncarnation_ =
+      isHeard ? peer.reportedIncarnation_ : Incarnation();
+    message.heardSequence_ = isHeard ? peer.report_.sequence_ : 0;
+    message.wantsHeard_ = !waiters_.empty();
     network_.Send(peer.identity_, message);
   }
 }
@@ -200,7 +231,7 @@
   if (live * 2 < peers_.size() + 1) {
     silent = peers_.size() + 1 - live;
   }
-  const double share = double(live) / double(live + silent);
+  const double share = knowsMembers_ ? double(live) / double(live + silent) : 0;
   if (share != quotaShare_) {
     quotaShare_ = share;
     LogLine line("quota_share");
@@ -210,9 +241,11 @@
       .Add("known", std::uint64_t(peers_.size() + 1));
     state_.log_.WriteImportant(line);
   }
+  state_.quotaShare_ = { share, live, !IsMesh(), IsMesh() && !peers_.empty() };
   for (auto& [workspace, quota] : state_.quotas_) {
-    SetShare(quota, share, live, !IsMesh(), now);
+    SetShare(quota, state_.quotaShare_, now);
   }
+  ConfirmUseOfHeardReports();
 }
 
 bool
@@ -330,6 +363,10 @@
     aReport.demand_[service.Value()] = ToCount(demand.Rate(now));
   }
   for (const auto& [workspace, quota] : state_.quotas_) {
+    if (quota.rate_ <= 0 && quota.used_ <= 0) {
+      // Another instance told of the workspace; its limits are not known here.
+      continue;
+    }
     aReport.used_[workspace.Value()] = ToCount(quota.used_);
     const auto level = LevelForPeers(quota, now);
     if (IsMesh() && level.has_value()) {
@@ -431,6 +468,9 @@
   }
   peer.lastSeen_ = now;
   if (aReport.isLoadOnly_) {
+    if (IsMesh()) {
+      RecordUse(peer, aReport);
+    }
     peer.report_.servers_ = aReport.servers_;
     peer.report_.sequence_ = aReport.sequence_;
     return;
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -11,7 +11,9 @@
 #include "edge/Placers.h"
 #include "peer/PeerNetwork.h"
 
+#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <vector>
@@ -58,9 +60,13 @@
   // Sets the access to the relayed tables.
   void SetRelay(RowRelay aRelay) { relay_ = std::move(aRelay); }
 
-  // Adds the instances that the store lists. They are never removed.
+  // Adds the instances that the store lists. They are never removed. Until the
+  // first call this instance does not know with how many others it shares the
+  // quotas.
   void SetMembers(const std::vector<PeerIdentity>& aMembers);
 
+  bool KnowsMembers() const { return knowsMembers_; }
+
   // Returns all instances, this one included, as candidates for addresses given
   // to callers.
   std::vector<KnownInstance> Instances() const;
@@ -105,7 +111,8 @@
   void SendNow() { Send(false); }
 
   // Asks a collector whether this instance may consume aAmount beyond its local
-  // limit. aOnAnswer gets false if none answers in time.
+  // limit, or in a mesh waits until all others have confirmed enough of its
+  // use. aOnAnswer gets false if that does not happen in time.
   void RequestQuota(const WorkspaceId& aWorkspace,
                     double aAmount,
                     std::function<void(bool aIsGranted)> aOnAnswer);
@@ -115,6 +122,9 @@
   // for their next one.
   void NoteSent(double aTokens);
 
+  // Reports load and use soon. Has no effect unless this is a mesh.
+  void ReportSoon();
+
 private:
   // What this instance knows of another one.
   struct Peer
@@ -135,6 +145,8 @@
     Incarnation reportedIncarnation_;
     // When a call to it was last left unanswered.
     MonotonicTime lastUnanswered_;
+    // Sequence number of the last report of this instance that it has applied.
+    std::uint64_t heardSequence_ = 0;
     // Use that its reports added while they arrived without a gap, by
     // workspace. It never decreases, so that sums of it can be compared.
     std::map<std::string, std::uint64_t> reportedUse_;
@@ -162,6 +174,12 @@
   void ApplyDigestMembers(const Digest& aDigest);
   void ApplyReport(const InstanceReport& aReport);
   void RecordUse(Peer& aPeer, const InstanceReport& aReport);
+  // Adds the use that the others have not confirmed to aReport, or all use.
+  void AddUse(InstanceReport& aReport) const;
+  // Records which report of this instance the sender of aMessage has applied.
+  void RecordHeard(const PeerIdentity& aSender, const Reports& aMessage);
+  // Confirms the use that all live instances know.
+  void ConfirmUseOfHeardReports();
   // Subtracts the load in aOld from the servers and adds the load in aNew,
   // which was measured at aMeasuredAt.
   void ReplaceServerLoad(const InstanceReport& aOld,
@@ -213,9 +231,33 @@
   MonotonicTime lastProbe_;
   // When the digest of a collector last lacked a table.
   std::map<InstanceId, MonotonicTime> withoutRows_;
+  // Use that a report of this instance told the others.
+  struct ReportedUse
+  {
+    std::uint64_t sequence_ = 0;
+    std::map<std::string, std::uint64_t> used_;
+  };
+  // A request that waits until the others have confirmed use.
+  struct Waiter
+  {
+    WorkspaceId workspace_;
+    double amount_ = 0;
+    std::function<void(bool aIsGranted)> onAnswer_;
+    MonotonicTime until_;
+  };
+  void AwaitConfirmation(Waiter aWaiter);
+  // Answers the waiters that can be granted now, and those whose time is over.
+  void AnswerWaiters();
+
+  // Waiters by the time at which they came.
+  std::list<Waiter> waiters_;
+  // Reports that not all live instances have confirmed, the oldest first.
+  std::deque<ReportedUse> unconfirmed_;
+  bool knowsMembers_ = false;
   std::uint64_t sequence_ = 0;
   std::uint64_t timer_ = 0;
   std::uint64_t loadTimer_ = 0;
+  std::uint64_t waiterTimer_ = 0;
 };
 
 } // namespace sycamoreward::edge
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -23,9 +23,16 @@
                      : double(workspace_->defaultTokens_);
   }
   Quota& quota = state_.quotas_[workspace_->id_];
+  if (quota.rate_ > 0 && quota.share_ <= 0) {
+    Refuse(kUnavailable, "instances_unknown", kStartingRetryAfter);
+    return;
+  }
   switch (TryConsumeQuota(quota, quotaAmount_, state_.loop_.GetClock().Now())) {
     case QuotaResult::Consumed:
       isQuotaTaken_ = true;
+      if (HasMuchUnconfirmedUse(quota) && state_.onQuotaUsed_) {
+        state_.onQuotaUsed_();
+      }
       StartPlacement("first");
       return;
     case QuotaResult::Exhausted:
--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Backoff between calls that fail. A failed store is asked for changes without a
-// wait, so its return is noticed within the timeout of such a call plus the
+// Backoff between calls that fail. A failed store is asked for changes without
+// a wait, so its return is noticed within the timeout of such a call plus the
 // backoff. The sum stays under the time that instances have to apply changes.
 constexpr Duration kMinBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -309,6 +309,9 @@
 Describe(A& aArchive, Reports& aValue)
 {
   aArchive("reports", aValue.reports_);
+  aArchive("heardIncarnation", aValue.heardIncarnation_);
+  aArchive("heardSequence", aValue.heardSequence_);
+  aArchive("wantsHeard", aValue.wantsHeard_);
   aArchive("wantsDigest", aValue.wantsDigest_);
   aArchive("rowVersions", aValue.rowVersions_);
 }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -206,8 +206,8 @@
   PeerIdentity identity_;
   // Sequence number of the report within one incarnation.
   std::uint64_t sequence_ = 0;
-  // Set when only servers_ is filled, in a report sent right after a long
-  // prompt.
+  // Set when only servers_ and the unconfirmed part of used_ are filled, in a
+  // report sent right after a long prompt.
   bool isLoadOnly_ = false;
   WallTime sent_;
   bool isReady_ = false;
@@ -232,6 +232,12 @@
 struct Reports
 {
   std::vector<InstanceReport> reports_;
+  // The last report that the sender has applied of the receiver, whose use it
+  // thus knows; 0 when there is none.
+  Incarnation heardIncarnation_;
+  std::uint64_t heardSequence_ = 0;
+  // Asks the receiver to tell at once that it has applied the reports.
+  bool wantsHeard_ = false;
   // Requests a Digest in reply, with the rows that changed after the given
   // version of each table.
   bool wantsDigest_ = false;
--- a/test/support/QuotaFleet.cpp
+++ b/test/support/QuotaFleet.cpp
@@ -15,8 +15,8 @@
 constexpr double kWindowSeconds = 8;
 constexpr double kExcess = 0.1;
 constexpr double kSlack = 110000;
-constexpr Duration kStep = std::chrono::milliseconds(25);
-constexpr double kStepSeconds = 0.025;
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr double kStepSeconds = 0.01;
 
 const WorkspaceId kWorkspace("w");
 
