Choose the ports of test processes outside the range of connections

PlatformPath/IgnoresOlderDeployments failed in three of some twenty runs beside others: WaitReady timed out after 15 s, and the log of one instance said that it can't listen on its port (127.0.0.1:53195). The fixture asked the system for a free port, closed it and started a process on it later; a connection of another test had taken it as its local port meanwhile. Ports now come from below the range of local ports, and each process starts at others.

--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -1,5 +1,6 @@
 #include "support/PlatformFixture.h"
 
+#include "base/Error.h"
 #include "peer/SocketAddress.h"
 
 #include <nlohmann/json.hpp>
@@ -14,18 +15,38 @@
 
 namespace {
 
-// Returns a port that is currently free. Another process could take it before
-// it is used; the range is large enough that this has not been observed.
-std::uint16_t
-FreePort()
+// Ports below the range from which the system takes the local ports of
+// connections, so that no connection takes one between the choice and its use.
+constexpr std::uint16_t kFirstPort = 10000;
+constexpr std::uint16_t kPorts = 20000;
+
+bool
+IsFree(std::uint16_t aPort)
 {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_storage storage{};
-  const socklen_t length = FillSocketAddress({ "127.0.0.1", 0 }, storage);
-  (void)bind(descriptor, reinterpret_cast<sockaddr*>(&storage), length);
-  const std::uint16_t port = BoundPort(descriptor);
+  const socklen_t length = FillSocketAddress({ "127.0.0.1", aPort }, storage);
+  const bool isFree =
+    bind(descriptor, reinterpret_cast<sockaddr*>(&storage), length) == 0;
   close(descriptor);
-  return port;
+  return isFree;
+}
+
+// Returns a port that is currently free. Processes start at different ports, so
+// that tests which run at the same time do not choose the same one.
+std::uint16_t
+FreePort()
+{
+  // Adjacent process ids are several tests apart.
+  constexpr std::uint32_t kPortsPerProcess = 61;
+  static std::uint32_t next = std::uint32_t(getpid()) * kPortsPerProcess;
+  for (std::uint32_t tries = 0; tries < kPorts; ++tries) {
+    const auto port = std::uint16_t(kFirstPort + next++ % kPorts);
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+  throw InternalError("choose a port", "127.0.0.1", "No port is free.");
 }
 
 std::string
