Tidy the quota reports after reading them again

A load report of an incarnation whose first full report has not come was counted from zero each time when the table of instances had named the incarnation; it is dropped now. The use in load reports no longer enters the sums for digests, which only full reports feed. The time of the last report is kept instead of searched for on each refill. Retry-After of a request that lacks confirmations says when the equal share of the rate allows it; it was 0.

--- a/src/edge/Quota.cpp
+++ b/src/edge/Quota.cpp
@@ -81,17 +81,6 @@
   return kUnconfirmedFraction * aQuota.tolerance_ / AllInstances(aQuota);
 }
 
-// Returns whether this instance has recent reports of the others' use.
-bool
-HasRecentReports(const Quota& aQuota, MonotonicTime aNow)
-{
-  MonotonicTime last = aQuota.startedAt_;
-  for (const auto& [id, peer] : aQuota.peers_) {
-    last = std::max(last, peer.lastReport_);
-  }
-  return aNow - last <= kMaxReportAge;
-}
-
 // Returns whether aAmount fits into a bucket. An amount above 90% of the
 // capacity fits while the bucket is at least 90% full.
 bool
@@ -129,7 +118,9 @@
   aQuota.shareLevel_ = std::min(
     SharedCapacity(aQuota), aQuota.shareLevel_ + aQuota.share_ * gained - used);
   const double equalShare = gained / AllInstances(aQuota);
-  const double factor = HasRecentReports(aQuota, aNow) ? kLocalFactor : 1;
+  const MonotonicTime lastReport =
+    std::max(aQuota.lastReport_, aQuota.startedAt_);
+  const double factor = aNow - lastReport <= kMaxReportAge ? kLocalFactor : 1;
   aQuota.localLevel_ =
     std::min(LocalCapacity(aQuota), aQuota.localLevel_ + factor * equalShare);
   aQuota.unconfirmedLevel_ = std::min(UnconfirmedCapacity(aQuota),
@@ -349,6 +340,7 @@
               bool aIsContinuous,
               MonotonicTime aNow)
 {
+  aQuota.lastReport_ = aNow;
   auto [found, isNew] = aQuota.peers_.try_emplace(aPeer);
   QuotaPeer& peer = found->second;
   if (isNew || !aIsContinuous) {
@@ -410,6 +402,7 @@
                    double aUsed,
                    MonotonicTime aNow)
 {
+  aQuota.lastReport_ = aNow;
   auto [found, isNew] = aQuota.peers_.try_emplace(InstanceId(kAggregatePeer));
   QuotaPeer& peer = found->second;
   if (aQuota.rate_ > 0) {
@@ -440,9 +433,19 @@
   const double capacity = isShared ? SharedCapacity(aQuota) : Capacity(aQuota);
   const double level = currentLevel + rate * Seconds(aNow - aQuota.at_);
   const double missing = std::min(aAmount, 0.9 * capacity) - level;
-  const double seconds =
-    rate <= 0 ? 0 : std::clamp(missing / rate, 0.0, kMaxWaitSeconds);
-  return FromSeconds(seconds);
+  if (rate <= 0) {
+    return Duration(0);
+  }
+  double seconds = missing / rate;
+  if (aQuota.needsConfirmation_) {
+    // Without confirmations the instance has its equal share of the rate.
+    const double unconfirmed =
+      std::min(aAmount, 0.9 * UnconfirmedCapacity(aQuota)) -
+      aQuota.unconfirmedLevel_;
+    seconds =
+      std::max(seconds, unconfirmed * AllInstances(aQuota) / aQuota.rate_);
+  }
+  return FromSeconds(std::clamp(seconds, 0.0, kMaxWaitSeconds));
 }
 
 } // namespace sycamoreward::edge
--- a/src/edge/Quota.h
+++ b/src/edge/Quota.h
@@ -90,6 +90,8 @@
   bool needsConfirmation_ = false;
   double unconfirmedLevel_ = 0;
   std::map<InstanceId, QuotaPeer> peers_;
+  // When a peer or a sum of peers last reported.
+  MonotonicTime lastReport_;
 };
 
 // Sets the limits: aRate per second, the others as amounts. The level of a new
--- a/src/edge/QuotaExchange.cpp
+++ b/src/edge/QuotaExchange.cpp
@@ -48,7 +48,7 @@
     if (isSameStart && last != aPeer.report_.used_.end()) {
       before = last->second;
     }
-    if (isContinuous && used > before) {
+    if (isContinuous && !aReport.isLoadOnly_ && used > before) {
       aPeer.reportedUse_[workspace] += used - before;
     }
     if (IsMesh() || isCollector_) {
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -232,8 +232,8 @@
     silent = peers_.size() + 1 - live;
   }
   const double share = knowsMembers_ ? double(live) / double(live + silent) : 0;
-  if (share != quotaShare_) {
-    quotaShare_ = share;
+  if (share != loggedShare_) {
+    loggedShare_ = share;
     LogLine line("quota_share");
     line.Add("share", share)
       .Add("live", std::uint64_t(live))
@@ -450,7 +450,7 @@
   // The counters of a new incarnation come with its first full report.
   const bool isUnknown =
     aReport.isLoadOnly_ &&
-    (!peer.hasReport_ || peer.identity_.incarnation_ != identity.incarnation_);
+    (!peer.hasReport_ || peer.reportedIncarnation_ != identity.incarnation_);
   if (isOld || isUnknown) {
     return;
   }
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -217,9 +217,8 @@
   // Since when nearly all live instances have been reporting to this one; unset
   // while they are not.
   std::optional<MonotonicTime> reportsCompleteSince_;
-  // Fraction of each quota that the instances in contact may use, as of the
-  // last tick.
-  double quotaShare_ = 0;
+  // Fraction of each quota that was last logged.
+  double loggedShare_ = 0;
   // After a refusal no quota is requested before this time, by workspace.
   std::map<WorkspaceId, MonotonicTime> nextQuotaRequest_;
   // When a digest last had all tables, or rows were last requested from an
