Log how a backend server's answer was framed and where a stream ended

The end of an event is found by one function for all line ends, also when a line end is split over two reads; what is forwarded and when does not change.

--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -6,22 +6,6 @@
 
 constexpr std::string_view kIdField = "id:";
 
-// Length of aText up to and including its last empty line; 0 if there is none.
-std::size_t
-CompleteLength(std::string_view aText)
-{
-  const std::size_t lines = aText.rfind("\n\n");
-  const std::size_t crLines = aText.rfind("\r\n\r\n");
-  std::size_t length = 0;
-  if (lines != std::string_view::npos) {
-    length = lines + 2;
-  }
-  if (crLines != std::string_view::npos && crLines + 4 > length) {
-    length = crLines + 4;
-  }
-  return length;
-}
-
 // The value of the last id field in aEvents, which are complete events; empty
 // if there is none.
 std::string_view
@@ -33,7 +17,7 @@
     if (at == std::string_view::npos) {
       return {};
     }
-    if (at == 0 || aEvents[at - 1] == '\n') {
+    if (at == 0 || aEvents[at - 1] == '\n' || aEvents[at - 1] == '\r') {
       std::string_view value = aEvents.substr(at + kIdField.size());
       value = value.substr(0, value.find_first_of("\r\n"));
       if (!value.empty() && value.front() == ' ') {
@@ -50,10 +34,14 @@
 std::string
 EventSplitter::Append(std::string_view aBytes)
 {
-  partial_.append(aBytes);
-  const std::size_t length = CompleteLength(partial_);
-  std::string events = partial_.substr(0, length);
-  partial_.erase(0, length);
+  const std::size_t length = AdvanceEvents(position_, aBytes);
+  if (length == 0) {
+    partial_.append(aBytes);
+    return {};
+  }
+  std::string events = std::move(partial_);
+  events.append(aBytes.substr(0, length));
+  partial_ = aBytes.substr(length);
   const std::string_view id = FindLastId(events);
   if (!id.empty()) {
     lastId_ = id;
@@ -61,4 +49,13 @@
   return events;
 }
 
+void
+EventSplitter::DropPartial()
+{
+  partial_.clear();
+  const std::uint64_t events = position_.events_;
+  position_ = {};
+  position_.events_ = events;
+}
+
 } // namespace sycamoreward::edge
--- a/src/edge/EventSplitter.h
+++ b/src/edge/EventSplitter.h
@@ -3,6 +3,8 @@
 // Splits an event stream at event boundaries, so that a stream that breaks off
 // within an event can be resumed after the last complete one.
 
+#include "recovery/EventBoundary.h"
+
 #include <string>
 #include <string_view>
 
@@ -15,15 +17,21 @@
   // forwarded.
   std::string Append(std::string_view aBytes);
 
+  // Follows bytes that are forwarded as they arrive.
+  void Skip(std::string_view aBytes) { AdvanceEvents(position_, aBytes); }
+
   // Discards the bytes of an incomplete event.
-  void DropPartial() { partial_.clear(); }
-  bool HasPartial() const { return !partial_.empty(); }
-  std::size_t PartialBytes() const { return partial_.size(); }
+  void DropPartial();
+  bool HasPartial() const { return IsInsideEvent(position_); }
+  std::size_t PartialBytes() const { return position_.partialBytes_; }
+  // Number of complete events.
+  std::uint64_t Events() const { return position_.events_; }
 
   // Id of the last complete event that has an id; empty before the first one.
   const std::string& LastId() const { return lastId_; }
 
 private:
+  EventPosition position_;
   std::string partial_;
   std::string lastId_;
 };
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -66,6 +66,7 @@
   const bool isForwarding = answerState_ == AnswerState::Forwarded;
   answerHead_ = std::move(aHead);
   answerFraming_ = aFraming;
+  isEventStream_ = http::IsEventStream(answerHead_);
   if (isForwarding) {
     // The caller already has the head of the resumed stream, so only events are
     // forwarded.
@@ -188,6 +189,9 @@
       return;
     }
   } else {
+    if (isEventStream_) {
+      events_.Skip(aBytes);
+    }
     exchange_->Send(aBytes);
   }
   if (exchange_->Unsent() > kMaxUnsentBytes && channel_ != nullptr) {
@@ -237,7 +241,7 @@
       Complete();
       return;
     case AnswerState::Forwarded:
-      if (events_.HasPartial()) {
+      if (route_->isResumable_ && events_.HasPartial()) {
         AbortAnswer("partial_event");
         return;
       }
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -127,6 +127,10 @@
     .Add("expectedMs", placement_.waitMs_)
     .Add("firstByteMs", Milliseconds(wait))
     .Add("longestPauseMs", Milliseconds(longestPause_))
+    .Add("framing",
+         answerHead_.status_ == 0 ? "" : http::ToText(answerFraming_.end_))
+    .Add("events", events_.Events())
+    .Add("partialBytes", std::uint64_t(events_.PartialBytes()))
     .Add("late", IsLate(wait))
     .Add("totalMs", Milliseconds(Elapsed()));
   if (aIsFailure) {
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -162,6 +162,8 @@
   std::string bufferedBody_;
   // Bytes of the current answer that were not passed on.
   std::size_t discardedBytes_ = 0;
+  // Whether the current answer is a stream of events.
+  bool isEventStream_ = false;
   EventSplitter events_;
   bool hasFirstByte_ = false;
   bool isUsageCounted_ = false;
--- a/src/http/Head.cpp
+++ b/src/http/Head.cpp
@@ -171,6 +171,22 @@
 
 } // namespace
 
+const char*
+ToText(BodyEnd aEnd)
+{
+  switch (aEnd) {
+    case BodyEnd::None:
+      return "none";
+    case BodyEnd::Length:
+      return "length";
+    case BodyEnd::Chunked:
+      return "chunked";
+    case BodyEnd::Close:
+      return "close";
+  }
+  return "unknown";
+}
+
 bool
 IsSameToken(std::string_view aLeft, std::string_view aRight)
 {
@@ -326,6 +342,17 @@
   return framing.value_or(Framing{ BodyEnd::Close, 0 });
 }
 
+bool
+IsEventStream(const MessageHead& aHead)
+{
+  const std::string* value = aHead.Find("content-type");
+  if (value == nullptr) {
+    return false;
+  }
+  const std::string_view type = std::string_view(*value);
+  return IsSameToken(Trim(type.substr(0, type.find(';'))), "text/event-stream");
+}
+
 void
 RemoveConnectionFields(MessageHead& aHead)
 {
--- a/src/http/Head.h
+++ b/src/http/Head.h
@@ -66,6 +66,9 @@
   std::uint64_t length_ = 0;
 };
 
+const char*
+ToText(BodyEnd aEnd);
+
 // Whether two names or tokens are equal, ignoring the case of ASCII letters.
 bool
 IsSameToken(std::string_view aLeft, std::string_view aRight);
@@ -96,6 +99,10 @@
 Framing
 ResponseFraming(const ResponseHead& aHead, std::string_view aMethod);
 
+// Whether Content-Type declares a stream of server-sent events.
+bool
+IsEventStream(const MessageHead& aHead);
+
 // Removes the hop-by-hop fields: Connection and the fields that it names,
 // Keep-Alive, Transfer-Encoding, TE, Trailer, Upgrade and the proxy fields.
 void
