--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -16,10 +16,11 @@
 }
 
 std::string
-EventText(const std::string& aRequest, int aNumber)
+EventText(const std::string& aRequest, int aNumber, const std::string& aLineEnd)
 {
   const std::string number = std::to_string(aNumber);
-  return "id: " + number + "\ndata: " + aRequest + "/" + number + "\n\n";
+  return "id: " + number + aLineEnd + "data: " + aRequest + "/" + number +
+         aLineEnd + aLineEnd;
 }
 
 } // namespace
@@ -53,18 +54,39 @@
 }
 
 std::string
-BackendStandIn::AnswerBody(const std::string& aRequest, int aEvents)
+BackendStandIn::AnswerBody(const std::string& aRequest,
+                           int aEvents,
+                           const std::string& aLineEnd)
 {
   if (aEvents == 0) {
     return "answer to " + aRequest;
   }
   std::string body;
   for (int number = 1; number <= aEvents; ++number) {
-    body += EventText(aRequest, number);
+    body += EventText(aRequest, number, aLineEnd);
   }
   return body;
 }
 
+std::string
+BackendStandIn::StreamText(const std::string& aRequest,
+                           int aFirst,
+                           BackendFault aFault) const
+{
+  std::string text;
+  if (aFault == BackendFault::EndBefore) {
+    return text;
+  }
+  for (int number = aFirst; number <= options_.events_; ++number) {
+    const std::string event = EventText(aRequest, number, lineEnd_);
+    if (aFault == BackendFault::EndWithin && number > options_.events_ / 2) {
+      return text + event.substr(0, event.size() / 2);
+    }
+    text += event;
+  }
+  return text;
+}
+
 BackendFault
 BackendStandIn::ConsumeFault()
 {
@@ -142,10 +164,18 @@
                      { "X-Backend-Load", "1,0,16,100" } };
     if (options_.events_ > 0) {
       head.fields_.push_back({ "Content-Type", "text/event-stream" });
-      aExchange->Start(std::move(head), { http::BodyEnd::Chunked, 0 });
       const std::string& last = runs_[index].lastEvent_;
-      SendEvent(
-        aExchange, index, last.empty() ? 1 : std::stoi(last) + 1, aFault);
+      const int first = last.empty() ? 1 : std::stoi(last) + 1;
+      const std::string text = StreamText(runs_[index].request_, first, aFault);
+      aExchange->Start(std::move(head), { framing_, text.size() });
+      const bool isCutInOrder =
+        aFault == BackendFault::EndWithin || aFault == BackendFault::EndBefore;
+      if (isCutInOrder) {
+        aExchange->Send(text);
+        aExchange->Finish();
+        return;
+      }
+      SendEvent(aExchange, index, first, aFault);
       return;
     }
     const std::string body = AnswerBody(runs_[index].request_, 0);
@@ -174,7 +204,7 @@
     aExchange->Finish();
     return;
   }
-  const std::string text = EventText(runs_[aRun].request_, aNext);
+  const std::string text = EventText(runs_[aRun].request_, aNext, lineEnd_);
   if (aFault == BackendFault::CutWithin && aNext > options_.events_ / 2) {
     // Simulates a server that fails in the middle of an event.
     aExchange->Send(text.substr(0, text.size() / 2));
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -24,6 +24,10 @@
   CutBefore,
   // Closes the connection in the middle of the answer.
   CutWithin,
+  // Ends a stream in order in the middle of an event.
+  EndWithin,
+  // Ends a stream in order before its first event.
+  EndBefore,
   // Runs the request and never answers.
   Silent,
   // Answers with 500.
@@ -67,16 +71,27 @@
   std::string Entry(const char* aState) const;
 
   // Returns the complete body of the answer to a request.
-  static std::string AnswerBody(const std::string& aRequest, int aEvents);
+  static std::string AnswerBody(const std::string& aRequest,
+                                int aEvents,
+                                const std::string& aLineEnd = "\n");
 
   BackendFault fault_ = BackendFault::None;
   // The fault applies to this number of requests; below 0, to all.
   int faultCount_ = -1;
+  // Framing of streams.
+  http::BodyEnd framing_ = http::BodyEnd::Chunked;
+  // End of each line of a stream.
+  std::string lineEnd_ = "\n";
   std::vector<BackendRun> runs_;
 
 private:
   void Handle(const std::shared_ptr<http::CallerExchange>& aExchange);
   BackendFault ConsumeFault();
+  // The text of a stream that begins with event aFirst, up to where aFault ends
+  // it in order.
+  std::string StreamText(const std::string& aRequest,
+                         int aFirst,
+                         BackendFault aFault) const;
   void Run(const std::shared_ptr<http::CallerExchange>& aExchange,
            BackendFault aFault);
   void SendEvent(const std::shared_ptr<http::CallerExchange>& aExchange,
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -44,6 +44,22 @@
   }
 }
 
+constexpr http::BodyEnd kStreamFramings[] = { http::BodyEnd::Close,
+                                              http::BodyEnd::Chunked,
+                                              http::BodyEnd::Length };
+constexpr const char* kLineEnds[] = { "\n", "\r\n", "\r" };
+
+void
+SetFraming(PlatformFixture& aWorld,
+           http::BodyEnd aFraming,
+           const char* aLineEnd)
+{
+  for (auto& engine : aWorld.engines_) {
+    engine->framing_ = aFraming;
+    engine->lineEnd_ = aLineEnd;
+  }
+}
+
 // Returns the last log line with the given event and request id, or with the
 // event only if aRequest is empty. Returns null if there is none.
 nlohmann::json
@@ -131,6 +147,83 @@
   cr_expect_eq(world.RunsOf("cut").size(), 1);
 }
 
+// Guards against a stream that breaks off and is framed as complete.
+Test(PlatformPath, AStreamThatEndsInsideAnEventIsNotComplete)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  int number = 0;
+  for (const http::BodyEnd framing : kStreamFramings) {
+    for (const char* lineEnd : kLineEnds) {
+      SetFraming(world, framing, lineEnd);
+      SetFault(world, BackendFault::EndWithin, -1);
+      const std::string id = "inside-" + std::to_string(++number);
+      const auto run = AskAndWait(world, PlatformFixture::kStream, id);
+      cr_expect_not(run->isWhole_, "%s", id.c_str());
+      cr_expect_eq(world.RunsOf(id).size(), 1);
+    }
+  }
+}
+
+Test(PlatformPath, AStreamThatEndsInsideAnEventIsNotCompleteForHttp10)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  world.callerVersion_ = "HTTP/1.0";
+  SetFraming(world, http::BodyEnd::Close, "\n");
+  SetFault(world, BackendFault::EndWithin, -1);
+  const auto run = AskAndWait(world, PlatformFixture::kStream, "inside-old");
+  cr_expect_not(run->isWhole_);
+}
+
+Test(PlatformPath, AStreamThatEndsBeforeItsFirstEventIsNotComplete)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  SetFraming(world, http::BodyEnd::Close, "\n");
+  SetFault(world, BackendFault::EndBefore, -1);
+  const auto run = AskAndWait(world, PlatformFixture::kStream, "empty");
+  cr_expect_not(run->isWhole_);
+}
+
+Test(PlatformPath, ResumesAStreamThatEndsInsideAnEvent)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  for (const http::BodyEnd framing : kStreamFramings) {
+    SetFraming(world, framing, "\n");
+    SetFault(world, BackendFault::EndWithin, 1);
+    const std::string id = "resume-" + std::string(http::ToText(framing));
+    auto run = world.Ask(0, PlatformFixture::kResumable, id);
+    cr_assert(world.RunUntil([&] { return !world.RunsOf(id).empty(); }, 5));
+    SetFault(world, BackendFault::None, -1);
+    cr_assert(
+      world.RunUntil([&] { return run->isDone_; }, kAnswerTimeoutSeconds));
+    cr_expect(run->isWhole_, "%s", id.c_str());
+    cr_expect_eq(run->body_, BackendStandIn::AnswerBody(id, 6));
+    cr_expect_eq(world.RunsOf(id).size(), 2);
+  }
+}
+
+Test(PlatformPath, DeliversWholeStreamsOfAnyFramingAndLineEnd)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  int number = 0;
+  for (const char* path :
+       { PlatformFixture::kStream, PlatformFixture::kResumable }) {
+    for (const http::BodyEnd framing : kStreamFramings) {
+      for (const char* lineEnd : kLineEnds) {
+        SetFraming(world, framing, lineEnd);
+        const std::string id = "whole-" + std::to_string(++number);
+        const auto run = AskAndWait(world, path, id);
+        cr_expect(run->isWhole_, "%s", id.c_str());
+        cr_expect_eq(run->body_, BackendStandIn::AnswerBody(id, 6, lineEnd));
+      }
+    }
+  }
+}
+
 Test(PlatformPath, RunsAnUnrepeatableRequestOnce)
 {
   PlatformFixture world({});
--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -298,8 +298,10 @@
       self->isDone_ = true;
     }
   };
-  run->channel_->Send(
-    "POST", http::Serialize(head), body, std::move(callbacks));
+  std::string text = http::Serialize(head);
+  constexpr std::string_view kVersion = "HTTP/1.1";
+  text.replace(text.find(kVersion), kVersion.size(), callerVersion_);
+  run->channel_->Send("POST", std::move(text), body, std::move(callbacks));
   return run;
 }
 
--- a/test/support/PlatformFixture.h
+++ b/test/support/PlatformFixture.h
@@ -96,6 +96,8 @@
   // Returns the executions of a request at all servers.
   std::vector<standin::BackendRun> RunsOf(const std::string& aRequest) const;
 
+  // HTTP version of requests: HTTP/1.1 or HTTP/1.0.
+  std::string callerVersion_ = "HTTP/1.1";
   SystemClock clock_;
   EventLoop loop_{ clock_ };
   standin::StoreStandIn store_{ loop_ };
