End a stream that breaks off inside an event as broken, not as complete

Callers got streams with status 200, a short body and a framing that said they were complete. RequestRun split only resumable streams at their events; of any other it knew only that its answer had ended in order, by chunks, a length or its connection, and finished the caller's answer. A resumable stream that ended so was cut off although it could go on elsewhere.

Now the position in the events is followed on every stream, and one function decides whether a stream that ended in order was broken off: inside an event, or without any event where neither a length nor chunks marked the end. It is then a failed attempt like a cut connection: the server's failure is counted, a resumable stream goes on at another server after its last complete event, and any other caller sees the connection break.

--- a/src/edge/EventSplitter.h
+++ b/src/edge/EventSplitter.h
@@ -22,10 +22,7 @@
 
   // Discards the bytes of an incomplete event.
   void DropPartial();
-  bool HasPartial() const { return IsInsideEvent(position_); }
-  std::size_t PartialBytes() const { return position_.partialBytes_; }
-  // Number of complete events.
-  std::uint64_t Events() const { return position_.events_; }
+  const EventPosition& Position() const { return position_; }
 
   // Id of the last complete event that has an id; empty before the first one.
   const std::string& LastId() const { return lastId_; }
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -66,7 +66,9 @@
   const bool isForwarding = answerState_ == AnswerState::Forwarded;
   answerHead_ = std::move(aHead);
   answerFraming_ = aFraming;
-  isEventStream_ = http::IsEventStream(answerHead_);
+  isEventStream_ = route_->kind_ == RouteKind::Stream &&
+                   answerHead_.status_ == 200 &&
+                   http::MayBeEventStream(answerHead_);
   if (isForwarding) {
     // The caller already has the head of the resumed stream, so only events are
     // forwarded.
@@ -184,7 +186,7 @@
   lastForwarded_ = now;
   if (route_->isResumable_) {
     exchange_->Send(events_.Append(aBytes));
-    if (events_.PartialBytes() > kMaxEventBytes) {
+    if (events_.Position().partialBytes_ > kMaxEventBytes) {
       OnFailed(http::ChannelFailure::MalformedAnswer);
       return;
     }
@@ -208,9 +210,27 @@
   exchange_->Answer(std::move(head), bufferedBody_);
 }
 
+bool
+RequestRun::IsBrokenStream() const
+{
+  if (answerState_ != AnswerState::Forwarded) {
+    return false;
+  }
+  StreamEnd end;
+  end.position_ = events_.Position();
+  end.isFramed_ =
+    !isEventStream_ || answerFraming_.end_ != http::BodyEnd::Close;
+  end.isResumed_ = request_.isResumption_;
+  return IsBrokenOff(end);
+}
+
 void
 RequestRun::OnEnd()
 {
+  if (IsBrokenStream()) {
+    OnFailed(http::ChannelFailure::TruncatedAnswer);
+    return;
+  }
   const MonotonicTime now = state_.loop_.GetClock().Now();
   BackendView* view = FindAttemptServer();
   const bool isFailure = isNotRun_ || answerHead_.status_ >= 500;
@@ -241,10 +261,6 @@
       Complete();
       return;
     case AnswerState::Forwarded:
-      if (route_->isResumable_ && events_.HasPartial()) {
-        AbortAnswer("partial_event");
-        return;
-      }
       exchange_->Finish();
       Complete();
       return;
@@ -269,6 +285,9 @@
     .Add("server", placement_.server_.Value())
     .Add("failure", http::ToText(aFailure))
     .Add("reused", isReused_)
+    .Add("framing",
+         answerHead_.status_ == 0 ? "" : http::ToText(answerFraming_.end_))
+    .Add("partialBytes", events_.Position().partialBytes_)
     .Add("afterMs", Milliseconds(now - sent_));
   state_.log_.WriteImportant(line);
   NotifyPlacer(isUnsent ? PlacementEvent::Unreachable : PlacementEvent::Failed);
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -129,8 +129,7 @@
     .Add("longestPauseMs", Milliseconds(longestPause_))
     .Add("framing",
          answerHead_.status_ == 0 ? "" : http::ToText(answerFraming_.end_))
-    .Add("events", events_.Events())
-    .Add("partialBytes", std::uint64_t(events_.PartialBytes()))
+    .Add("events", events_.Position().events_)
     .Add("late", IsLate(wait))
     .Add("totalMs", Milliseconds(Elapsed()));
   if (aIsFailure) {
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -160,6 +160,7 @@
   ++attempts_;
   ++possibleRuns_;
   isNotRun_ = false;
+  answerHead_ = {};
   state_.metrics_.CountAttempt(service_, aCause);
   const bool isRepeatable =
     route_->kind_ == RouteKind::Idempotent || route_->isResumable_;
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -76,6 +76,9 @@
   void OnHead(http::ResponseHead aHead, const http::Framing& aFraming);
   void OnBody(std::string_view aBytes);
   void OnEnd();
+  // Whether the current answer, which ended in order, is a stream that was
+  // broken off. Servers may frame such a stream as complete.
+  bool IsBrokenStream() const;
   void OnFailed(http::ChannelFailure aFailure);
   void OnConnectTimeout();
   // Handles an attempt without an answer after several times the expected wait.
--- a/src/edge/WireCodec.h
+++ b/src/edge/WireCodec.h
@@ -33,6 +33,8 @@
   std::uint64_t outputTokens_ = 0;
   bool hasTokens_ = false;
   std::vector<PromptPart> parts_;
+  // The caller has received events of the stream before and asks for the rest.
+  bool isResumption_ = false;
 };
 
 // The fields that an entry instance adds to a request for a backend server.
--- a/src/http/Head.cpp
+++ b/src/http/Head.cpp
@@ -343,11 +343,14 @@
 }
 
 bool
-IsEventStream(const MessageHead& aHead)
+MayBeEventStream(const MessageHead& aHead)
 {
+  if (aHead.Find("content-encoding") != nullptr) {
+    return false;
+  }
   const std::string* value = aHead.Find("content-type");
   if (value == nullptr) {
-    return false;
+    return true;
   }
   const std::string_view type = std::string_view(*value);
   return IsSameToken(Trim(type.substr(0, type.find(';'))), "text/event-stream");
--- a/src/http/Head.h
+++ b/src/http/Head.h
@@ -99,9 +99,10 @@
 Framing
 ResponseFraming(const ResponseHead& aHead, std::string_view aMethod);
 
-// Whether Content-Type declares a stream of server-sent events.
+// Whether the body can be a plain stream of server-sent events: its type is
+// that or is not given, and it has no content encoding.
 bool
-IsEventStream(const MessageHead& aHead);
+MayBeEventStream(const MessageHead& aHead);
 
 // Removes the hop-by-hop fields: Connection and the fields that it names,
 // Keep-Alive, Transfer-Encoding, TE, Trailer, Upgrade and the proxy fields.
--- a/src/recovery/EventBoundary.cpp
+++ b/src/recovery/EventBoundary.cpp
@@ -22,6 +22,14 @@
 
 } // namespace
 
+bool
+IsBrokenOff(const StreamEnd& aEnd)
+{
+  const bool isEmpty = aEnd.position_.events_ == 0;
+  return IsInsideEvent(aEnd.position_) ||
+         (isEmpty && !aEnd.isFramed_ && !aEnd.isResumed_);
+}
+
 std::size_t
 AdvanceEvents(EventPosition& aPosition, std::string_view aBytes)
 {
--- a/src/recovery/EventBoundary.h
+++ b/src/recovery/EventBoundary.h
@@ -31,6 +31,21 @@
   return aPosition.partialBytes_ > 0;
 }
 
+// A stream whose answer ended in order, by its framing or its connection.
+struct StreamEnd
+{
+  EventPosition position_;
+  // Whether a length or chunks marked the end.
+  bool isFramed_ = false;
+  // Whether the stream began after an earlier event. None may be left then.
+  bool isResumed_ = false;
+};
+
+// Whether the stream was broken off although its answer ended in order: inside
+// an event, or without any event where nothing marked the end.
+bool
+IsBrokenOff(const StreamEnd& aEnd);
+
 // Advances aPosition over aBytes. Returns the length of the part of aBytes up
 // to the last boundary in it, or 0 if there is none.
 std::size_t
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -708,10 +708,10 @@
   cr_expect_eq(splitter.Append("id: 1\ndata: a\n\nid: 2\nda"),
                "id: 1\ndata: a\n\n");
   cr_expect_eq(splitter.LastId(), "1");
-  cr_expect(splitter.HasPartial());
+  cr_expect(IsInsideEvent(splitter.Position()));
   cr_expect_eq(splitter.Append("ta: b\n\n"), "id: 2\ndata: b\n\n");
   cr_expect_eq(splitter.LastId(), "2");
-  cr_expect_not(splitter.HasPartial());
+  cr_expect_not(IsInsideEvent(splitter.Position()));
 }
 
 Test(EdgeRoutes, TakeTheLongestPrefixOfTheHost)
