Deliver error answers on routes of resumable streams

A caller of a resumable stream whose server answered with an error in chunks, or above 64 KB, saw its connection break: the body of any answer on such a route was split at events, the JSON had no end of an event, and the answer was cut off as a partial event. Only answers that can be an event stream are split now, and a resumed attempt that answers with anything else is refused.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -72,7 +72,7 @@
   if (isForwarding) {
     // The caller already has the head of the resumed stream, so only events are
     // forwarded.
-    if (isNotRun_ || answerHead_.status_ != 200) {
+    if (isNotRun_ || !isEventStream_) {
       AbortAnswer("resume_refused");
     }
     return;
@@ -184,7 +184,7 @@
     longestPause_ = std::max(longestPause_, now - lastForwarded_);
   }
   lastForwarded_ = now;
-  if (route_->isResumable_) {
+  if (isEventStream_ && route_->isResumable_) {
     exchange_->Send(events_.Append(aBytes));
     if (events_.Position().partialBytes_ > kMaxEventBytes) {
       OnFailed(http::ChannelFailure::MalformedAnswer);
@@ -213,13 +213,12 @@
 bool
 RequestRun::IsBrokenStream() const
 {
-  if (answerState_ != AnswerState::Forwarded) {
+  if (!isEventStream_ || answerState_ != AnswerState::Forwarded) {
     return false;
   }
   StreamEnd end;
   end.position_ = events_.Position();
-  end.isFramed_ =
-    !isEventStream_ || answerFraming_.end_ != http::BodyEnd::Close;
+  end.isFramed_ = answerFraming_.end_ != http::BodyEnd::Close;
   end.isResumed_ = request_.isResumption_;
   return IsBrokenOff(end);
 }
--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -113,6 +113,19 @@
   aExchange.Answer(std::move(head), "failed");
 }
 
+void
+BackendStandIn::AnswerNotFound(http::CallerExchange& aExchange)
+{
+  http::ResponseHead head;
+  head.status_ = 404;
+  head.reason_ = "Not Found";
+  head.fields_ = { { "X-Request-Id", Field(aExchange, "X-Request-Id") },
+                   { "Content-Type", "application/json" } };
+  aExchange.Start(std::move(head), { http::BodyEnd::Chunked, 0 });
+  aExchange.Send("{\"error\":\"no such sheet\"}");
+  aExchange.Finish();
+}
+
 void
 BackendStandIn::Handle(const std::shared_ptr<http::CallerExchange>& aExchange)
 {
@@ -152,6 +165,9 @@
     case BackendFault::Error:
       AnswerFailure(*aExchange, 500, true);
       return;
+    case BackendFault::NotFound:
+      AnswerNotFound(*aExchange);
+      return;
     default:
       break;
   }
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -32,6 +32,8 @@
   Silent,
   // Answers with 500.
   Error,
+  // Runs the request and answers with 404 and a chunked body.
+  NotFound,
   // Replies that the address belongs to another server.
   OtherServer
 };
@@ -99,6 +101,7 @@
                  int aNext,
                  BackendFault aFault);
   void AnswerFailure(http::CallerExchange& aExchange, int aStatus, bool aIsRun);
+  void AnswerNotFound(http::CallerExchange& aExchange);
 
   EventLoop& loop_;
   BackendOptions options_;
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -205,6 +205,18 @@
   }
 }
 
+// Guards against an error answer that is taken for a part of an event.
+Test(PlatformPath, DeliversAnErrorOnAResumableRoute)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  SetFault(world, BackendFault::NotFound, -1);
+  const auto run = AskAndWait(world, PlatformFixture::kResumable, "no-sheet");
+  cr_expect_eq(run->status_, 404);
+  cr_expect(run->isWhole_);
+  cr_expect_eq(run->body_, "{\"error\":\"no such sheet\"}");
+}
+
 Test(PlatformPath, DeliversWholeStreamsOfAnyFramingAndLineEnd)
 {
   PlatformFixture world({});
