Reproduce copies of store tables that miss rows after a return from a copy

Three tests of TableWatch fail and are listed: with a store that silently returns to an older copy and goes past the version of the watch, the rows written below that version are never seen; rows relayed under a version of before the return hide later ones; and of random histories of writes, silences and returns the first already leaves a lost row in a copy.

The store's era is read from its answers and not used yet. The relay of rows moves from Edge to RelayedRows, unchanged, so that the tests use the messages themselves.

--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -59,4 +59,9 @@
 // from previous holders of the lease.
 using FencingToken = StrongType<struct FencingTokenTag, std::uint64_t>;
 
+// Counts how often the platform's store has returned from an older copy. Each
+// return takes back writes that the store had confirmed, and gives their
+// versions out again. 0 when the store does not tell.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
+
 } // namespace sycamoreward
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -115,8 +115,8 @@
                               bool aIsProbe)
 {
   aMessage.wantsDigest_ = true;
-  if (relay_.versions_) {
-    aMessage.rowVersions_ = relay_.versions_();
+  if (relay_.addVersions_) {
+    relay_.addVersions_(aMessage);
   }
   network_.Call(
     aCollector,
@@ -214,7 +214,7 @@
       { sum.running_, sum.unread_, sum.slowness_, sum.age_ });
   }
   if (relay_.collect_) {
-    relay_.collect_(aRequest.rowVersions_, digest);
+    relay_.collect_(aRequest, digest);
   }
   return digest;
 }
@@ -313,7 +313,7 @@
   const PeerIdentity& peer = live[std::min(index, live.size() - 1)]->identity_;
   Reports message;
   message.wantsDigest_ = true;
-  message.rowVersions_ = relay_.versions_();
+  relay_.addVersions_(message);
   network_.Call(
     peer, std::move(message), kDigestTimeout, [this](const PeerReply& aReply) {
       if (aReply.message_.has_value() &&
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -3,6 +3,7 @@
 #include "base/DurationUnits.h"
 #include "base/Error.h"
 #include "edge/MemberRow.h"
+#include "edge/RelayedRows.h"
 #include "edge/RequestRun.h"
 #include "runtime/EventLoop.h"
 
@@ -23,9 +24,6 @@
 // Without the list, requests of limited workspaces are refused.
 constexpr Duration kFirstReadRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
-// Larger rows are not relayed; each instance reads them from the store. Sending
-// them to all instances would occupy a collector's link for seconds.
-constexpr std::size_t kMaxRelayedRowBytes = 16 * 1024;
 // Delay before the server table is read again after a change, so that one read
 // covers many changes: all servers of a deployment register within the same few
 // seconds.
@@ -134,16 +132,21 @@
 Edge::SetUpRelay()
 {
   RowRelay relay;
-  relay.versions_ = [this] {
-    return std::map<std::string, std::uint64_t>{
-      { rows_.deploymentTable_, deploymentWatch_->Version() },
-      { rows_.serverTable_, serverWatch_->Version() }
-    };
+  relay.addVersions_ = [this](Reports& aRequest) {
+    AddVersion(aRequest, rows_.deploymentTable_, *deploymentWatch_);
+    AddVersion(aRequest, rows_.serverTable_, *serverWatch_);
   };
-  relay.collect_ = [this](const auto& aVersions, Digest& aDigest) {
-    CollectRows(aVersions, aDigest);
+  relay.collect_ = [this](const Reports& aRequest, Digest& aDigest) {
+    CollectRows(aRequest, rows_.deploymentTable_, *deploymentWatch_, aDigest);
+    CollectRows(aRequest, rows_.serverTable_, *serverWatch_, aDigest);
+  };
+  relay.apply_ = [this](const Digest& aDigest) {
+    const bool hasDeployment =
+      EnterRows(aDigest, rows_.deploymentTable_, *deploymentWatch_);
+    const bool hasServers =
+      EnterRows(aDigest, rows_.serverTable_, *serverWatch_);
+    return hasDeployment && hasServers;
   };
-  relay.apply_ = [this](const Digest& aDigest) { return EnterRows(aDigest); };
   relay.isStoreUnreachable_ = [this] {
     return deploymentWatch_->IsUnreachable() || serverWatch_->IsUnreachable();
   };
@@ -151,68 +154,6 @@
   reports_.SetRelay(std::move(relay));
 }
 
-void
-Edge::CollectRows(const std::map<std::string, std::uint64_t>& aVersions,
-                  Digest& aDigest) const
-{
-  const std::pair<const std::string*, const TableWatch*> tables[] = {
-    { &rows_.deploymentTable_, deploymentWatch_.get() },
-    { &rows_.serverTable_, serverWatch_.get() }
-  };
-  for (const auto& [table, watch] : tables) {
-    const auto since = aVersions.find(*table);
-    if (since == aVersions.end() || watch->Version() == 0 ||
-        watch->IsUnreachable()) {
-      continue;
-    }
-    std::vector<StoreRow> rows;
-    aDigest.rowVersions_[*table] = watch->Version();
-    if (!watch->ChangesSince(since->second, rows)) {
-      // Version 0 tells the receiver to read the table from the store.
-      aDigest.rowVersions_[*table] = 0;
-      continue;
-    }
-    for (const StoreRow& row : rows) {
-      if (row.value_.size() > kMaxRelayedRowBytes) {
-        aDigest.rowVersions_[*table] = 0;
-        break;
-      }
-      aDigest.rows_.push_back(
-        { *table, row.key_, row.value_, row.version_, row.isDeleted_ });
-    }
-  }
-}
-
-bool
-Edge::EnterRows(const Digest& aDigest)
-{
-  bool isComplete = true;
-  const std::pair<const std::string*, TableWatch*> tables[] = {
-    { &rows_.deploymentTable_, deploymentWatch_.get() },
-    { &rows_.serverTable_, serverWatch_.get() }
-  };
-  for (const auto& [table, watch] : tables) {
-    const auto version = aDigest.rowVersions_.find(*table);
-    if (version == aDigest.rowVersions_.end()) {
-      isComplete = false;
-      continue;
-    }
-    if (version->second == 0) {
-      watch->Reload(Duration(0));
-      continue;
-    }
-    std::vector<StoreRow> rows;
-    for (const RelayedRow& row : aDigest.rows_) {
-      if (row.table_ == *table) {
-        rows.push_back(
-          { row.table_, row.key_, row.value_, row.version_, row.isDeleted_ });
-      }
-    }
-    watch->ApplyRows(rows, version->second);
-  }
-  return isComplete;
-}
-
 Edge::~Edge()
 {
   for (const std::uint64_t timer : { tickTimer_,
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -80,13 +80,6 @@
 
 private:
   void SetUpRelay();
-  // Adds the rows that changed since aVersions to aDigest, for instances that
-  // do not read the store.
-  void CollectRows(const std::map<std::string, std::uint64_t>& aVersions,
-                   Digest& aDigest) const;
-  // Applies rows relayed by a collector. Returns whether the digest covers all
-  // tables.
-  bool EnterRows(const Digest& aDigest);
   void OnDeploymentRows();
   void OnServerRows();
   void OnStoreRecovered(Duration aOutage);
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -31,12 +31,11 @@
 // Access to the copies of store tables that collectors relay.
 struct RowRelay
 {
-  // Returns the version of each table that this instance has.
-  std::function<std::map<std::string, std::uint64_t>()> versions_;
-  // Adds to the digest the rows that changed after the given versions.
-  std::function<void(const std::map<std::string, std::uint64_t>& aVersions,
-                     Digest& aDigest)>
-    collect_;
+  // Adds the version of each table that this instance has to a request for a
+  // digest.
+  std::function<void(Reports& aRequest)> addVersions_;
+  // Adds to the digest the rows that changed after the versions of the request.
+  std::function<void(const Reports& aRequest, Digest& aDigest)> collect_;
   // Applies the rows of a digest. Returns whether it has all tables.
   std::function<bool(const Digest& aDigest)> apply_;
   // Returns whether this instance can't reach the store.
--- a/src/edge/RowStore.h
+++ b/src/edge/RowStore.h
@@ -3,6 +3,7 @@
 // Interface to the platform's store of rows.
 
 #include "base/Clock.h"
+#include "base/Ids.h"
 
 #include <cstdint>
 #include <functional>
@@ -11,6 +12,13 @@
 
 namespace sycamoreward::edge {
 
+// A version of the store. The numbers of different eras can't be compared.
+struct StoreVersion
+{
+  StoreEra era_;
+  std::uint64_t number_ = 0;
+};
+
 struct StoreRow
 {
   std::string table_;
@@ -41,6 +49,7 @@
   // Latest version of the store.
   std::uint64_t version_ = 0;
   bool hasMore_ = false;
+  StoreEra era_;
 };
 
 // A write of rows, carried out only if all conditions hold.
--- a/test/correctness/TableWatchTest.cpp
+++ b/test/correctness/TableWatchTest.cpp
@@ -1,10 +1,15 @@
 // The copy of a table of the store around outages of the store.
 
 #include "edge/TableWatch.h"
+#include "edge/RelayedRows.h"
 #include "runtime/EventLoop.h"
 #include "support/SilentStore.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <random>
 
 using namespace sycamoreward;
 using namespace sycamoreward::edge;
@@ -133,3 +138,147 @@
   table.RunFor(std::chrono::seconds(30));
   cr_expect_leq(table.store_.Calls() - before, 30);
 }
+
+// Several copies of a table: the first reads the store, the others get its rows
+// or read the store as well.
+struct WatchedCopies
+{
+  WatchedCopies()
+  {
+    clock_.Advance(std::chrono::hours(1));
+    for (auto& watch : watches_) {
+      watch = std::make_unique<TableWatch>(
+        loop_,
+        store_,
+        log_,
+        TableWatchOptions{ "table" },
+        TableWatch::Callbacks{ [] {}, [](Duration) {} });
+    }
+  }
+
+  void RunFor(Duration aTime)
+  {
+    constexpr Duration kStep = std::chrono::milliseconds(10);
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      clock_.Advance(kStep);
+      loop_.RunReady();
+    }
+  }
+
+  // Passes the rows of one copy on to another, as a digest does.
+  void Relay(std::size_t aFrom, std::size_t aTo)
+  {
+    Reports request;
+    AddVersion(request, "table", *watches_[aTo]);
+    Digest digest;
+    CollectRows(request, "table", *watches_[aFrom], digest);
+    EnterRows(digest, "table", *watches_[aTo]);
+  }
+
+  std::map<std::string, std::string> Values(std::size_t aIndex) const
+  {
+    std::map<std::string, std::string> values;
+    for (const auto& [key, row] : watches_[aIndex]->Rows()) {
+      values[key] = row.value_;
+    }
+    return values;
+  }
+
+  ManualClock clock_;
+  EventLoop loop_{ clock_ };
+  DecisionLogOptions logOptions_{ -1 };
+  DecisionLog log_{ loop_, logOptions_ };
+  SilentStore store_{ loop_ };
+  std::array<std::unique_ptr<TableWatch>, 3> watches_;
+};
+
+// Guards against a change that is never seen because the store gave its version
+// out before.
+Test(TableWatch, SeesAllRowsAfterTheStoreReturnsFromACopy)
+{
+  WatchedCopies table;
+  table.RunFor(std::chrono::seconds(1));
+  table.store_.Put("a", "kept");
+  const std::uint64_t copy = table.store_.Version();
+  table.store_.Put("b", "lost");
+  table.store_.Put("c", "lost");
+  table.RunFor(std::chrono::seconds(1));
+  table.store_.SetSilent(true);
+  table.RunFor(std::chrono::seconds(2));
+  table.store_.Restore(copy);
+  table.store_.Put("d", "new");
+  table.store_.Put("a", "changed");
+  table.store_.Put("e", "new");
+  table.store_.SetSilent(false);
+  table.RunFor(kContactTime);
+  cr_expect(table.Values(0) == table.store_.Values());
+}
+
+// Guards against relayed rows of an earlier era that hide later ones.
+Test(TableWatch, IgnoresRelayedRowsOfAnEarlierEra)
+{
+  WatchedCopies table;
+  table.RunFor(std::chrono::seconds(1));
+  const std::uint64_t copy = table.store_.Version();
+  table.store_.Put("b", "lost");
+  table.store_.Put("c", "lost");
+  table.RunFor(std::chrono::seconds(1));
+  // The last copy gets no news from the store, but still from others.
+  table.watches_[2]->SetPaused(true);
+  table.store_.Restore(copy);
+  table.store_.Put("d", "new");
+  table.RunFor(kContactTime);
+  cr_assert(table.Values(0) == table.store_.Values());
+  table.Relay(2, 0);
+  table.store_.Put("e", "new");
+  table.RunFor(kContactTime);
+  cr_expect(table.Values(0) == table.store_.Values());
+  table.Relay(0, 2);
+  table.RunFor(kContactTime);
+  cr_expect(table.Values(2) == table.store_.Values());
+}
+
+// Guards against copies that stay different from the store, whatever happens to
+// it.
+Test(TableWatch, CopiesFollowAStoreThatReturnsFromCopies)
+{
+  const bool isKept = rc::check("copies follow", [] {
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    const auto below = [&](std::uint64_t aBound) { return random() % aBound; };
+    WatchedCopies table;
+    table.RunFor(std::chrono::milliseconds(100));
+    // The third copy only gets relayed rows.
+    table.watches_[2]->SetPaused(true);
+    for (int step = 0; step < 60; ++step) {
+      const std::string key(1, char('a' + below(6)));
+      switch (below(8)) {
+        case 0:
+          table.store_.Remove(key);
+          break;
+        case 1:
+          table.store_.SetSilent(below(2) == 0);
+          break;
+        case 2: {
+          const std::uint64_t version = table.store_.Version();
+          table.store_.Restore(version -
+                               below(std::min<std::uint64_t>(version, 8)));
+          break;
+        }
+        case 3:
+          table.Relay(below(3), below(3));
+          break;
+        default:
+          table.store_.Put(key, std::to_string(step));
+      }
+      table.RunFor(std::chrono::milliseconds(below(500)));
+    }
+    table.store_.SetSilent(false);
+    table.RunFor(kContactTime);
+    table.Relay(0, 2);
+    table.RunFor(std::chrono::milliseconds(500));
+    for (std::size_t index = 0; index < table.watches_.size(); ++index) {
+      RC_ASSERT(table.Values(index) == table.store_.Values());
+    }
+  });
+  cr_assert(isKept);
+}
--- a/test/support/SilentStore.h
+++ b/test/support/SilentStore.h
@@ -1,12 +1,13 @@
 #pragma once
 
 // A store of one table that can stop answering, as when it is down or
-// partitioned. Calls made in that time are never answered and time out like
-// those of StoreClient.
+// partitioned, and that can return from an older copy. Calls made while it is
+// silent are never answered and time out like those of StoreClient.
 
 #include "edge/RowStore.h"
 #include "runtime/EventLoop.h"
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
@@ -29,15 +30,36 @@
   // Writes a row and answers the calls that wait for a change.
   void Put(const std::string& aKey, const std::string& aValue)
   {
-    rows_[aKey] = { "table", aKey, aValue, ++version_, false };
-    if (isSilent_) {
-      return;
-    }
-    const auto waiting = std::move(waiting_);
+    Change({ "table", aKey, aValue, 0, false });
+  }
+  void Remove(const std::string& aKey)
+  {
+    Change({ "table", aKey, "", 0, true });
+  }
+
+  std::uint64_t Version() const { return version_; }
+
+  // Returns to the copy of version aVersion, in a new era. Waiting calls are
+  // not answered.
+  void Restore(std::uint64_t aVersion)
+  {
+    rows_ = copies_[aVersion];
+    copies_.erase(copies_.upper_bound(aVersion), copies_.end());
+    version_ = aVersion;
+    era_ = StoreEra(era_.Value() + 1);
     waiting_.clear();
-    for (const auto& [since, answer] : waiting) {
-      answer(Changes(since));
+  }
+
+  // The rows that exist, by key.
+  std::map<std::string, std::string> Values() const
+  {
+    std::map<std::string, std::string> values;
+    for (const auto& [key, row] : rows_) {
+      if (!row.isDeleted_) {
+        values[key] = row.value_;
+      }
     }
+    return values;
   }
 
   void Read(const std::string& /*aTable*/,
@@ -45,7 +67,14 @@
             OnReply aOnReply) override
   {
     Begin(kReadTimeout, std::move(aOnReply), [this](const Answer& aAnswer) {
-      aAnswer(Changes(0));
+      edge::StoreReply reply = Changes(0);
+      reply.rows_.erase(std::remove_if(reply.rows_.begin(),
+                                       reply.rows_.end(),
+                                       [](const edge::StoreRow& aRow) {
+                                         return aRow.isDeleted_;
+                                       }),
+                        reply.rows_.end());
+      aAnswer(reply);
     });
   }
 
@@ -57,13 +86,21 @@
     Begin(aWait + kWatchMargin,
           std::move(aOnReply),
           [this, aVersion, aWait](const Answer& aAnswer) {
+            if (aVersion > version_) {
+              // The store has never had this version, or no longer has it.
+              edge::StoreReply gone;
+              gone.status_ = edge::StoreStatus::HistoryGone;
+              gone.era_ = era_;
+              aAnswer(gone);
+              return;
+            }
             if (version_ > aVersion) {
               aAnswer(Changes(aVersion));
               return;
             }
             waiting_.emplace_back(aVersion, aAnswer);
-            loop_.CallAfter(aWait, [this, aVersion, aAnswer] {
-              if (!isSilent_) {
+            loop_.CallAfter(aWait, [this, aVersion, aAnswer, era = era_] {
+              if (!isSilent_ && era == era_) {
                 aAnswer(Changes(aVersion));
               }
             });
@@ -73,7 +110,7 @@
   void Write(const edge::StoreWrite& /*aWrite*/, OnReply aOnReply) override
   {
     Begin(kReadTimeout, std::move(aOnReply), [this](const Answer& aAnswer) {
-      aAnswer({ edge::StoreStatus::Ok, {}, version_, false });
+      aAnswer({ edge::StoreStatus::Ok, {}, version_, false, era_ });
     });
   }
 
@@ -87,7 +124,7 @@
 
   edge::StoreReply Changes(std::uint64_t aSince) const
   {
-    edge::StoreReply reply{ edge::StoreStatus::Ok, {}, version_, false };
+    edge::StoreReply reply{ edge::StoreStatus::Ok, {}, version_, false, era_ };
     for (const auto& [key, row] : rows_) {
       if (row.version_ > aSince) {
         reply.rows_.push_back(row);
@@ -96,6 +133,21 @@
     return reply;
   }
 
+  void Change(edge::StoreRow aRow)
+  {
+    aRow.version_ = ++version_;
+    rows_[aRow.key_] = aRow;
+    copies_[version_] = rows_;
+    if (isSilent_) {
+      return;
+    }
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& [since, answer] : waiting) {
+      answer(Changes(since));
+    }
+  }
+
   void Begin(Duration aTimeout,
              OnReply aOnReply,
              const std::function<void(const Answer&)>& aHandle)
@@ -115,6 +167,11 @@
 
   EventLoop& loop_;
   std::map<std::string, edge::StoreRow> rows_;
+  // The rows as of each version.
+  std::map<std::uint64_t, std::map<std::string, edge::StoreRow>> copies_{
+    { 1, {} }
+  };
+  StoreEra era_ = StoreEra(1);
   std::list<std::pair<std::uint64_t, Answer>> waiting_;
   std::uint64_t version_ = 1;
   std::uint64_t calls_ = 0;
