Read the tables again when the store returns from an older copy

Routes that operators had added were not served, and keys were refused, for good on an instance that had been cut off while the store returned from an older copy: the store had given the versions out again, the watch asked from one of them, and the rows written below it were never sent. With many instances, rows relayed under a version of before the return did the same to instances that had read the table again.

A version is now kept, compared and relayed with the era in which it was given out. An answer of a later era makes the watch read the whole table; relayed rows are applied in their own era only, of a later one they make the receiver read the store, and a request from another era gets no rows. Missing servers are retained as after an outage, and each instance writes its row again. Instances of the earlier build name no era and are told to read the store.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -106,7 +106,7 @@
     aStore,
     aLog,
     TableWatchOptions{ rows_.deploymentTable_ },
-    TableWatch::Callbacks{ [this] { OnDeploymentRows(); }, nullptr });
+    TableWatch::Callbacks{ [this] { OnDeploymentRows(); }, nullptr, nullptr });
   TableWatchOptions serverOptions{ rows_.serverTable_ };
   serverOptions.batchDelay_ = kServerReadDelay;
   serverWatch_ = std::make_unique<TableWatch>(
@@ -116,7 +116,8 @@
     serverOptions,
     TableWatch::Callbacks{
       [this] { OnServerRows(); },
-      [this](Duration aOutage) { OnStoreRecovered(aOutage); } });
+      [this](Duration aOutage) { OnStoreRecovered(aOutage); },
+      [this] { OnStoreRestored(); } });
   callers_ = std::make_unique<http::CallerServer>(
     aLoop,
     aOptions.callers_,
@@ -250,6 +251,14 @@
     loop_.CallAfter(state_.bounds_.entryLapseTime_, [this] { OnServerRows(); });
 }
 
+void
+Edge::OnStoreRestored()
+{
+  OnStoreRecovered(Duration(0));
+  // The own row may be one of those that were lost.
+  WriteMember();
+}
+
 void
 Edge::Join()
 {
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -83,6 +83,9 @@
   void OnDeploymentRows();
   void OnServerRows();
   void OnStoreRecovered(Duration aOutage);
+  // Handles the return of the store from an older copy. Servers and instances
+  // write the rows that were lost again.
+  void OnStoreRestored();
   // Adds this instance to the table of instances and reads the others. An empty
   // table means that the system starts for the first time.
   void Join();
--- a/src/edge/RelayedRows.cpp
+++ b/src/edge/RelayedRows.cpp
@@ -4,6 +4,16 @@
 
 namespace {
 
+// A sender that names no era is an instance of an earlier build, or the store
+// has none.
+StoreEra
+EraOf(const std::map<std::string, std::uint64_t>& aEras,
+      const std::string& aTable)
+{
+  const auto found = aEras.find(aTable);
+  return StoreEra(found == aEras.end() ? 0 : found->second);
+}
+
 // Larger rows are not relayed: sending the rows of a large deployment to all
 // instances would occupy a collector's link for seconds.
 constexpr std::size_t kMaxRelayedRowBytes = 16 * 1024;
@@ -15,7 +25,8 @@
            const std::string& aTable,
            const TableWatch& aWatch)
 {
-  aRequest.rowVersions_[aTable] = aWatch.Version();
+  aRequest.rowVersions_[aTable] = aWatch.Version().number_;
+  aRequest.rowEras_[aTable] = aWatch.Version().era_.Value();
 }
 
 void
@@ -25,13 +36,16 @@
             Digest& aDigest)
 {
   const auto since = aRequest.rowVersions_.find(aTable);
-  if (since == aRequest.rowVersions_.end() || aWatch.Version() == 0 ||
+  const StoreVersion own = aWatch.Version();
+  if (since == aRequest.rowVersions_.end() || own.number_ == 0 ||
       aWatch.IsUnreachable()) {
     return;
   }
   std::vector<StoreRow> rows;
-  aDigest.rowVersions_[aTable] = aWatch.Version();
-  if (!aWatch.ChangesSince(since->second, rows)) {
+  aDigest.rowVersions_[aTable] = own.number_;
+  aDigest.rowEras_[aTable] = own.era_.Value();
+  const StoreVersion known{ EraOf(aRequest.rowEras_, aTable), since->second };
+  if (!aWatch.ChangesSince(known, rows)) {
     aDigest.rowVersions_[aTable] = 0;
     return;
   }
@@ -52,6 +66,11 @@
   if (version == aDigest.rowVersions_.end()) {
     return false;
   }
+  const StoreEra era = EraOf(aDigest.rowEras_, aTable);
+  if (era < aWatch.Version().era_) {
+    // The sender has not noticed yet that the store has returned from a copy.
+    return false;
+  }
   if (version->second == 0) {
     aWatch.Reload(Duration(0));
     return true;
@@ -63,7 +82,7 @@
         { row.table_, row.key_, row.value_, row.version_, row.isDeleted_ });
     }
   }
-  aWatch.ApplyRows(rows, version->second);
+  aWatch.ApplyRows(rows, { era, version->second });
   return true;
 }
 
--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -83,8 +83,13 @@
   RecordReply();
   // Changes since the first page are delivered by the watch, which starts at
   // its version.
-  if (pages_.empty()) {
+  const bool isFirstPage = pagesVersion_ == 0;
+  if (isFirstPage) {
     pagesVersion_ = aReply.version_;
+    pagesEra_ = aReply.era_;
+  } else if (aReply.era_ != pagesEra_) {
+    Reload(Duration(0));
+    return;
   }
   for (const StoreRow& row : aReply.rows_) {
     pages_[row.key_] = row;
@@ -93,9 +98,12 @@
     ReadPage(aReply.rows_.back().key_);
     return;
   }
+  const bool isRestored = hasSnapshot_ && pagesEra_ > era_;
   rows_ = std::move(pages_);
   pages_.clear();
   version_ = pagesVersion_;
+  era_ = std::max(era_, pagesEra_);
+  restoredVersion_ = isRestored ? version_ : restoredVersion_;
   deleted_.clear();
   deletedSince_ = version_;
   hasSnapshot_ = true;
@@ -103,9 +111,13 @@
   LogLine line("table_read");
   line.Add("table", options_.table_)
     .Add("rows", std::uint64_t(rows_.size()))
-    .Add("version", version_);
+    .Add("version", version_)
+    .Add("era", era_.Value());
   log_.WriteImportant(line);
   const std::uint64_t generation = generation_;
+  if (isRestored && callbacks_.onRestored_) {
+    callbacks_.onRestored_();
+  }
   callbacks_.onChange_();
   if (generation == generation_) {
     Schedule(options_.batchDelay_, [this] { Watch(); });
@@ -145,14 +157,14 @@
 }
 
 void
-TableWatch::ApplyRows(const std::vector<StoreRow>& aRows,
-                      std::uint64_t aVersion)
+TableWatch::ApplyRows(const std::vector<StoreRow>& aRows, StoreVersion aVersion)
 {
   lastUpdate_ = loop_.GetClock().Now();
-  if (!hasSnapshot_ || aVersion < version_) {
+  if (!hasSnapshot_ || CheckEra(aVersion.era_) || aVersion.era_ != era_ ||
+      aVersion.number_ < version_) {
     return;
   }
-  version_ = aVersion;
+  version_ = aVersion.number_;
   for (const StoreRow& row : aRows) {
     ApplyRow(row);
   }
@@ -162,15 +174,16 @@
 }
 
 bool
-TableWatch::ChangesSince(std::uint64_t aVersion,
+TableWatch::ChangesSince(StoreVersion aVersion,
                          std::vector<StoreRow>& aRows) const
 {
-  if (!hasSnapshot_ || aVersion < deletedSince_) {
+  if (!hasSnapshot_ || aVersion.era_ != era_ ||
+      aVersion.number_ < deletedSince_) {
     return false;
   }
   for (const auto* rows : { &rows_, &deleted_ }) {
     for (const auto& [key, row] : *rows) {
-      if (row.version_ > aVersion) {
+      if (row.version_ > aVersion.number_) {
         aRows.push_back(row);
       }
     }
@@ -211,6 +224,9 @@
     return;
   }
   RecordReply();
+  if (CheckEra(aReply.era_)) {
+    return;
+  }
   version_ = std::max(version_, aReply.version_);
   for (const StoreRow& row : aReply.rows_) {
     ApplyRow(row);
@@ -225,6 +241,21 @@
   }
 }
 
+bool
+TableWatch::CheckEra(StoreEra aEra)
+{
+  if (aEra <= era_) {
+    return false;
+  }
+  LogLine line("store_restored");
+  line.Add("table", options_.table_)
+    .Add("version", version_)
+    .Add("era", aEra.Value());
+  log_.WriteImportant(line);
+  Reload(Duration(0));
+  return true;
+}
+
 void
 TableWatch::OnFailure()
 {
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -1,8 +1,9 @@
 #pragma once
 
 // Keeps a copy of a table of the platform's store: reads all of it once and
-// then waits for changes. Detects when the store becomes unreachable and when
-// it is back.
+// then waits for changes. Detects when the store becomes unreachable, when it
+// is back, and when it has returned from an older copy: then it reads all
+// again.
 
 #include "base/Clock.h"
 #include "edge/DecisionLog.h"
@@ -40,6 +41,9 @@
     std::function<void()> onChange_;
     // The store answers again after an outage of length aOutage.
     std::function<void(Duration aOutage)> onRecovered_;
+    // The store has returned from an older copy, and the table was read from
+    // it. Called before onChange_.
+    std::function<void()> onRestored_ = {};
   };
 
   TableWatch(EventLoop& aLoop,
@@ -68,14 +72,21 @@
   // resumption it waits for changes since the last of these rows.
   void SetPaused(bool aIsPaused);
   // Applies rows that another instance read, up to version aVersion of the
-  // store.
-  void ApplyRows(const std::vector<StoreRow>& aRows, std::uint64_t aVersion);
-  // Version of the store up to which the copy is complete; 0 before the table
-  // was read.
-  std::uint64_t Version() const { return hasSnapshot_ ? version_ : 0; }
+  // store. Reads the table from the store if aVersion is of a later era.
+  void ApplyRows(const std::vector<StoreRow>& aRows, StoreVersion aVersion);
+  // Version of the store up to which the copy is complete; number 0 before the
+  // table was read.
+  StoreVersion Version() const
+  {
+    return hasSnapshot_ ? StoreVersion{ era_, version_ } : StoreVersion{};
+  }
+  // Version of the first read since the store returned from an older copy; 0 if
+  // it never did. Rows up to it may be older than what was seen before.
+  std::uint64_t RestoredVersion() const { return restoredVersion_; }
   // Appends the rows that changed after aVersion, deleted ones included.
-  // Returns false if the deletions since then are no longer known.
-  bool ChangesSince(std::uint64_t aVersion, std::vector<StoreRow>& aRows) const;
+  // Returns false if they are not known: aVersion is of another era, or the
+  // deletions since then are no longer kept.
+  bool ChangesSince(StoreVersion aVersion, std::vector<StoreRow>& aRows) const;
 
 private:
   void ReadPage(const std::string& aAfter);
@@ -84,6 +95,9 @@
   void OnChanges(const StoreReply& aReply);
   void OnFailure();
   void RecordReply();
+  // Handles a change of the era between the copy and aEra: reads the table
+  // again. Returns whether there was one.
+  bool CheckEra(StoreEra aEra);
   void ApplyRow(const StoreRow& aRow);
   void Schedule(Duration aDelay, std::function<void()> aStep);
 
@@ -96,7 +110,10 @@
   // Pages of a full read that is in progress.
   std::map<std::string, StoreRow> pages_;
   std::uint64_t pagesVersion_ = 0;
+  StoreEra pagesEra_;
+  StoreEra era_;
   std::uint64_t version_ = 0;
+  std::uint64_t restoredVersion_ = 0;
   // Recently deleted rows for ChangesSince, and the version after which they
   // are complete.
   std::map<std::string, StoreRow> deleted_;
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -314,6 +314,7 @@
   aArchive("wantsHeard", aValue.wantsHeard_);
   aArchive("wantsDigest", aValue.wantsDigest_);
   aArchive("rowVersions", aValue.rowVersions_);
+  aArchive("rowEras", aValue.rowEras_);
 }
 
 template<typename A>
@@ -328,6 +329,7 @@
   aArchive("demand", aValue.demand_);
   aArchive("refused", aValue.refused_);
   aArchive("rowVersions", aValue.rowVersions_);
+  aArchive("rowEras", aValue.rowEras_);
   aArchive("rows", aValue.rows_);
 }
 
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -242,6 +242,8 @@
   // version of each table.
   bool wantsDigest_ = false;
   std::map<std::string, std::uint64_t> rowVersions_;
+  // Era of the store in which each version was given out.
+  std::map<std::string, std::uint64_t> rowEras_;
 };
 
 // A row of the platform's store, relayed to instances that do not read the
@@ -272,8 +274,10 @@
   std::map<std::string, std::uint64_t> used_;
   std::map<std::string, std::uint64_t> demand_;
   std::uint64_t refused_ = 0;
-  // Version of each table after rows_ have been applied.
+  // Version of each table after rows_ have been applied, and the era of the
+  // store in which it was given out.
   std::map<std::string, std::uint64_t> rowVersions_;
+  std::map<std::string, std::uint64_t> rowEras_;
   std::vector<RelayedRow> rows_;
 };
 
--- a/test/correctness/TableWatchTest.cpp
+++ b/test/correctness/TableWatchTest.cpp
@@ -147,12 +147,12 @@
   {
     clock_.Advance(std::chrono::hours(1));
     for (auto& watch : watches_) {
-      watch = std::make_unique<TableWatch>(
-        loop_,
-        store_,
-        log_,
-        TableWatchOptions{ "table" },
-        TableWatch::Callbacks{ [] {}, [](Duration) {} });
+      watch =
+        std::make_unique<TableWatch>(loop_,
+                                     store_,
+                                     log_,
+                                     TableWatchOptions{ "table" },
+                                     TableWatch::Callbacks{ [] {}, nullptr });
     }
   }
 
