Don't use servers that have left again from an older copy of the store

After the store has returned from a copy, servers that had said that they leave were listed as ready, and removed ones were listed again, until their writes were repeated; requests could be sent to them.

A server that was draining stays so until it starts again. Entries from the copy of servers that were removed are held out for five seconds, unless they have started again or were written again. EdgeServerList/ AServerThatHasLeftIsNotUsedAgainFromAnOlderCopy fails when the list is taken as it is, and passes.

--- a/src/edge/BackendServer.h
+++ b/src/edge/BackendServer.h
@@ -26,6 +26,8 @@
   bool isReclaimable_ = false;
   // Time from listed_ until the server has warmed up; it is slow until then.
   Duration coldDuration_{ 0 };
+  // The entry was read from an older copy of the store and not written since.
+  bool isFromCopy_ = false;
   // When the entry was first read.
   MonotonicTime listed_;
 };
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -24,6 +24,9 @@
 // Without the list, requests of limited workspaces are refused.
 constexpr Duration kFirstReadRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+// Time after the store has returned from an older copy in which the servers and
+// the platform write again what was lost.
+constexpr Duration kHoldOutTime = std::chrono::milliseconds(5000);
 // Delay before the server table is read again after a change, so that one read
 // covers many changes: all servers of a deployment register within the same few
 // seconds.
@@ -161,6 +164,7 @@
                                      memberTimer_,
                                      memberReadTimer_,
                                      entryLapseTimer_,
+                                     heldOutTimer_,
                                      drainTimer_ }) {
     loop_.CancelTimer(timer);
   }
@@ -230,6 +234,7 @@
       // The cold start time counts from when the server was first listed.
       server->listed_ = known->second.listed_;
     }
+    server->isFromCopy_ = row.version_ <= serverWatch_->RestoredVersion();
     listed.emplace(server->id_, *server);
   }
   ApplyListed(servers_, listed, now);
@@ -255,6 +260,9 @@
 Edge::OnStoreRestored()
 {
   OnStoreRecovered(Duration(0));
+  HoldOutDeparted(servers_, kHoldOutTime, loop_.GetClock().Now());
+  loop_.CancelTimer(heldOutTimer_);
+  heldOutTimer_ = loop_.CallAfter(kHoldOutTime, [this] { OnServerRows(); });
   // The own row may be one of those that were lost.
   WriteMember();
 }
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -128,6 +128,7 @@
   std::uint64_t memberTimer_ = 0;
   std::uint64_t memberReadTimer_ = 0;
   std::uint64_t entryLapseTimer_ = 0;
+  std::uint64_t heldOutTimer_ = 0;
   std::uint64_t drainTimer_ = 0;
 };
 
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -634,6 +634,41 @@
   cr_expect_eq(list.servers_.size(), 1);
 }
 
+// Guards against servers that had left and are used again, because the store
+// returned from a copy in which they have not.
+Test(EdgeServerList, AServerThatHasLeftIsNotUsedAgainFromAnOlderCopy)
+{
+  BackendServer server;
+  server.id_ = ServerId("a");
+  server.incarnation_ = Incarnation(7);
+  server.address_ = { "127.0.0.1", 1 };
+  BackendServer draining = server;
+  draining.isDraining_ = true;
+  BackendServer fromCopy = server;
+  fromCopy.isFromCopy_ = true;
+
+  ServerList list;
+  ApplyListed(list, { { server.id_, server } }, At(0));
+  ApplyListed(list, { { server.id_, draining } }, At(1));
+  HoldOutDeparted(list, std::chrono::seconds(5), At(2));
+  ApplyListed(list, { { server.id_, fromCopy } }, At(2));
+  cr_assert_eq(list.servers_.size(), 1);
+  cr_expect(list.servers_.begin()->second.isDraining_);
+
+  ApplyListed(list, {}, At(3));
+  HoldOutDeparted(list, std::chrono::seconds(5), At(4));
+  ApplyListed(list, { { server.id_, fromCopy } }, At(4));
+  cr_expect(list.servers_.empty());
+  // A later start of the server, or an entry that it has written again, counts.
+  BackendServer again = fromCopy;
+  again.incarnation_ = Incarnation(8);
+  ApplyListed(list, { { server.id_, again } }, At(5));
+  cr_expect_eq(list.servers_.size(), 1);
+  ApplyListed(list, {}, At(5));
+  ApplyListed(list, { { server.id_, server } }, At(6));
+  cr_expect_eq(list.servers_.size(), 1);
+}
+
 Test(EdgeServerList, DropsEntriesWhoseAddressIsReused)
 {
   BackendServer old;
