Apply a revision that comes again with other content

A change that operators made after the store had lost one with the same revision was not in force: equal revisions counted as old. Revisions below the one in force are still never applied; an equal one is if its row differs.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -190,7 +190,9 @@
 {
   const auto& rows = deploymentWatch_->Rows();
   const auto found = rows.find(rows_.deploymentKey_);
-  if (found == rows.end()) {
+  const bool isInForce =
+    found != rows.end() && found->second.value_ == deploymentInForce_;
+  if (found == rows.end() || isInForce) {
     return;
   }
   try {
@@ -198,6 +200,7 @@
     const Revision version = deployment.version_;
     const http::CallerLimits limits = deployment.limits_;
     if (ApplyDeployment(state_, std::move(deployment))) {
+      deploymentInForce_ = found->second.value_;
       callers_->SetLimits(limits);
       LogLine line("deployment_in_force");
       line.Add("version", version.Value())
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -115,6 +115,8 @@
   ReportExchange reports_;
   PlacementExchange placementExchange_;
   std::unique_ptr<TableWatch> deploymentWatch_;
+  // The row of the deployment in force.
+  std::string deploymentInForce_;
   std::unique_ptr<TableWatch> serverWatch_;
   std::unique_ptr<http::CallerServer> callers_;
   MonotonicTime started_;
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -102,7 +102,7 @@
 ApplyDeployment(EdgeState& aState, Deployment aDeployment)
 {
   if (aState.routes_ != nullptr &&
-      aDeployment.version_ <= aState.routes_->Declared().version_) {
+      aDeployment.version_ < aState.routes_->Declared().version_) {
     return false;
   }
   for (const ServiceSpec& service : aDeployment.services_) {
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -130,8 +130,9 @@
   }
 };
 
-// Applies a deployment. Returns false, and changes nothing, when it is not
-// newer than the current one.
+// Applies a deployment. Returns false, and changes nothing, when its revision
+// is older than the current one. The same revision comes again with other
+// content if the store has lost the first one.
 bool
 ApplyDeployment(EdgeState& aState, Deployment aDeployment);
 
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -331,6 +331,21 @@
   cr_expect_eq(AskAndWait(world, "/extra/a", "still")->status_, 200);
 }
 
+// Guards against a change that is not in force because a lost one had the same
+// revision.
+Test(PlatformPath, AppliesARevisionThatComesAgainWithOtherContent)
+{
+  PlatformFixture world({});
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  world.PutDeployment(5, { "/lost/" });
+  world.RunFor(1);
+  cr_expect_eq(AskAndWait(world, "/lost/a", "lost")->status_, 200);
+  world.PutDeployment(5, { "/extra/" });
+  world.RunFor(1);
+  cr_expect_eq(AskAndWait(world, "/extra/a", "extra")->status_, 200);
+  cr_expect_eq(AskAndWait(world, "/lost/a", "gone")->status_, 404);
+}
+
 Test(PlatformPath, DrainFinishesRunningRequestsAndRemovesTheAddress)
 {
   PlatformFixtureOptions options;
