--- a/standins/platformapi/StoreStandIn.cpp
+++ b/standins/platformapi/StoreStandIn.cpp
@@ -53,6 +53,34 @@
   loop_.CancelTimer(timer_);
 }
 
+StoreStandIn::Copy
+StoreStandIn::MakeCopy() const
+{
+  return { rows_, version_ };
+}
+
+void
+StoreStandIn::Restore(const Copy& aCopy)
+{
+  rows_ = aCopy.rows_;
+  version_ = aCopy.version_;
+  ++era_;
+  watches_.clear();
+}
+
+void
+StoreStandIn::Answer(http::CallerExchange& aExchange,
+                     int aStatus,
+                     const std::string& aBody) const
+{
+  http::ResponseHead head;
+  head.status_ = aStatus;
+  head.reason_ = "Stand-in";
+  head.fields_ = { { "Content-Type", "application/json" },
+                   { "Store-Era", std::to_string(era_) } };
+  aExchange.Answer(std::move(head), aBody);
+}
+
 void
 StoreStandIn::Change(const std::string& aTable,
                      const std::string& aKey,
@@ -99,7 +127,7 @@
     return;
   }
   if (faults_.isBusy_) {
-    AnswerJson(*aExchange, 503, "{}");
+    Answer(*aExchange, 503, "{}");
     return;
   }
   const std::string path = PathOf(aExchange->head_.target_);
@@ -110,7 +138,7 @@
   } else if (path == "/sycamoreward/rows-feed") {
     Feed(aExchange);
   } else {
-    AnswerJson(*aExchange, 404, "{}");
+    Answer(*aExchange, 404, "{}");
   }
 }
 
@@ -126,12 +154,12 @@
         RowJson(key.first, key.second, row.value_, row.version_, false));
     }
   }
-  AnswerJson(aExchange,
-             200,
-             nlohmann::json{ { "rows", rows },
-                             { "has-more", false },
-                             { "schema-version", version_ } }
-               .dump());
+  Answer(aExchange,
+         200,
+         nlohmann::json{ { "rows", rows },
+                         { "has-more", false },
+                         { "schema-version", version_ } }
+           .dump());
 }
 
 void
@@ -154,11 +182,10 @@
     }
   }
   if (!isAllowed) {
-    AnswerJson(
-      aExchange,
-      412,
-      nlohmann::json{ { "rows", current }, { "schema-version", version_ } }
-        .dump());
+    Answer(aExchange,
+           412,
+           nlohmann::json{ { "rows", current }, { "schema-version", version_ } }
+             .dump());
     return;
   }
   ++version_;
@@ -178,7 +205,7 @@
     --faults_.lostWrites_;
     return;
   }
-  AnswerJson(
+  Answer(
     aExchange, 200, nlohmann::json{ { "schema-version", version_ } }.dump());
 }
 
@@ -192,8 +219,8 @@
   watch.after_ = std::stoull(query.at("since-revision"));
   watch.end_ = loop_.GetClock().Now() +
                std::chrono::milliseconds(std::stoll(query.at("wait-ms")));
-  if (watch.after_ < firstChange_) {
-    AnswerJson(*aExchange, 410, "{}");
+  if (watch.after_ < firstChange_ || watch.after_ > version_) {
+    Answer(*aExchange, 410, "{}");
     return;
   }
   if (!AnswerWatch(watch, false)) {
@@ -202,7 +229,7 @@
 }
 
 bool
-StoreStandIn::AnswerWatch(const Watch& aWatch, bool aIsEnd)
+StoreStandIn::AnswerWatch(const Watch& aWatch, bool aIsEnd) const
 {
   std::vector<std::pair<std::uint64_t, nlohmann::json>> changes;
   for (const auto& [key, row] : rows_) {
@@ -224,7 +251,7 @@
   for (auto& change : changes) {
     rows.push_back(std::move(change.second));
   }
-  AnswerJson(
+  Answer(
     *aWatch.exchange_,
     200,
     nlohmann::json{ { "rows", rows }, { "schema-version", version_ } }.dump());
--- a/standins/platformapi/StoreStandIn.h
+++ b/standins/platformapi/StoreStandIn.h
@@ -44,6 +44,13 @@
   void Remove(const std::string& aTable, const std::string& aKey);
   // Returns the value of a row, or an empty string if it does not exist.
   std::string Value(const std::string& aTable, const std::string& aKey) const;
+  // A copy of the rows, to which the store can return.
+  struct Copy;
+  Copy MakeCopy() const;
+  // Returns to aCopy in a new era: later writes are lost, and their versions
+  // are given out again. Waiting calls are not answered.
+  void Restore(const Copy& aCopy);
+
   // Discards the change history, so that watches of older versions get 410.
   void DropHistory() { firstChange_ = version_; }
 
@@ -58,6 +65,15 @@
     bool isDeleted_ = false;
   };
   using Key = std::pair<std::string, std::string>;
+
+public:
+  struct Copy
+  {
+    std::map<Key, Row> rows_;
+    std::uint64_t version_ = 0;
+  };
+
+private:
   struct Watch
   {
     std::shared_ptr<http::CallerExchange> exchange_;
@@ -67,10 +83,14 @@
   };
 
   void Handle(const std::shared_ptr<http::CallerExchange>& aExchange);
+  // Answers with the era of the store in a header field.
+  void Answer(http::CallerExchange& aExchange,
+              int aStatus,
+              const std::string& aBody) const;
   void Read(http::CallerExchange& aExchange);
   void Write(http::CallerExchange& aExchange);
   void Feed(const std::shared_ptr<http::CallerExchange>& aExchange);
-  bool AnswerWatch(const Watch& aWatch, bool aIsEnd);
+  bool AnswerWatch(const Watch& aWatch, bool aIsEnd) const;
   void CheckWatches();
   void Change(const std::string& aTable,
               const std::string& aKey,
@@ -82,6 +102,7 @@
   // Includes deleted rows, which the change feed reports.
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 1;
+  std::uint64_t era_ = 1;
   std::uint64_t firstChange_ = 0;
   std::vector<Watch> watches_;
   std::uint64_t timer_ = 0;
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -407,6 +407,47 @@
   cr_expect_eq(reportedUsage, std::uint64_t(served));
 }
 
+// Guards against usage that is reported twice with other counts, because the
+// rows that fixed the first ones were lost with the store's last seconds.
+Test(PlatformPath, ReportsUsageOnceWhenTheStoreReturnsFromACopy)
+{
+  PlatformFixtureOptions options;
+  options.edges_ = 3;
+  PlatformFixture world(options);
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  int sent = 0;
+  std::size_t killed = world.edges_.size();
+  const auto sendRequests = [&](double aSeconds) {
+    const MonotonicTime end =
+      world.clock_.Now() + Duration(Duration::rep(aSeconds * 1e6));
+    while (world.clock_.Now() < end) {
+      ++sent;
+      const std::size_t edge = std::size_t(sent) % world.edges_.size();
+      if (edge != killed) {
+        const auto run = world.Ask(
+          edge, PlatformFixture::kOnce, "use-" + std::to_string(sent));
+        world.RunUntil([&] { return run->isDone_; }, kAnswerTimeoutSeconds);
+      }
+      world.RunFor(0.005);
+    }
+  };
+  sendRequests(3);
+  const auto copy = world.store_.MakeCopy();
+  sendRequests(4);
+  cr_assert_not(world.cloud_.accepted_.empty());
+  const std::uint64_t lastEpoch = world.cloud_.accepted_.back().epoch_;
+  const std::string holder = world.cloud_.accepted_.back().holder_;
+  killed = std::size_t(holder.back() - '0');
+  world.store_.Restore(copy);
+  world.edges_[killed]->Kill();
+  world.StartEdge(killed);
+  sendRequests(10);
+  for (const std::string& violation : world.cloud_.violations_) {
+    cr_expect(false, "%s", violation.c_str());
+  }
+  cr_expect_gt(world.cloud_.accepted_.back().epoch_, lastEpoch);
+}
+
 // Guards against the loss of usage counts of windows that were not reported
 // yet, because the instances kept them only in memory.
 Test(PlatformPath, KeepsUsageWhenAllInstancesAreKilled)
