Return the store from older copies and cut streams in order in the soak

The soak's store goes back to a copy of up to six seconds ago, silent before or not, with the operators' and servers' writes repeated within 1.5 s; servers end streams inside or before an event, in chunks or with their connection. At the end a route is added and every instance has to serve it within three seconds.

--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -14,6 +14,7 @@
 using namespace sycamoreward;
 using standin::BackendFault;
 using standin::BackendStandIn;
+using standin::StoreStandIn;
 
 namespace {
 
@@ -21,6 +22,10 @@
 constexpr double kStartTimeoutSeconds = 20;
 // Time to wait for answers and reports after the last fault.
 constexpr double kSettleSeconds = 8;
+// Time for a change of the deployment to be in force everywhere.
+constexpr double kApplySeconds = 3;
+// Copies of the store, one made each second, to which it can return.
+constexpr std::size_t kCopies = 6;
 
 struct Soak
 {
@@ -31,6 +36,7 @@
   int asked_ = 0;
   int served_ = 0;
   std::uint64_t version_ = 1;
+  std::vector<StoreStandIn::Copy> copies_;
 
   std::uint64_t RandomBelow(std::uint64_t aBound) { return random_() % aBound; }
 };
@@ -63,13 +69,32 @@
   }
 }
 
+// Returns the store to a copy some seconds old. Operators and servers write
+// again what was lost.
+void
+RestoreStore(Soak& aSoak)
+{
+  PlatformFixture& fixture = aSoak.fixture_;
+  fixture.store_.Restore(
+    aSoak.copies_[aSoak.RandomBelow(aSoak.copies_.size())]);
+  const auto rewrite = std::chrono::milliseconds(aSoak.RandomBelow(1500));
+  fixture.loop_.CallAfter(rewrite, [&aSoak] {
+    aSoak.fixture_.PutDeployment(++aSoak.version_, { "/extra/" });
+    for (auto* list : { &aSoak.fixture_.engines_, &aSoak.fixture_.desks_ }) {
+      for (const auto& backend : *list) {
+        aSoak.fixture_.ListBackend(*backend, "ready");
+      }
+    }
+  });
+}
+
 // Injects a random fault and returns a function that ends it.
 std::function<void()>
 StartFault(Soak& aSoak)
 {
   PlatformFixture& fixture = aSoak.fixture_;
   const std::size_t edge = aSoak.RandomBelow(fixture.edges_.size());
-  switch (aSoak.RandomBelow(9)) {
+  switch (aSoak.RandomBelow(10)) {
     case 0:
       fixture.edges_[edge]->Kill();
       return [&fixture, edge] { fixture.StartEdge(edge); };
@@ -101,10 +126,15 @@
         aSoak.RandomBelow(2) == 0 ? fixture.engines_ : fixture.desks_;
       BackendStandIn* backend = list[aSoak.RandomBelow(list.size())].get();
       constexpr BackendFault kFaults[] = {
-        BackendFault::NotRun, BackendFault::CutBefore, BackendFault::CutWithin,
-        BackendFault::Silent, BackendFault::Error,     BackendFault::OtherServer
+        BackendFault::NotRun,    BackendFault::CutBefore,
+        BackendFault::CutWithin, BackendFault::Silent,
+        BackendFault::Error,     BackendFault::OtherServer,
+        BackendFault::EndWithin, BackendFault::EndBefore
       };
-      backend->fault_ = kFaults[aSoak.RandomBelow(6)];
+      constexpr http::BodyEnd kFramings[] = { http::BodyEnd::Chunked,
+                                              http::BodyEnd::Close };
+      backend->fault_ = kFaults[aSoak.RandomBelow(8)];
+      backend->framing_ = kFramings[aSoak.RandomBelow(2)];
       return [backend] { backend->fault_ = BackendFault::None; };
     }
     case 6: {
@@ -116,6 +146,14 @@
       fixture.store_.faults_.lostWrites_ += 2;
       fixture.store_.DropHistory();
       return [] {};
+    case 8: {
+      auto& faults = fixture.store_.faults_;
+      faults.isSilent_ = aSoak.RandomBelow(2) == 0;
+      return [&aSoak, &faults] {
+        RestoreStore(aSoak);
+        faults.isSilent_ = false;
+      };
+    }
     default: {
       fixture.PutDeployment(++aSoak.version_, { "/extra/" });
       const BackendStandIn& desk = *fixture.desks_[0];
@@ -176,9 +214,17 @@
   const MonotonicTime end =
     fixture.clock_.Now() + Duration(Duration::rep(aSeconds * 1e6));
   std::multimap<MonotonicTime, std::function<void()>> ends;
+  MonotonicTime nextCopy;
   while (fixture.clock_.Now() < end) {
     SendRequest(aSoak);
     const MonotonicTime now = fixture.clock_.Now();
+    if (now >= nextCopy) {
+      nextCopy = now + std::chrono::seconds(1);
+      aSoak.copies_.push_back(fixture.store_.MakeCopy());
+      if (aSoak.copies_.size() > kCopies) {
+        aSoak.copies_.erase(aSoak.copies_.begin());
+      }
+    }
     // About one fault per second, each up to 3 s long, so that faults occur in
     // series and overlap.
     if (aSoak.RandomBelow(25) == 0) {
@@ -198,6 +244,26 @@
   fixture.store_.faults_ = {};
 }
 
+// Adds a route and checks that each instance serves it in time.
+void
+CheckLastChange(Soak& aSoak)
+{
+  PlatformFixture& fixture = aSoak.fixture_;
+  fixture.PutDeployment(++aSoak.version_, { "/last/" });
+  fixture.RunFor(kApplySeconds);
+  for (std::size_t edge = 0; edge < fixture.edges_.size(); ++edge) {
+    const auto run =
+      fixture.Ask(edge, "/last/a", "last-" + std::to_string(edge));
+    fixture.RunUntil([&] { return run->isDone_; }, kSettleSeconds);
+    if (run->status_ != 200) {
+      RecordViolation(aSoak,
+                      *run,
+                      "an added route is answered with " +
+                        std::to_string(run->status_));
+    }
+  }
+}
+
 int
 RunSeed(std::uint64_t aSeed, double aSeconds, int aEdges)
 {
@@ -209,7 +275,7 @@
   options.hasBackendLinks_ = true;
   options.hasStoreLinks_ = true;
   PlatformFixture fixture(options);
-  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1 };
+  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, {} };
   if (!fixture.WaitReady(kStartTimeoutSeconds)) {
     soak.violations_.emplace_back("the instances did not get ready");
   }
@@ -220,6 +286,7 @@
     soak.violations_.emplace_back(
       "not all instances are ready after the faults");
   }
+  CheckLastChange(soak);
   for (const auto& run : soak.runs_) {
     CheckRun(soak, *run);
   }
