Signal no other processes when a test's process has already ended

The soak ended processes that were not its own: a fault that suspends or stops an instance which an overlapping fault had killed called kill with the id -1, which signals every process of the machine. Two soaks by hand ended the shell that had started them. Signals are sent to a process that still exists only.

No test: on the earlier code it would signal the whole machine.

--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -111,22 +111,31 @@
   pid_ = -1;
 }
 
+void
+ChildProcess::Signal(int aSignal) const
+{
+  // A negative id would signal every process of the machine.
+  if (pid_ > 0) {
+    kill(pid_, aSignal);
+  }
+}
+
 void
 ChildProcess::Suspend()
 {
-  kill(pid_, SIGSTOP);
+  Signal(SIGSTOP);
 }
 
 void
 ChildProcess::Resume()
 {
-  kill(pid_, SIGCONT);
+  Signal(SIGCONT);
 }
 
 void
 ChildProcess::Terminate()
 {
-  kill(pid_, SIGTERM);
+  Signal(SIGTERM);
 }
 
 int
--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -43,6 +43,9 @@
   int WaitForExit(int aSeconds);
 
 private:
+  // Sends a signal if the process has not been waited for.
+  void Signal(int aSignal) const;
+
   pid_t pid_ = -1;
   std::string firstLine_;
   std::string output_;
