Release the duties only while their lease is valid

A holder that ends with an expired lease would write its release under a version that may have been given out again since, over the row of a later holder. It now leaves such a lease to expire.

--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -92,7 +92,7 @@
 void
 DutyTask::Stop()
 {
-  if (lease_.heldEpoch_.Value() != 0 && !lease_.isCallPending_) {
+  if (HoldsLease() && !lease_.isCallPending_) {
     StoreWrite write;
     write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
     write.rows_.push_back(MakeRow(InstanceId(), lease_.heldEpoch_));
