End an empty stream as broken whatever its framing

Callers got an empty stream as whole when a server ended its answer in chunks, or by a length of 0, before the first event. A stream without an event is now broken off unless the caller resumed it; an answer to HEAD has none.

EventBoundary/AnUnframedStreamWithoutEventsIsBrokenOffUnlessResumed expected a framed empty stream to be whole; its replacement expects the opposite.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -66,9 +66,9 @@
   const bool isForwarding = answerState_ == AnswerState::Forwarded;
   answerHead_ = std::move(aHead);
   answerFraming_ = aFraming;
-  isEventStream_ = route_->kind_ == RouteKind::Stream &&
-                   answerHead_.status_ == 200 &&
-                   http::MayBeEventStream(answerHead_);
+  isEventStream_ =
+    route_->kind_ == RouteKind::Stream && answerHead_.status_ == 200 &&
+    exchange_->head_.method_ != "HEAD" && http::MayBeEventStream(answerHead_);
   if (isForwarding) {
     // The caller already has the head of the resumed stream, so only events are
     // forwarded.
@@ -218,7 +218,6 @@
   }
   StreamEnd end;
   end.position_ = events_.Position();
-  end.isFramed_ = answerFraming_.end_ != http::BodyEnd::Close;
   end.isResumed_ = request_.isResumption_;
   return IsBrokenOff(end);
 }
--- a/src/recovery/EventBoundary.cpp
+++ b/src/recovery/EventBoundary.cpp
@@ -26,8 +26,7 @@
 IsBrokenOff(const StreamEnd& aEnd)
 {
   const bool isEmpty = aEnd.position_.events_ == 0;
-  return IsInsideEvent(aEnd.position_) ||
-         (isEmpty && !aEnd.isFramed_ && !aEnd.isResumed_);
+  return IsInsideEvent(aEnd.position_) || (isEmpty && !aEnd.isResumed_);
 }
 
 std::size_t
--- a/src/recovery/EventBoundary.h
+++ b/src/recovery/EventBoundary.h
@@ -35,14 +35,12 @@
 struct StreamEnd
 {
   EventPosition position_;
-  // Whether a length or chunks marked the end.
-  bool isFramed_ = false;
   // Whether the stream began after an earlier event. None may be left then.
   bool isResumed_ = false;
 };
 
 // Whether the stream was broken off although its answer ended in order: inside
-// an event, or without any event where nothing marked the end.
+// an event, or without any event.
 bool
 IsBrokenOff(const StreamEnd& aEnd);
 
--- a/test/failure/PlatformPathTest.cpp
+++ b/test/failure/PlatformPathTest.cpp
@@ -180,10 +180,16 @@
 {
   PlatformFixture world({});
   cr_assert(world.WaitReady(kStartTimeoutSeconds));
-  SetFraming(world, http::BodyEnd::Close, "\n");
-  SetFault(world, BackendFault::EndBefore, -1);
-  const auto run = AskAndWait(world, PlatformFixture::kStream, "empty");
-  cr_expect_not(run->isWhole_);
+  for (const char* path :
+       { PlatformFixture::kStream, PlatformFixture::kResumable }) {
+    for (const http::BodyEnd framing : kStreamFramings) {
+      SetFraming(world, framing, "\n");
+      SetFault(world, BackendFault::EndBefore, -1);
+      const auto run = AskAndWait(
+        world, path, std::string("empty-") + http::ToText(framing) + path[1]);
+      cr_expect_not(run->isWhole_, "%s", run->request_.c_str());
+    }
+  }
 }
 
 Test(PlatformPath, ResumesAStreamThatEndsInsideAnEvent)
--- a/test/property/EventBoundaryTest.cpp
+++ b/test/property/EventBoundaryTest.cpp
@@ -101,15 +101,12 @@
   cr_assert(isGood);
 }
 
-Test(EventBoundary, AnUnframedStreamWithoutEventsIsBrokenOffUnlessResumed)
+Test(EventBoundary, AStreamWithoutEventsIsBrokenOffUnlessResumed)
 {
   StreamEnd end;
   cr_expect(IsBrokenOff(end));
   end.isResumed_ = true;
   cr_expect_not(IsBrokenOff(end));
-  end.isResumed_ = false;
-  end.isFramed_ = true;
-  cr_expect_not(IsBrokenOff(end));
   AdvanceEvents(end.position_, "data: a");
   cr_expect(IsBrokenOff(end));
 }
