--- a/test/correctness/TableWatchTest.cpp
+++ b/test/correctness/TableWatchTest.cpp
@@ -21,6 +21,17 @@
 // Time within which a reachable instance applies a change.
 constexpr Duration kApplyTime = std::chrono::milliseconds(2000);
 
+// Advances the clock in small steps and runs the loop in each.
+void
+RunLoop(ManualClock& aClock, EventLoop& aLoop, Duration aTime)
+{
+  constexpr Duration kStep = std::chrono::milliseconds(10);
+  for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+    aClock.Advance(kStep);
+    aLoop.RunReady();
+  }
+}
+
 struct WatchedTable
 {
   explicit WatchedTable(bool aIsFilled = true)
@@ -41,14 +52,7 @@
       TableWatch::Callbacks{ [] {}, [](Duration) {} });
   }
 
-  void RunFor(Duration aTime)
-  {
-    constexpr Duration kStep = std::chrono::milliseconds(10);
-    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
-      clock_.Advance(kStep);
-      loop_.RunReady();
-    }
-  }
+  void RunFor(Duration aTime) { RunLoop(clock_, loop_, aTime); }
 
   // Returns the time until the copy has aValue, at most aLimit.
   Duration TimeUntil(const std::string& aValue, Duration aLimit)
@@ -156,14 +160,7 @@
     }
   }
 
-  void RunFor(Duration aTime)
-  {
-    constexpr Duration kStep = std::chrono::milliseconds(10);
-    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
-      clock_.Advance(kStep);
-      loop_.RunReady();
-    }
-  }
+  void RunFor(Duration aTime) { RunLoop(clock_, loop_, aTime); }
 
   // Passes the rows of one copy on to another, as a digest does.
   void Relay(std::size_t aFrom, std::size_t aTo)
