Make the access to relayed rows from a list of tables

Edge wired the functions for its two tables by hand; a test of several copies needs the same wiring. MakeRowRelay builds it from a list of tables.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -135,25 +135,9 @@
 void
 Edge::SetUpRelay()
 {
-  RowRelay relay;
-  relay.addVersions_ = [this](Reports& aRequest) {
-    AddVersion(aRequest, rows_.deploymentTable_, *deploymentWatch_);
-    AddVersion(aRequest, rows_.serverTable_, *serverWatch_);
-  };
-  relay.collect_ = [this](const Reports& aRequest, Digest& aDigest) {
-    CollectRows(aRequest, rows_.deploymentTable_, *deploymentWatch_, aDigest);
-    CollectRows(aRequest, rows_.serverTable_, *serverWatch_, aDigest);
-  };
-  relay.apply_ = [this](const Digest& aDigest) {
-    const bool hasDeployment =
-      EnterRows(aDigest, rows_.deploymentTable_, *deploymentWatch_);
-    const bool hasServers =
-      EnterRows(aDigest, rows_.serverTable_, *serverWatch_);
-    return hasDeployment && hasServers;
-  };
-  relay.isStoreUnreachable_ = [this] {
-    return deploymentWatch_->IsUnreachable() || serverWatch_->IsUnreachable();
-  };
+  RowRelay relay =
+    MakeRowRelay({ { rows_.deploymentTable_, deploymentWatch_.get() },
+                   { rows_.serverTable_, serverWatch_.get() } });
   relay.onRowsMissing_ = [this] { UpdateStoreReading(); };
   reports_.SetRelay(std::move(relay));
 }
--- a/src/edge/RelayedRows.cpp
+++ b/src/edge/RelayedRows.cpp
@@ -1,5 +1,7 @@
 #include "edge/RelayedRows.h"
 
+#include <algorithm>
+
 namespace sycamoreward::edge {
 
 namespace {
@@ -86,4 +88,34 @@
   return true;
 }
 
+RowRelay
+MakeRowRelay(const std::vector<RelayedTable>& aTables)
+{
+  RowRelay relay;
+  relay.addVersions_ = [aTables](Reports& aRequest) {
+    for (const RelayedTable& table : aTables) {
+      AddVersion(aRequest, table.name_, *table.watch_);
+    }
+  };
+  relay.collect_ = [aTables](const Reports& aRequest, Digest& aDigest) {
+    for (const RelayedTable& table : aTables) {
+      CollectRows(aRequest, table.name_, *table.watch_, aDigest);
+    }
+  };
+  relay.apply_ = [aTables](const Digest& aDigest) {
+    bool hasAll = true;
+    for (const RelayedTable& table : aTables) {
+      hasAll = EnterRows(aDigest, table.name_, *table.watch_) && hasAll;
+    }
+    return hasAll;
+  };
+  relay.isStoreUnreachable_ = [aTables] {
+    return std::any_of(
+      aTables.begin(), aTables.end(), [](const RelayedTable& aTable) {
+        return aTable.watch_->IsUnreachable();
+      });
+  };
+  return relay;
+}
+
 } // namespace sycamoreward::edge
--- a/src/edge/RelayedRows.h
+++ b/src/edge/RelayedRows.h
@@ -6,7 +6,9 @@
 #include "edge/TableWatch.h"
 #include "peer/Messages.h"
 
+#include <functional>
 #include <string>
+#include <vector>
 
 namespace sycamoreward::edge {
 
@@ -29,4 +31,33 @@
 bool
 EnterRows(const Digest& aDigest, const std::string& aTable, TableWatch& aWatch);
 
+// Access to the copies of store tables that collectors relay.
+struct RowRelay
+{
+  // Adds the version of each table that this instance has to a request for a
+  // digest.
+  std::function<void(Reports& aRequest)> addVersions_;
+  // Adds to the digest the rows that changed after the versions of the request.
+  std::function<void(const Reports& aRequest, Digest& aDigest)> collect_;
+  // Applies the rows of a digest. Returns whether it has all tables.
+  std::function<bool(const Digest& aDigest)> apply_;
+  // Returns whether this instance can't reach the store.
+  std::function<bool()> isStoreUnreachable_;
+  // Called when a collector did not answer, so that the rows have to be read
+  // from the store.
+  std::function<void()> onRowsMissing_;
+};
+
+// A table whose rows are relayed. The copy must outlive the relay.
+struct RelayedTable
+{
+  std::string name_;
+  TableWatch* watch_ = nullptr;
+};
+
+// Returns the access to the copies of aTables, without a callback for missing
+// rows.
+RowRelay
+MakeRowRelay(const std::vector<RelayedTable>& aTables);
+
 } // namespace sycamoreward::edge
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -9,6 +9,7 @@
 #include "edge/Collectors.h"
 #include "edge/EdgeState.h"
 #include "edge/Placers.h"
+#include "edge/RelayedRows.h"
 #include "peer/PeerNetwork.h"
 
 #include <deque>
@@ -28,23 +29,6 @@
   FencingToken dutyEpoch_;
 };
 
-// Access to the copies of store tables that collectors relay.
-struct RowRelay
-{
-  // Adds the version of each table that this instance has to a request for a
-  // digest.
-  std::function<void(Reports& aRequest)> addVersions_;
-  // Adds to the digest the rows that changed after the versions of the request.
-  std::function<void(const Reports& aRequest, Digest& aDigest)> collect_;
-  // Applies the rows of a digest. Returns whether it has all tables.
-  std::function<bool(const Digest& aDigest)> apply_;
-  // Returns whether this instance can't reach the store.
-  std::function<bool()> isStoreUnreachable_;
-  // Called when a collector did not answer, so that the rows have to be read
-  // from the store.
-  std::function<void()> onRowsMissing_;
-};
-
 class ReportExchange
 {
 public:
