--- a/test/support/SilentStore.h
+++ b/test/support/SilentStore.h
@@ -24,7 +24,15 @@
   {
   }
 
-  void SetSilent(bool aIsSilent) { isSilent_ = aIsSilent; }
+  // Calls in progress are not answered after an outage either.
+  void SetSilent(bool aIsSilent)
+  {
+    isSilent_ = aIsSilent;
+    if (isSilent_) {
+      ++outages_;
+      waiting_.clear();
+    }
+  }
   std::uint64_t Calls() const { return calls_; }
 
   // Writes a row and answers the calls that wait for a change.
@@ -99,8 +107,11 @@
               return;
             }
             waiting_.emplace_back(aVersion, aAnswer);
-            loop_.CallAfter(aWait, [this, aVersion, aAnswer, era = era_] {
-              if (!isSilent_ && era == era_) {
+            const auto isSame = [this, era = era_, outages = outages_] {
+              return era == era_ && outages == outages_;
+            };
+            loop_.CallAfter(aWait, [this, aVersion, aAnswer, isSame] {
+              if (!isSilent_ && isSame()) {
                 aAnswer(Changes(aVersion));
               }
             });
@@ -175,6 +186,7 @@
   std::list<std::pair<std::uint64_t, Answer>> waiting_;
   std::uint64_t version_ = 1;
   std::uint64_t calls_ = 0;
+  std::uint64_t outages_ = 0;
   bool isSilent_ = false;
 };
 
