Ask instances that are ahead for the changes of store tables that this one lacks

Callers were refused with 401, or served as an older revision allows, by instances whose call to the store got no answer: with up to ten instances only the own call told a change, and it takes 2.6 s to time out, with 2 s allowed. Rows were asked of others only once the own store counted as unreachable, and then from one at random every 0.7 s.

Each full report now names the latest change of each table that its sender has. This works for collectors, too, and replaces the requests every 0.7 s. No call to the store is added.

--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -11,21 +11,11 @@
 
 namespace {
 
-// Time after which the instance reads the store itself and asks another
-// collector. A digest takes some milliseconds. With a timeout of a second,
-// instances partitioned from their collector learned of leaving servers too
-// late.
-constexpr Duration kDigestTimeout = std::chrono::milliseconds(350);
-
 // Interval at which an instance probes a collector of the whole system from
 // which it receives no reports. Without probes, two partitioned groups with
 // collectors of their own would not find each other again.
 constexpr Duration kProbeInterval = std::chrono::seconds(4);
 
-// Interval at which rows are requested from other instances while the store is
-// unreachable.
-constexpr Duration kRowsInterval = std::chrono::milliseconds(700);
-
 // Values per server in a digest: running requests, unread tokens, slowness in
 // percent, and its age in milliseconds.
 constexpr std::size_t kServerValues = 4;
@@ -291,38 +281,6 @@
   }
 }
 
-void
-ReportExchange::RequestRows()
-{
-  const MonotonicTime now = state_.loop_.GetClock().Now();
-  if (!relay_.isStoreUnreachable_ || !relay_.isStoreUnreachable_() ||
-      now - lastRows_ < kRowsInterval) {
-    return;
-  }
-  std::vector<const Peer*> live;
-  for (const auto& [id, peer] : peers_) {
-    if (IsLive(peer)) {
-      live.push_back(&peer);
-    }
-  }
-  if (live.empty()) {
-    return;
-  }
-  lastRows_ = now;
-  const auto index = std::size_t(state_.Draw() * double(live.size()));
-  const PeerIdentity& peer = live[std::min(index, live.size() - 1)]->identity_;
-  Reports message;
-  message.wantsDigest_ = true;
-  relay_.addVersions_(message);
-  network_.Call(
-    peer, std::move(message), kDigestTimeout, [this](const PeerReply& aReply) {
-      if (aReply.message_.has_value() &&
-          std::holds_alternative<Digest>(*aReply.message_)) {
-        relay_.apply_(std::get<Digest>(*aReply.message_));
-      }
-    });
-}
-
 void
 ReportExchange::ApplyRows(const InstanceId& aFrom, const Digest& aDigest)
 {
--- a/src/edge/RelayedRows.cpp
+++ b/src/edge/RelayedRows.cpp
@@ -88,6 +88,28 @@
   return true;
 }
 
+void
+AddChange(Reports& aReport, const std::string& aTable, const TableWatch& aWatch)
+{
+  const StoreVersion change = aWatch.LatestChange();
+  aReport.changeVersions_[aTable] = change.number_;
+  aReport.changeEras_[aTable] = change.era_.Value();
+}
+
+bool
+IsBehind(const Reports& aReport,
+         const std::string& aTable,
+         const TableWatch& aWatch)
+{
+  const auto change = aReport.changeVersions_.find(aTable);
+  if (change == aReport.changeVersions_.end() || !aWatch.HasSnapshot()) {
+    return false;
+  }
+  const StoreVersion own = aWatch.Version();
+  const StoreEra era = EraOf(aReport.changeEras_, aTable);
+  return era > own.era_ || (era == own.era_ && change->second > own.number_);
+}
+
 RowRelay
 MakeRowRelay(const std::vector<RelayedTable>& aTables)
 {
@@ -109,6 +131,17 @@
     }
     return hasAll;
   };
+  relay.addChanges_ = [aTables](Reports& aReport) {
+    for (const RelayedTable& table : aTables) {
+      AddChange(aReport, table.name_, *table.watch_);
+    }
+  };
+  relay.isBehind_ = [aTables](const Reports& aReport) {
+    return std::any_of(
+      aTables.begin(), aTables.end(), [&](const RelayedTable& aTable) {
+        return IsBehind(aReport, aTable.name_, *aTable.watch_);
+      });
+  };
   relay.isStoreUnreachable_ = [aTables] {
     return std::any_of(
       aTables.begin(), aTables.end(), [](const RelayedTable& aTable) {
--- a/src/edge/RelayedRows.h
+++ b/src/edge/RelayedRows.h
@@ -31,7 +31,20 @@
 bool
 EnterRows(const Digest& aDigest, const std::string& aTable, TableWatch& aWatch);
 
-// Access to the copies of store tables that collectors relay.
+// Adds the version of the latest change in the copy of aTable to a report.
+void
+AddChange(Reports& aReport,
+          const std::string& aTable,
+          const TableWatch& aWatch);
+
+// Returns whether aReport names a change of aTable that the copy lacks. A copy
+// that was never read lacks nothing that others could add.
+bool
+IsBehind(const Reports& aReport,
+         const std::string& aTable,
+         const TableWatch& aWatch);
+
+// Access to the copies of store tables that instances relay to each other.
 struct RowRelay
 {
   // Adds the version of each table that this instance has to a request for a
@@ -41,6 +54,10 @@
   std::function<void(const Reports& aRequest, Digest& aDigest)> collect_;
   // Applies the rows of a digest. Returns whether it has all tables.
   std::function<bool(const Digest& aDigest)> apply_;
+  // Adds the latest change of each table to a report.
+  std::function<void(Reports& aReport)> addChanges_;
+  // Returns whether aReport names a change that this instance lacks.
+  std::function<bool(const Reports& aReport)> isBehind_;
   // Returns whether this instance can't reach the store.
   std::function<bool()> isStoreUnreachable_;
   // Called when a collector did not answer, so that the rows have to be read
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -50,6 +50,7 @@
   , network_(aNetwork)
   , self_(aSelf)
   , status_(std::move(aStatus))
+  , catchUp_(aState.loop_, aNetwork, relay_)
 {
   network_.OnMessage<Reports>([this](const PeerIdentity& aFrom,
                                      const Message& aMessage,
@@ -59,6 +60,7 @@
       ApplyReport(report);
     }
     RecordHeard(aFrom, reports);
+    catchUp_.OnReports(aFrom, reports);
     if (reports.wantsDigest_) {
       aRespond(MakeDigest(aFrom.instance_, reports));
     }
@@ -110,9 +112,6 @@
   UpdateReportsComplete();
   UpdateShare();
   Send(false);
-  if (IsMesh() || isCollector_) {
-    RequestRows();
-  }
   timer_ = state_.loop_.CallAfter(
     IsMesh() ? kReportInterval : kCollectorInterval, [this] { Tick(); });
 }
@@ -167,6 +166,9 @@
   }
   Reports message;
   message.reports_.push_back(MakeReport(aIsLoadOnly));
+  if (!aIsLoadOnly && relay_.addChanges_) {
+    relay_.addChanges_(message);
+  }
   if (!IsMesh()) {
     SendToCollectors(message);
     return;
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -10,6 +10,7 @@
 #include "edge/EdgeState.h"
 #include "edge/Placers.h"
 #include "edge/RelayedRows.h"
+#include "edge/RowCatchUp.h"
 #include "peer/PeerNetwork.h"
 
 #include <deque>
@@ -178,8 +179,6 @@
                       const PeerNetwork::Responder& aRespond);
   void UpdateCollectors();
   void UpdateShare();
-  // Asks another instance for rows while the store is unreachable for this one.
-  void RequestRows();
   void ApplyRows(const InstanceId& aFrom, const Digest& aDigest);
   BackendView* FindServer(const ServerId& aServer);
 
@@ -188,6 +187,7 @@
   PeerIdentity self_;
   std::function<SelfStatus()> status_;
   RowRelay relay_;
+  RowCatchUp catchUp_;
   std::map<InstanceId, Peer> peers_;
   // As of the last tick; empty in a mesh.
   std::vector<InstanceId> collectors_;
@@ -204,8 +204,7 @@
   double loggedShare_ = 0;
   // After a refusal no quota is requested before this time, by workspace.
   std::map<WorkspaceId, MonotonicTime> nextQuotaRequest_;
-  // When a digest last had all tables, or rows were last requested from an
-  // instance.
+  // When a digest last had all tables.
   MonotonicTime lastRows_;
   // The last call for a digest did not bring all rows.
   bool lacksRows_ = false;
--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -106,6 +106,10 @@
   restoredVersion_ = isRestored ? version_ : restoredVersion_;
   deleted_.clear();
   deletedSince_ = version_;
+  latestChange_ = 0;
+  for (const auto& [key, row] : rows_) {
+    latestChange_ = std::max(latestChange_, row.version_);
+  }
   hasSnapshot_ = true;
   needsFullRead_ = false;
   LogLine line("table_read");
@@ -127,6 +131,7 @@
 void
 TableWatch::ApplyRow(const StoreRow& aRow)
 {
+  latestChange_ = std::max(latestChange_, aRow.version_);
   if (!aRow.isDeleted_) {
     rows_[aRow.key_] = aRow;
     deleted_.erase(aRow.key_);
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -80,6 +80,11 @@
   {
     return hasSnapshot_ ? StoreVersion{ era_, version_ } : StoreVersion{};
   }
+  // Version of the latest change that the copy has, at most Version().
+  StoreVersion LatestChange() const
+  {
+    return hasSnapshot_ ? StoreVersion{ era_, latestChange_ } : StoreVersion{};
+  }
   // Version of the first read since the store returned from an older copy; 0 if
   // it never did. Rows up to it may be older than what was seen before.
   std::uint64_t RestoredVersion() const { return restoredVersion_; }
@@ -113,6 +118,7 @@
   StoreEra pagesEra_;
   StoreEra era_;
   std::uint64_t version_ = 0;
+  std::uint64_t latestChange_ = 0;
   std::uint64_t restoredVersion_ = 0;
   // Recently deleted rows for ChangesSince, and the version after which they
   // are complete.
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -315,6 +315,8 @@
   aArchive("wantsDigest", aValue.wantsDigest_);
   aArchive("rowVersions", aValue.rowVersions_);
   aArchive("rowEras", aValue.rowEras_);
+  aArchive("changeVersions", aValue.changeVersions_);
+  aArchive("changeEras", aValue.changeEras_);
 }
 
 template<typename A>
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -244,6 +244,10 @@
   std::map<std::string, std::uint64_t> rowVersions_;
   // Era of the store in which each version was given out.
   std::map<std::string, std::uint64_t> rowEras_;
+  // Version and era of the latest change of each table that the sender has.
+  // Only with full reports.
+  std::map<std::string, std::uint64_t> changeVersions_;
+  std::map<std::string, std::uint64_t> changeEras_;
 };
 
 // A row of the platform's store, relayed to instances that do not read the
