Keep relayed rows when an older reply of the store arrives

A row that another instance relayed was replaced by the row of a reply which the store had made before it, while the version of the copy stayed that of the relayed row: the change was never asked for again. A full read did the same, and lowered the version.

A row is applied only if the copy has no later one under its key, and a full read keeps the changes after it. TableWatchReply: three tests failed before and pass; TableWatch and TableCopies pass.

--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -99,6 +99,9 @@
     return;
   }
   const bool isRestored = hasSnapshot_ && pagesEra_ > era_;
+  if (hasSnapshot_ && !isRestored) {
+    KeepLaterChanges();
+  }
   rows_ = std::move(pages_);
   pages_.clear();
   version_ = pagesVersion_;
@@ -128,9 +131,45 @@
   }
 }
 
+void
+TableWatch::KeepLaterChanges()
+{
+  for (const auto& [key, row] : rows_) {
+    if (row.version_ > pagesVersion_) {
+      pages_[key] = row;
+    }
+  }
+  for (const auto& [key, row] : deleted_) {
+    if (row.version_ > pagesVersion_) {
+      pages_.erase(key);
+    }
+  }
+  pagesVersion_ = std::max(pagesVersion_, version_);
+}
+
+bool
+TableWatch::HasLaterRow(const StoreRow& aRow) const
+{
+  if (aRow.version_ == 0) {
+    // A deletion whose version the store does not name.
+    return false;
+  }
+  for (const auto* rows : { &rows_, &deleted_ }) {
+    const auto known = rows->find(aRow.key_);
+    if (known != rows->end() && known->second.version_ > aRow.version_) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 TableWatch::ApplyRow(const StoreRow& aRow)
 {
+  // Replies of the store and relayed rows may overtake each other.
+  if (HasLaterRow(aRow)) {
+    return;
+  }
   latestChange_ = std::max(latestChange_, aRow.version_);
   if (!aRow.isDeleted_) {
     rows_[aRow.key_] = aRow;
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -104,6 +104,11 @@
   // again. Returns whether there was one.
   bool CheckEra(StoreEra aEra);
   void ApplyRow(const StoreRow& aRow);
+  // Returns whether the copy has a later row or deletion under the key of aRow.
+  bool HasLaterRow(const StoreRow& aRow) const;
+  // Adds the changes after pagesVersion_ that the copy already has to the rows
+  // of a full read.
+  void KeepLaterChanges();
   void Schedule(Duration aDelay, std::function<void()> aStep);
 
   EventLoop& loop_;
