Complete a read of a table that is in progress before another one begins

Each digest without the rows of a table began the read of the table anew, and a pause dropped a planned one: on a slow link, or with a store that takes longer than the interval of the digests, a copy could stay old without end. A failure on a later page also began again with the first.

Reload has no effect while a read is planned or in progress, a pause leaves the read alone, and a failed page is read again. TableWatchReply/AReadInProgressIsNotBegunAgain and APauseDoesNotDropARead failed before and pass.

--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -51,8 +51,11 @@
 void
 TableWatch::Reload(Duration aDelay)
 {
+  if (isReading_) {
+    return;
+  }
   ++generation_;
-  needsFullRead_ = true;
+  isReading_ = true;
   Schedule(aDelay, [this] { ReadPage(""); });
 }
 
@@ -63,6 +66,7 @@
     pages_.clear();
     pagesVersion_ = 0;
   }
+  nextPage_ = aAfter;
   callStart_ = loop_.GetClock().Now();
   store_.Read(options_.table_,
               aAfter,
@@ -88,7 +92,7 @@
     pagesVersion_ = aReply.version_;
     pagesEra_ = aReply.era_;
   } else if (aReply.era_ != pagesEra_) {
-    Reload(Duration(0));
+    ReadPage("");
     return;
   }
   for (const StoreRow& row : aReply.rows_) {
@@ -114,7 +118,7 @@
     latestChange_ = std::max(latestChange_, row.version_);
   }
   hasSnapshot_ = true;
-  needsFullRead_ = false;
+  isReading_ = false;
   LogLine line("table_read");
   line.Add("table", options_.table_)
     .Add("rows", std::uint64_t(rows_.size()))
@@ -193,6 +197,9 @@
     return;
   }
   isPaused_ = aIsPaused;
+  if (isReading_) {
+    return;
+  }
   ++generation_;
   loop_.CancelTimer(timer_);
   if (!isPaused_) {
@@ -314,8 +321,8 @@
   }
   backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
   Schedule(backoff_, [this] {
-    if (needsFullRead_) {
-      ReadPage("");
+    if (isReading_) {
+      ReadPage(nextPage_);
     } else {
       Watch();
     }
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -65,11 +65,13 @@
   void SetWait(Duration aWait) { options_.wait_ = aWait; }
   // Returns when the store last answered or relayed rows last arrived.
   MonotonicTime LastUpdate() const { return lastUpdate_; }
-  // Reads the whole table again after aDelay.
+  // Reads the whole table again after aDelay. Has no effect while a read is
+  // planned or in progress.
   void Reload(Duration aDelay);
 
-  // While paused, the copy is updated with rows that other instances relay. On
-  // resumption it waits for changes since the last of these rows.
+  // While paused, the copy is updated with rows that other instances relay; a
+  // full read in progress is completed. On resumption it waits for changes
+  // since the last of these rows.
   void SetPaused(bool aIsPaused);
   // Applies rows that another instance read, up to version aVersion of the
   // store. Reads the table from the store if aVersion is of a later era.
@@ -132,7 +134,10 @@
   bool isPaused_ = false;
   bool hasSnapshot_ = false;
   bool isUnreachable_ = false;
-  bool needsFullRead_ = true;
+  // A full read is planned or in progress, and the key after which its next
+  // page begins.
+  bool isReading_ = true;
+  std::string nextPage_;
   MonotonicTime lastUpdate_;
   MonotonicTime unreachableSince_;
   Duration backoff_{ 0 };
--- a/test/correctness/TableWatchReplyTest.cpp
+++ b/test/correctness/TableWatchReplyTest.cpp
@@ -132,3 +132,33 @@
   cr_expect_eq(copy.watch_->Rows().count("c"), 1);
   cr_expect_eq(copy.watch_->Version().number_, 4);
 }
+
+// Guards against an instance that reads a table again and again and never has
+// it: each digest without the rows dropped the read in progress.
+Test(TableWatchReply, AReadInProgressIsNotBegunAgain)
+{
+  WaitingCopy copy;
+  copy.store_.calls_.clear();
+  for (int digest = 0; digest < 4; ++digest) {
+    copy.watch_->Reload(Duration(0));
+    copy.RunFor(std::chrono::milliseconds(300));
+  }
+  cr_assert_eq(copy.store_.reads_, 2);
+  copy.store_.Answer({ Row("a", "second", 2) }, 2);
+  cr_expect_eq(copy.Value(), "second");
+}
+
+// Guards against a copy that stays old because a pause dropped its read.
+Test(TableWatchReply, APauseDoesNotDropARead)
+{
+  WaitingCopy copy;
+  copy.store_.calls_.clear();
+  copy.watch_->Reload(std::chrono::milliseconds(100));
+  copy.watch_->SetPaused(true);
+  copy.RunFor(std::chrono::milliseconds(100));
+  cr_assert_eq(copy.store_.reads_, 2);
+  copy.watch_->SetPaused(false);
+  copy.watch_->SetPaused(true);
+  copy.store_.Answer({ Row("a", "second", 2) }, 2);
+  cr_expect_eq(copy.Value(), "second");
+}
