Relay rows of up to 64 KiB between few instances

Rows over 16 KiB were not relayed, because a collector sends them to all. Between up to ten instances only one that lacks a change asks, so a deployment of some hundred routes would have had a single source there. TableCopies/FewInstancesRelayLargeRows failed before and passes.

--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -204,7 +204,7 @@
       { sum.running_, sum.unread_, sum.slowness_, sum.age_ });
   }
   if (relay_.collect_) {
-    relay_.collect_(aRequest, digest);
+    relay_.collect_(aRequest, IsMesh(), digest);
   }
   return digest;
 }
--- a/src/edge/RelayedRows.cpp
+++ b/src/edge/RelayedRows.cpp
@@ -16,9 +16,11 @@
   return StoreEra(found == aEras.end() ? 0 : found->second);
 }
 
-// Larger rows are not relayed: sending the rows of a large deployment to all
-// instances would occupy a collector's link for seconds.
-constexpr std::size_t kMaxRelayedRowBytes = 16 * 1024;
+// Larger rows are not relayed by collectors: sending the rows of a large
+// deployment to all instances would occupy a collector's link for seconds.
+constexpr std::size_t kMaxCollectorRowBytes = 16 * 1024;
+// The same between few instances. The platform's rows are at most this large.
+constexpr std::size_t kMaxMeshRowBytes = 64 * 1024;
 
 } // namespace
 
@@ -35,6 +37,7 @@
 CollectRows(const Reports& aRequest,
             const std::string& aTable,
             const TableWatch& aWatch,
+            std::size_t aMaxRowBytes,
             Digest& aDigest)
 {
   const auto since = aRequest.rowVersions_.find(aTable);
@@ -52,7 +55,7 @@
     return;
   }
   for (const StoreRow& row : rows) {
-    if (row.value_.size() > kMaxRelayedRowBytes) {
+    if (row.value_.size() > aMaxRowBytes) {
       aDigest.rowVersions_[aTable] = 0;
       break;
     }
@@ -119,11 +122,14 @@
       AddVersion(aRequest, table.name_, *table.watch_);
     }
   };
-  relay.collect_ = [aTables](const Reports& aRequest, Digest& aDigest) {
-    for (const RelayedTable& table : aTables) {
-      CollectRows(aRequest, table.name_, *table.watch_, aDigest);
-    }
-  };
+  relay.collect_ =
+    [aTables](const Reports& aRequest, bool aIsMesh, Digest& aDigest) {
+      const std::size_t maxRowBytes =
+        aIsMesh ? kMaxMeshRowBytes : kMaxCollectorRowBytes;
+      for (const RelayedTable& table : aTables) {
+        CollectRows(aRequest, table.name_, *table.watch_, maxRowBytes, aDigest);
+      }
+    };
   relay.apply_ = [aTables](const Digest& aDigest) {
     bool hasAll = true;
     for (const RelayedTable& table : aTables) {
--- a/src/edge/RelayedRows.h
+++ b/src/edge/RelayedRows.h
@@ -19,11 +19,13 @@
            const TableWatch& aWatch);
 
 // Adds the rows of aTable that changed after the version that aRequest names.
-// Adds version 0 when the receiver has to read the table from the store.
+// Adds version 0 when the receiver has to read the table from the store, also
+// when a row is larger than aMaxRowBytes.
 void
 CollectRows(const Reports& aRequest,
             const std::string& aTable,
             const TableWatch& aWatch,
+            std::size_t aMaxRowBytes,
             Digest& aDigest);
 
 // Applies the rows of aTable to the copy. Returns false if the digest has no
@@ -51,7 +53,9 @@
   // digest.
   std::function<void(Reports& aRequest)> addVersions_;
   // Adds to the digest the rows that changed after the versions of the request.
-  std::function<void(const Reports& aRequest, Digest& aDigest)> collect_;
+  // aIsMesh tells that there are few instances, of which one at a time asks.
+  std::function<void(const Reports& aRequest, bool aIsMesh, Digest& aDigest)>
+    collect_;
   // Applies the rows of a digest. Returns whether it has all tables.
   std::function<bool(const Digest& aDigest)> apply_;
   // Adds the latest change of each table to a report.
--- a/test/correctness/TableCopiesTest.cpp
+++ b/test/correctness/TableCopiesTest.cpp
@@ -240,3 +240,14 @@
 {
   ExpectChangesInTime(kLargeSite, 0, 3, std::chrono::milliseconds(350));
 }
+
+// Guards against a large deployment that an instance can get from the store
+// only. A row of the platform's store has up to 64 KiB.
+Test(TableCopies, FewInstancesRelayLargeRows)
+{
+  CopyFleet fleet(kSmallSite.instances_);
+  fleet.instances_[1]->path_.LoseCalls(3);
+  fleet.store_.Put("row", "7" + std::string(64 * 1024 - 1, ' '));
+  fleet.RunFor(kSmallSite.apply_ - kMargin);
+  cr_expect_eq(fleet.OldestValue(), 7);
+}
--- a/test/correctness/TableWatchTest.cpp
+++ b/test/correctness/TableWatchTest.cpp
@@ -168,7 +168,7 @@
     Reports request;
     AddVersion(request, "table", *watches_[aTo]);
     Digest digest;
-    CollectRows(request, "table", *watches_[aFrom], digest);
+    CollectRows(request, "table", *watches_[aFrom], 1024, digest);
     EnterRows(digest, "table", *watches_[aTo]);
   }
 
