Reproduce servers that get more requests than they name

Operators saw 12 to 17 requests in 4 s at servers that named 1 to 1.3 a second, of 11 to 13 allowed. The stand-in of a backend server names a limit and records arrivals; two tests of ServerLimit with real processes fail on this code, the third (a limit is lifted) passes because there is none.

--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -129,6 +129,7 @@
 void
 BackendStandIn::Handle(const std::shared_ptr<http::CallerExchange>& aExchange)
 {
+  arrivals_.push_back(loop_.GetClock().Now());
   const BackendFault fault = ConsumeFault();
   const bool isExpected =
     Field(*aExchange, "X-Expect-Instance") == options_.id_;
@@ -178,6 +179,9 @@
     head.fields_ = { { "X-Request-Id", runs_[index].request_ },
                      { "X-Response-Signature", "sig-" + runs_[index].request_ },
                      { "X-Backend-Load", "1,0,16,100" } };
+    if (!limit_.empty()) {
+      head.fields_.push_back({ "Server-Limit", limit_ });
+    }
     if (options_.events_ > 0) {
       head.fields_.push_back({ "Content-Type", "text/event-stream" });
       const std::string& last = runs_[index].lastEvent_;
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -84,7 +84,11 @@
   http::BodyEnd framing_ = http::BodyEnd::Chunked;
   // End of each line of a stream.
   std::string lineEnd_ = "\n";
+  // The rate limit that answers name, as text; none if empty.
+  std::string limit_;
   std::vector<BackendRun> runs_;
+  // When each request arrived, whether it ran or not.
+  std::vector<MonotonicTime> arrivals_;
 
 private:
   void Handle(const std::shared_ptr<http::CallerExchange>& aExchange);
