Share the request rates that servers name among the instances

Servers in need got as many requests as before, 12 to 17 in 4 s of 11 to 13 allowed, because nothing read the field in which they name a limit.

The adapter decodes it; each instance keeps it with the server, reports it, and sends only what its part allows. Parts are equal and held by as many instances as leaves each a burst of 1.5 requests; on large sites the owner of an engine has the whole rate. Where no server has room the request is refused at once. The engine plan replaces limited engines. The reasons are in decision 0012.

ServerLimit/AServerGetsNoMoreRequestsThanItNames and RequestsBeyondTheLimitsOfAllServersAreRefusedAtOnce failed before and pass; ServerLimitFleet (3 to 400 instances, restarts, partitions) and RateLimit pass.

--- a/src/base/Units.h
+++ b/src/base/Units.h
@@ -11,6 +11,9 @@
 // Amount of data.
 using Bytes = StrongType<struct BytesTag, std::uint64_t>;
 
+// Requests per second.
+using RequestRate = StrongType<struct RequestRateTag, double>;
+
 // Amount of model input or output.
 using Tokens = StrongType<struct TokensTag, std::uint64_t>;
 
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/ReportExchange.h"
 #include "edge/ReportTimes.h"
+#include "edge/ServerLimits.h"
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
@@ -177,6 +178,7 @@
   AddServers(own);
   AddCounts(own);
   digest.used_ = own.used_;
+  digest.limits_ = own.limits_;
   add(own, Duration(0));
   addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
   for (const auto& [id, peer] : peers_) {
@@ -217,6 +219,7 @@
   hasDigest_ = true;
   ApplyDigestMembers(aDigest);
   ApplyRows(aFrom, aDigest);
+  ApplyRelayedLimits(state_, aDigest.limits_);
   SetInstanceCount(state_, LiveCount());
   if (isCollector_) {
     // A collector uses the reports themselves, once they arrive.
--- a/src/edge/DutyOrders.cpp
+++ b/src/edge/DutyOrders.cpp
@@ -67,6 +67,7 @@
       EngineCounts& counts = inputs.present_[view.server_.domain_];
       (view.server_.isReclaimable_ ? counts.reclaimable_ : counts.reserved_) +=
         1;
+      inputs.limited_ += view.limit_.rate_.has_value() ? 1 : 0;
     }
   }
   DetectReclaims(pool, inputs, plan);
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -101,7 +101,7 @@
     reports_.RequestQuota(aWorkspace, aAmount, std::move(aOnAnswer));
   };
   state_.placementExchange_ = &placementExchange_;
-  state_.onQuotaUsed_ = [this] { reports_.ReportSoon(); };
+  state_.reportSoon_ = [this] { reports_.ReportSoon(); };
   state_.onPromptSent_ = [this](double aTokens) { reports_.NoteSent(aTokens); };
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace sycamoreward::edge {
@@ -112,9 +113,18 @@
                      double aAmount,
                      std::function<void(bool aIsGranted)> aOnAnswer)>
     askForQuota_;
-  // Called when much use of a quota should be reported to the others. May be
-  // unset.
-  std::function<void()> onQuotaUsed_;
+  // Reports load, use of quotas and limits of servers to the others soon. May
+  // be unset.
+  std::function<void()> reportSoon_;
+  // Instances that share the request rates which servers name: all that run or
+  // were running a short time ago, this one included. Empty while they are not
+  // known.
+  std::vector<InstanceId> limitSharers_;
+  // Returns whether this instance alone places the requests for an engine;
+  // nullopt when each instance places its own. May be unset.
+  std::function<std::optional<bool>(const PoolView& aPool,
+                                    const ServerId& aServer)>
+    ownsEngine_;
   // Asks placers for the server of a request. Null when each instance places
   // its own requests.
   PlacementExchange* placementExchange_ = nullptr;
--- a/src/edge/EnginePlan.cpp
+++ b/src/edge/EnginePlan.cpp
@@ -77,7 +77,8 @@
 }
 
 // Updates aNeed, which decays by half in aHalfLife after the demand has fallen,
-// with the engines that the demand keeps busy and a margin for bursts.
+// with the engines that the demand keeps busy, a margin for bursts, and a
+// replacement for each limited engine.
 void
 UpdateNeed(double& aNeed,
            double aBurstReserve,
@@ -86,7 +87,8 @@
            const EnginePlanInputs& aInputs)
 {
   const double busy = BusyEngines(aInputs);
-  double needed = busy + aBurstReserve * std::sqrt(busy);
+  double needed =
+    busy + aBurstReserve * std::sqrt(busy) + double(aInputs.limited_);
   if (aInputs.hasRefused_) {
     needed =
       std::max(needed, std::min(aNeed * 1.1, needed * kMaxRefusedFactor));
--- a/src/edge/EnginePlan.h
+++ b/src/edge/EnginePlan.h
@@ -36,6 +36,8 @@
   // Prompt tokens per second that have to be read, and that one engine reads.
   double demand_ = 0;
   double engineRate_ = 0;
+  // Serving engines that name a request rate, and so do less than the others.
+  std::uint32_t limited_ = 0;
   // Requests were refused for lack of capacity since the last plan.
   bool hasRefused_ = false;
   MonotonicTime now_;
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -96,6 +96,7 @@
                            aQuery.candidates_->count(aView.server_.id_) != 0;
   return isCandidate && !aView.server_.isDraining_ &&
          aQuery.tried_.count(aView.server_.id_) == 0 &&
+         MaySend(aView.limit_, aQuery.now_) &&
          aView.running_ < ConnectionShare(aPool, aQuery.instances_);
 }
 
--- a/src/edge/PlacementExchange.cpp
+++ b/src/edge/PlacementExchange.cpp
@@ -91,12 +91,20 @@
         ApplyEvent(news);
       }
     });
+  state_.ownsEngine_ = [this](const PoolView& aPool,
+                              const ServerId& aServer) -> std::optional<bool> {
+    if (states_.empty() || !aPool.isEngine_) {
+      return std::nullopt;
+    }
+    return OwnsEngine(aPool, aServer);
+  };
   sweepTimer_ =
     state_.loop_.CallAfter(kSweepInterval, [this] { EvictStaleRequests(); });
 }
 
 PlacementExchange::~PlacementExchange()
 {
+  state_.ownsEngine_ = nullptr;
   state_.loop_.CancelTimer(flushTimer_);
   state_.loop_.CancelTimer(sweepTimer_);
 }
@@ -237,6 +245,7 @@
     reply.work_,
     UnreadPrompt{ placement.tokens_, placement.readStart_, placement.readEnd_ },
     query.parts_);
+  CountSent(view.limit_, now);
   trackedRequests_[reply.work_] = { pool.service_,
                                     placement.server_,
                                     view.server_.incarnation_,
@@ -254,6 +263,14 @@
   return reply;
 }
 
+bool
+PlacementExchange::OwnsEngine(const PoolView& aPool,
+                              const ServerId& aServer) const
+{
+  const std::size_t count = PlacerCount(states_.size(), aPool.servers_.size());
+  return states_[OwnerOf(aServer, states_, count)].id_ == state_.self_;
+}
+
 void
 PlacementExchange::UpdateOwnedEngines(const PoolView& aPool)
 {
@@ -265,9 +282,8 @@
   }
   owned.updated_ = now;
   owned.servers_.clear();
-  const std::size_t count = PlacerCount(states_.size(), aPool.servers_.size());
   for (const auto& [id, view] : aPool.servers_) {
-    if (states_[OwnerOf(id, states_, count)].id_ == state_.self_) {
+    if (OwnsEngine(aPool, id)) {
       owned.servers_.insert(id);
     }
   }
--- a/src/edge/PlacementExchange.h
+++ b/src/edge/PlacementExchange.h
@@ -80,6 +80,9 @@
     const InstanceId& aPlacer,
     const PlacementReply& aReply,
     const std::function<void(std::optional<PlacerAnswer>)>& aOnAnswer);
+  // Returns whether this instance places all requests for the engine. There
+  // must be placers.
+  bool OwnsEngine(const PoolView& aPool, const ServerId& aServer) const;
   // Recomputes the engines of the pool that this placer owns, at a limited
   // rate.
   void UpdateOwnedEngines(const PoolView& aPool);
--- a/src/edge/PoolView.h
+++ b/src/edge/PoolView.h
@@ -7,6 +7,7 @@
 #include "base/Clock.h"
 #include "edge/BackendServer.h"
 #include "edge/CachedParts.h"
+#include "edge/RateLimit.h"
 
 #include <cstdint>
 #include <map>
@@ -54,6 +55,7 @@
   // time.
   MonotonicTime avoidUntil_;
   CachedParts parts_;
+  RateLimit limit_;
 };
 
 // The servers of one service and the estimates that they share.
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -3,6 +3,7 @@
 #include "base/DurationUnits.h"
 #include "edge/MessageCount.h"
 #include "edge/ReportTimes.h"
+#include "edge/ServerLimits.h"
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
@@ -248,6 +249,28 @@
     SetShare(quota, state_.quotaShare_, now);
   }
   ConfirmUseOfHeardReports();
+  UpdateLimitSharers();
+}
+
+void
+ReportExchange::UpdateLimitSharers()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  // An instance that has lost most others is probably the one that is
+  // partitioned, and the others go on.
+  const bool isMinority = LiveCount() * 2 < peers_.size() + 1;
+  state_.limitSharers_.clear();
+  if (knowsMembers_) {
+    state_.limitSharers_.push_back(self_.instance_);
+    for (const auto& [id, peer] : peers_) {
+      const MonotonicTime last = std::max(peer.lastSeen_, peer.knownSince_);
+      const bool mayRun = isMinority || now - last < kPeerGoneTimeout;
+      if (mayRun && !peer.report_.isLeaving_) {
+        state_.limitSharers_.push_back(id);
+      }
+    }
+  }
+  UpdateLimitParts(state_);
 }
 
 bool
@@ -332,6 +355,7 @@
 ReportExchange::AddServers(InstanceReport& aReport) const
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
+  AddLimits(state_, aReport.limits_);
   for (const auto& [service, pool] : state_.pools_) {
     for (const auto& [id, view] : pool.servers_) {
       ServerUse use;
@@ -463,6 +487,7 @@
       .Add("incarnation", identity.incarnation_.Value());
     state_.log_.WriteImportant(line);
   }
+  ApplyRelayedLimits(state_, aReport.limits_);
   // Other instances get the load and use from the sums of a digest.
   const bool isCounted = IsMesh() || isCollector_;
   if (isCounted) {
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -179,6 +179,8 @@
                       const PeerNetwork::Responder& aRespond);
   void UpdateCollectors();
   void UpdateShare();
+  // Sets the instances that share the limits of servers.
+  void UpdateLimitSharers();
   void ApplyRows(const InstanceId& aFrom, const Digest& aDigest);
   BackendView* FindServer(const ServerId& aServer);
 
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -4,6 +4,7 @@
 
 #include "base/DurationUnits.h"
 #include "edge/RequestStatus.h"
+#include "edge/ServerLimits.h"
 
 #include <algorithm>
 
@@ -48,6 +49,9 @@
   if (view != nullptr && answer.load_.has_value()) {
     view->load_ = answer.load_;
   }
+  if (view != nullptr && !answer.isOtherServer_) {
+    RecordAnsweredLimit(answer, aHead.status_, *view);
+  }
   isNotRun_ = answer.isNotRun_ || answer.isOtherServer_;
   const bool isServerError = aHead.status_ >= 500;
   if (view != nullptr && route_->kind_ != RouteKind::Stream && !isNotRun_ &&
@@ -102,6 +106,26 @@
   ForwardHead(answerHead_, aFraming);
 }
 
+void
+RequestRun::RecordAnsweredLimit(const ServerAnswer& aAnswer,
+                                int aStatus,
+                                BackendView& aView)
+{
+  if (aAnswer.hasMalformedLimit_) {
+    LogLine line("server_limit_malformed");
+    line.Add("request", request_.id_.Value())
+      .Add("server", placement_.server_.Value());
+    state_.log_.WriteImportant(line);
+    return;
+  }
+  // A refusal or an error need not come from the part of the server that knows
+  // the limit, so it does not lift one.
+  const bool isSuccess = !aAnswer.isNotRun_ && aStatus < 400;
+  if (aAnswer.limit_.has_value() || isSuccess) {
+    ApplyAnsweredLimit(state_, state_.pools_[service_], aView, aAnswer.limit_);
+  }
+}
+
 void
 RequestRun::ForwardHead(const http::ResponseHead& aHead,
                         const http::Framing& aFraming)
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -5,6 +5,7 @@
 #include "edge/Admission.h"
 #include "edge/RequestRun.h"
 #include "edge/RequestStatus.h"
+#include "edge/ServerLimits.h"
 
 namespace sycamoreward::edge {
 
@@ -30,8 +31,8 @@
   switch (TryConsumeQuota(quota, quotaAmount_, state_.loop_.GetClock().Now())) {
     case QuotaResult::Consumed:
       isQuotaTaken_ = true;
-      if (HasMuchUnconfirmedUse(quota) && state_.onQuotaUsed_) {
-        state_.onQuotaUsed_();
+      if (HasMuchUnconfirmedUse(quota) && state_.reportSoon_) {
+        state_.reportSoon_();
       }
       StartPlacement("first");
       return;
@@ -158,12 +159,24 @@
   query.now_ = now;
   placement_ = ChooseServer(pool, query);
   if (placement_.server_.Value().empty()) {
-    Refuse(kUnavailable, "no_server", kStartingRetryAfter);
+    RefuseWithoutServer(pool);
     return;
   }
   Admit(aCause);
 }
 
+void
+RequestRun::RefuseWithoutServer(const PoolView& aPool)
+{
+  const auto wait = LimitedServersWait(aPool, state_.Draw());
+  if (!wait.has_value()) {
+    Refuse(kUnavailable, "no_server", kStartingRetryAfter);
+    return;
+  }
+  ++state_.refused_;
+  Refuse(kUnavailable, "servers_limited", *wait);
+}
+
 void
 RequestRun::Admit(const char* aCause)
 {
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -152,6 +152,7 @@
                  placement_.readEnd_ };
     }
     RecordSent(view, work_, prompt, request_.parts_);
+    CountSent(view.limit_, sent_);
     if (pool.isEngine_ && state_.onPromptSent_) {
       state_.onPromptSent_(placement_.tokens_);
     }
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -55,6 +55,8 @@
   void OnPlacerAnswer(const char* aCause,
                       const PlacementQuery& aQuery,
                       const std::optional<PlacerAnswer>& aAnswer);
+  // Refuses a request for which no server of aPool can be chosen.
+  void RefuseWithoutServer(const PoolView& aPool);
   // Sends the request to the server of placement_, or refuses it when the
   // answer would be too late.
   void Admit(const char* aCause);
@@ -74,6 +76,10 @@
   // Whether the received head belongs to this request.
   bool IsAnswerToRequest(const http::ResponseHead& aHead) const;
   void OnHead(http::ResponseHead aHead, const http::Framing& aFraming);
+  // Records the rate limit that an answer of aView's server names or lacks.
+  void RecordAnsweredLimit(const ServerAnswer& aAnswer,
+                           int aStatus,
+                           BackendView& aView);
   void OnBody(std::string_view aBytes);
   void OnEnd();
   // Whether the current answer, which ended in order, is a stream that was
--- a/src/edge/WireCodec.h
+++ b/src/edge/WireCodec.h
@@ -5,6 +5,7 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
+#include "base/Units.h"
 #include "edge/BackendServer.h"
 #include "http/Head.h"
 
@@ -59,6 +60,10 @@
   // The address now belongs to a server other than the expected one.
   bool isOtherServer_ = false;
   std::optional<ReportedLoad> load_;
+  // The rate of requests that the server takes from all instances together.
+  std::optional<RequestRate> limit_;
+  // The server names a limit that can't be read.
+  bool hasMalformedLimit_ = false;
 };
 
 // The functions that a platform adapter provides.
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -265,6 +265,16 @@
   aArchive("slownessAge", aValue.slownessAgeMs_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, ServerLimit& aValue)
+{
+  aArchive("server", aValue.server_);
+  aArchive("limited", aValue.isLimited_);
+  aArchive("milliRate", aValue.milliRate_);
+  aArchive("age", aValue.ageMs_);
+}
+
 template<typename A>
 void
 Describe(A& aArchive, WindowUse& aValue)
@@ -286,6 +296,7 @@
   aArchive("deployment", aValue.deployment_);
   aArchive("dutyEpoch", aValue.dutyEpoch_);
   aArchive("servers", aValue.servers_);
+  aArchive("limits", aValue.limits_);
   aArchive("used", aValue.used_);
   aArchive("quotaLevels", aValue.quotaLevels_);
   aArchive("begun", aValue.begun_);
@@ -333,6 +344,7 @@
   aArchive("rowVersions", aValue.rowVersions_);
   aArchive("rowEras", aValue.rowEras_);
   aArchive("rows", aValue.rows_);
+  aArchive("limits", aValue.limits_);
 }
 
 template<typename A>
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -192,6 +192,19 @@
   std::uint64_t slownessAgeMs_ = 0;
 };
 
+// What an entry instance knows of the request rate that a server takes from all
+// instances.
+struct ServerLimit
+{
+  ServerId server_;
+  // Unset when the server names no limit any more.
+  bool isLimited_ = false;
+  // Requests in a thousand seconds.
+  std::uint64_t milliRate_ = 0;
+  // Age of the answer that told it.
+  std::uint64_t ageMs_ = 0;
+};
+
 // Number of requests that started in a window of wall time, by workspace.
 struct WindowUse
 {
@@ -206,8 +219,8 @@
   PeerIdentity identity_;
   // Sequence number of the report within one incarnation.
   std::uint64_t sequence_ = 0;
-  // Set when only servers_ and the unconfirmed part of used_ are filled, in a
-  // report sent right after a long prompt.
+  // Set when only servers_, limits_ and the unconfirmed part of used_ are
+  // filled, in a report sent right after a long prompt.
   bool isLoadOnly_ = false;
   WallTime sent_;
   bool isReady_ = false;
@@ -216,6 +229,7 @@
   // Epoch of the duties that the instance holds; 0 when it holds none.
   FencingToken dutyEpoch_;
   std::vector<ServerUse> servers_;
+  std::vector<ServerLimit> limits_;
   // Quota consumed since the start of the instance, by workspace.
   std::map<std::string, std::uint64_t> used_;
   // Amount that can be consumed now, of workspaces that have used much of their
@@ -283,6 +297,7 @@
   std::map<std::string, std::uint64_t> rowVersions_;
   std::map<std::string, std::uint64_t> rowEras_;
   std::vector<RelayedRow> rows_;
+  std::vector<ServerLimit> limits_;
 };
 
 // Requests quota of a workspace beyond the sender's local limit from an
