Pass on only events of a named type in a resumed stream

Callers found the text of an error in the middle of their stream: the engine at which it was resumed answered 200 without a type, which counted as a stream of events, and text with an empty line passed as an event. An answer without a type is still taken as a stream if the first one had none.

FaultyAnswer/AnErrorIsNotPartOfAResumedStream failed before and passes, as do the PlatformPath tests (24).

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -75,12 +75,15 @@
     exchange_->head_.method_ != "HEAD" && http::MayBeEventStream(answerHead_);
   if (isForwarding) {
     // The caller already has the head of the resumed stream, so only events are
-    // forwarded.
-    if (isNotRun_ || !isEventStream_) {
+    // forwarded. An error may come without a type.
+    const bool isTyped = answerHead_.Find("content-type") != nullptr;
+    if (isNotRun_ || !isEventStream_ || (hasTypedStream_ && !isTyped)) {
       AbortAnswer("resume_refused");
     }
     return;
   }
+  hasTypedStream_ =
+    isEventStream_ && answerHead_.Find("content-type") != nullptr;
   const bool isRetried =
     isNotRun_ || (isServerError && IsRepeatable() && CanRetry());
   if (isRetried) {
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -171,8 +171,10 @@
   std::string bufferedBody_;
   // Bytes of the current answer that were not passed on.
   std::size_t discardedBytes_ = 0;
-  // Whether the current answer is a stream of events.
+  // Whether the current answer is a stream of events, and whether the first one
+  // named this type.
   bool isEventStream_ = false;
+  bool hasTypedStream_ = false;
   EventSplitter events_;
   bool hasFirstByte_ = false;
   bool isUsageCounted_ = false;
