Don't send a request again on the connection that carried it last

A faulty server wrote an earlier refusal once more on a kept connection. Answers are told apart by the request id, but a caller may send its request again under the same id; the copy then counted as the answer, and the caller was told 'not run' while the server ran the request.

A connection is not reused for the id that it carried last. Its scripted server now refuses each second request of all, not of one connection, because the fix opens another connection; the test fails without the fix in this form too. A copy that comes after other requests of the connection is not covered.

--- a/src/edge/ChannelPool.cpp
+++ b/src/edge/ChannelPool.cpp
@@ -32,15 +32,16 @@
 ChannelPool::Lease
 ChannelPool::Acquire(const ServerId& aServer,
                      const Address& aAddress,
-                     Duration aMaxIdle)
+                     Duration aMaxIdle,
+                     const RequestId& aRequest)
 {
   const MonotonicTime now = loop_.GetClock().Now();
   auto& channels = idle_[aServer];
   if (!channels.empty()) {
     const Idle idle = channels.back();
-    const bool isFresh = now - idle.since_ <= aMaxIdle &&
-                         now < idle.channel_->ReusableUntil() &&
-                         idle.channel_->CanReuse();
+    const bool isFresh =
+      idle.lastRequest_ != aRequest && now - idle.since_ <= aMaxIdle &&
+      now < idle.channel_->ReusableUntil() && idle.channel_->CanReuse();
     if (isFresh) {
       channels.pop_back();
       idle.channel_->OnIdleEnd(nullptr);
@@ -55,7 +56,8 @@
 
 void
 ChannelPool::Return(const ServerId& aServer,
-                    const std::shared_ptr<http::BackendChannel>& aChannel)
+                    const std::shared_ptr<http::BackendChannel>& aChannel,
+                    const RequestId& aRequest)
 {
   if (!aChannel->CanReuse() ||
       aChannel->ReusableUntil() <= loop_.GetClock().Now()) {
@@ -73,7 +75,7 @@
                                     }),
                      channels.end());
     });
-  idle_[aServer].push_back({ aChannel, loop_.GetClock().Now() });
+  idle_[aServer].push_back({ aChannel, loop_.GetClock().Now(), aRequest });
 }
 
 void
--- a/src/edge/ChannelPool.h
+++ b/src/edge/ChannelPool.h
@@ -34,14 +34,19 @@
   ChannelPool& operator=(const ChannelPool&) = delete;
 
   // Returns an idle connection that was used within the last aMaxIdle, or opens
-  // a new one.
+  // a new one. A connection whose last request had the id aRequest is not
+  // reused: if the server repeats its answer, the copy could not be told from
+  // the answer to this request.
   Lease Acquire(const ServerId& aServer,
                 const Address& aAddress,
-                Duration aMaxIdle);
+                Duration aMaxIdle,
+                const RequestId& aRequest);
 
-  // Takes back a connection for reuse, or closes it if it can't be reused.
+  // Takes back a connection whose last request was aRequest, or closes it if it
+  // can't be reused.
   void Return(const ServerId& aServer,
-              const std::shared_ptr<http::BackendChannel>& aChannel);
+              const std::shared_ptr<http::BackendChannel>& aChannel,
+              const RequestId& aRequest);
 
   // Closes the idle connections to a server that is no longer listed.
   void Drop(const ServerId& aServer);
@@ -55,6 +60,7 @@
   {
     std::shared_ptr<http::BackendChannel> channel_;
     MonotonicTime since_;
+    RequestId lastRequest_;
   };
 
   void Sweep();
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -168,7 +168,8 @@
   const auto lease =
     state_.channels_.Acquire(placement_.server_,
                              view.server_.address_,
-                             isRepeatable ? kMaxIdleRepeatable : kMaxIdleOnce);
+                             isRepeatable ? kMaxIdleRepeatable : kMaxIdleOnce,
+                             request_.id_);
   channel_ = lease.channel_;
   isReused_ = lease.isReused_;
   const auto self = shared_from_this();
@@ -230,7 +231,7 @@
   const auto channel = std::move(channel_);
   channel_.reset();
   if (aKeep) {
-    state_.channels_.Return(placement_.server_, channel);
+    state_.channels_.Return(placement_.server_, channel, request_.id_);
   } else {
     channel->Cut();
   }
--- a/test/failure/FaultyAnswerTest.cpp
+++ b/test/failure/FaultyAnswerTest.cpp
@@ -94,20 +94,23 @@
          "\r\nX-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok";
 }
 
-// Adds a server that refuses each second request on a connection, and writes a
-// copy of the refusal before it answers the next one.
+// Adds a server that refuses each second request, and that writes a copy of the
+// refusal before it answers the next one on the same connection.
 void
 AddRepeater(ScriptedWorld& aWorld, const char* aService, bool aHasId)
 {
   auto refused = std::make_shared<std::string>();
   aWorld.Add(aService, [refused, aHasId](auto& aConnection, const auto& aHead) {
     const std::string id = ScriptedServer::Field(aHead, "X-Request-Id");
-    if (aConnection.requests_ % 2 == 1) {
+    if (refused->empty()) {
       *refused = id;
       aConnection.channel_->Write(Refusal(id));
       return;
     }
-    aConnection.channel_->Write(Refusal(aHasId ? *refused : ""));
+    if (aConnection.requests_ > 1) {
+      aConnection.channel_->Write(Refusal(aHasId ? *refused : ""));
+    }
+    refused->clear();
     aConnection.channel_->Write(Success(id));
   });
 }
