Close a connection of sycamorewardd after an error answer

A refusal that a faulty server wrote twice counted as the answer to the next repeatable request on the connection: its caller was told that it had not run. Answers to this client carry no id of the request, so a copy can't be told apart.

A connection whose last answer had a status of 400 or more is not reused. HttpClientAnswer/ARepeatedRefusalIsNotTheNextAnswer failed before and passes; six cuts within the head of an answer already counted as broken. Open: a copy of a success that comes while the next request is waiting.

--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -202,7 +202,11 @@
   HandleData(aRequest);
   const std::string connectionField =
     FindHeader(ReadHeaders(aRequest), "Connection");
-  Finish(HttpEnd::Complete, connectionField != "close");
+  // A faulty server may write a refusal twice, and answers carry nothing that
+  // tells a copy from the answer to the next request.
+  constexpr int kFirstErrorStatus = 400;
+  Finish(HttpEnd::Complete,
+         connectionField != "close" && status < kFirstErrorStatus);
 }
 
 void
