Ask a limited server now and then although others are cheaper

In a run of all tests ServerLimit/AServerGetsNoMoreRequestsThanItNames failed once, and once more in four runs by itself: the limited server got less than two requests in 4 s. Trace: without an idle connection to it, which its server closes after some seconds without requests, it costs 25 ms more than the others and is not chosen at all, so that no answer lifts its limit for 12 s.

A server with allowance whose limit was not confirmed for 1.5 s is chosen first. RateLimit/ALimitedServerIsAskedAlthoughOthersAreCheaper failed before and passes; ServerLimit passes in three runs, ServerLimitFleet in one.

--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -294,6 +294,9 @@
                  aQuery,
                  meanUnread,
                  rank == ranks.end() ? aPool.servers_.size() : rank->second);
+      if (IsDue(view.limit_, aQuery.now_) && !isFailing) {
+        return placement;
+      }
       candidates.emplace_back(Cost(aPool, view, aQuery, placement), placement);
     }
     if (!candidates.empty()) {
--- a/src/edge/RateLimit.cpp
+++ b/src/edge/RateLimit.cpp
@@ -23,6 +23,9 @@
 // The age of relayed news is too low by the time that the message takes. News
 // must be this much later than an answer of one's own to count as later.
 constexpr Duration kMaxRelayTime = std::chrono::milliseconds(50);
+// Interval at which a limited server is asked whether its limit still holds, if
+// its rate permits.
+constexpr Duration kAskInterval = std::chrono::milliseconds(1500);
 // More than two of the longest intervals between requests to a limited server.
 constexpr Duration kMaxUnconfirmedTime = std::chrono::seconds(12);
 
@@ -141,6 +144,13 @@
   return !aLimit.rate_.has_value() || AllowanceAt(aLimit, aNow) >= 1;
 }
 
+bool
+IsDue(const RateLimit& aLimit, MonotonicTime aNow)
+{
+  return aLimit.rate_.has_value() && MaySend(aLimit, aNow) &&
+         aNow - aLimit.confirmedAt_ > kAskInterval;
+}
+
 void
 CountSent(RateLimit& aLimit, MonotonicTime aNow)
 {
--- a/src/edge/RateLimit.h
+++ b/src/edge/RateLimit.h
@@ -91,6 +91,11 @@
 bool
 MaySend(const RateLimit& aLimit, MonotonicTime aNow);
 
+// Returns whether the server should get the next request although others are
+// cheaper, because only its answer tells whether the limit still holds.
+bool
+IsDue(const RateLimit& aLimit, MonotonicTime aNow);
+
 // Counts a request that is sent to the server.
 void
 CountSent(RateLimit& aLimit, MonotonicTime aNow);
--- a/test/correctness/RateLimitTest.cpp
+++ b/test/correctness/RateLimitTest.cpp
@@ -4,6 +4,7 @@
 #include "edge/RateLimit.h"
 #include "RequestHeaders.h"
 #include "edge/EnginePlan.h"
+#include "edge/Placement.h"
 
 #include <criterion/criterion.h>
 
@@ -117,6 +118,30 @@
   cr_expect_leq(sent, 15);
 }
 
+// Guards against a limit that stays because other servers are cheaper, for
+// example because there are idle connections to them.
+Test(RateLimit, ALimitedServerIsAskedAlthoughOthersAreCheaper)
+{
+  PoolView pool;
+  for (const char* name : { "limited", "other" }) {
+    BackendView& view = pool.servers_[ServerId(name)];
+    view.server_.id_ = ServerId(name);
+    view.hasIdleChannel_ = view.server_.id_ == ServerId("other");
+  }
+  RateLimit& limit = pool.servers_[ServerId("limited")].limit_;
+  RecordLimit(limit, RequestRate(1), After(0));
+  SetPart(limit, EqualPart(RequestRate(1), 1), After(0));
+  PlacementQuery query;
+  query.now_ = After(1);
+  cr_expect_eq(ChooseServer(pool, query).server_, ServerId("other"));
+  query.now_ = After(3);
+  cr_expect_eq(ChooseServer(pool, query).server_, ServerId("limited"));
+  CountSent(limit, query.now_);
+  RecordLimit(limit, RequestRate(1), After(3.1));
+  query.now_ = After(4);
+  cr_expect_eq(ChooseServer(pool, query).server_, ServerId("other"));
+}
+
 // Guards against a pool of limited engines that is not replaced.
 Test(RateLimit, LimitedEnginesAreReplaced)
 {
