--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -288,7 +288,7 @@
         continue;
       }
       const auto rank = ranks.find(id);
-      const Placement placement =
+      Placement placement =
         Estimate(aPool,
                  view,
                  aQuery,
