Keep connections of callers open and limit servers in the soak

Half of the requests now go over four connections to each instance that stay open until the process is gone, and a fault lets a server name a limit, also 0 and one that can't be read.

--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -8,6 +8,7 @@
 #include <cxxopts.hpp>
 
 #include <iostream>
+#include <map>
 #include <random>
 #include <set>
 
@@ -24,6 +25,8 @@
 constexpr double kSettleSeconds = 8;
 // Time for a change of the deployment to be in force everywhere.
 constexpr double kApplySeconds = 3;
+// Connections of callers to each instance that stay open.
+constexpr std::size_t kKeptConnections = 4;
 // Copies of the store, one made each second, to which it can return.
 constexpr std::size_t kCopies = 6;
 
@@ -37,6 +40,10 @@
   int served_ = 0;
   std::uint64_t version_ = 1;
   std::vector<StoreStandIn::Copy> copies_;
+  // Connections of callers that use them until the process is gone, by
+  // instance.
+  std::map<std::size_t, std::vector<std::shared_ptr<http::BackendChannel>>>
+    kept_;
 
   std::uint64_t RandomBelow(std::uint64_t aBound) { return random_() % aBound; }
 };
@@ -55,11 +62,22 @@
 SendRequest(Soak& aSoak)
 {
   const std::string id = "soak-" + std::to_string(aSoak.asked_++);
-  auto run = aSoak.fixture_.Ask(
-    aSoak.RandomBelow(aSoak.fixture_.edges_.size()), RandomPath(aSoak), id);
+  const std::size_t edge = aSoak.RandomBelow(aSoak.fixture_.edges_.size());
+  auto& kept = aSoak.kept_[edge];
+  kept.resize(kKeptConnections);
+  const bool isKept = aSoak.RandomBelow(2) == 0;
+  auto& connection = kept[aSoak.RandomBelow(kept.size())];
+  auto run = aSoak.fixture_.Ask(edge,
+                                RandomPath(aSoak),
+                                id,
+                                PlatformFixture::kKey,
+                                isKept ? connection : nullptr);
+  if (isKept) {
+    connection = run->channel_;
+  }
   aSoak.runs_.push_back(run);
   // Some callers close the connection before they get an answer.
-  if (aSoak.RandomBelow(20) == 0) {
+  if (!isKept && aSoak.RandomBelow(20) == 0) {
     aSoak.fixture_.loop_.CallAfter(
       std::chrono::milliseconds(aSoak.RandomBelow(30)), [run] {
         run->channel_->Cut();
@@ -94,7 +112,7 @@
 {
   PlatformFixture& fixture = aSoak.fixture_;
   const std::size_t edge = aSoak.RandomBelow(fixture.edges_.size());
-  switch (aSoak.RandomBelow(10)) {
+  switch (aSoak.RandomBelow(11)) {
     case 0:
       fixture.edges_[edge]->Kill();
       return [&fixture, edge] { fixture.StartEdge(edge); };
@@ -147,6 +165,14 @@
       fixture.store_.DropHistory();
       return [] {};
     case 8: {
+      auto& list =
+        aSoak.RandomBelow(2) == 0 ? fixture.engines_ : fixture.desks_;
+      BackendStandIn* backend = list[aSoak.RandomBelow(list.size())].get();
+      constexpr const char* kLimits[] = { "0", "0.5", "1.3", "12", "nan" };
+      backend->limit_ = kLimits[aSoak.RandomBelow(5)];
+      return [backend] { backend->limit_.clear(); };
+    }
+    case 9: {
       auto& faults = fixture.store_.faults_;
       faults.isSilent_ = aSoak.RandomBelow(2) == 0;
       return [&aSoak, &faults] {
@@ -275,7 +301,7 @@
   options.hasBackendLinks_ = true;
   options.hasStoreLinks_ = true;
   PlatformFixture fixture(options);
-  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, {} };
+  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, {}, {} };
   if (!fixture.WaitReady(kStartTimeoutSeconds)) {
     soak.violations_.emplace_back("the instances did not get ready");
   }
--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -249,14 +249,19 @@
 PlatformFixture::Ask(std::size_t aEdge,
                      const std::string& aPath,
                      const std::string& aRequest,
-                     const std::string& aKey)
+                     const std::string& aKey,
+                     const std::shared_ptr<http::BackendChannel>& aKept)
 {
   auto run = std::make_shared<CallerRun>();
   run->request_ = aRequest;
   run->path_ = aPath;
-  run->channel_ =
-    std::make_shared<http::BackendChannel>(loop_, CallerAddress(aEdge));
-  run->channel_->SetUp();
+  if (aKept != nullptr && aKept->CanReuse()) {
+    run->channel_ = aKept;
+  } else {
+    run->channel_ =
+      std::make_shared<http::BackendChannel>(loop_, CallerAddress(aEdge));
+    run->channel_->SetUp();
+  }
   http::RequestHead head;
   head.method_ = "POST";
   head.target_ = aPath;
--- a/test/support/PlatformFixture.h
+++ b/test/support/PlatformFixture.h
@@ -79,11 +79,14 @@
   static constexpr const char* kRepeatable = "/repeatable/a";
   static constexpr const char* kKey = "key-one";
 
-  // Sends a request. The answer is received while the loop runs.
-  std::shared_ptr<CallerRun> Ask(std::size_t aEdge,
-                                 const std::string& aPath,
-                                 const std::string& aRequest,
-                                 const std::string& aKey = kKey);
+  // Sends a request, on aKept if it can be reused and otherwise on a new
+  // connection. The answer is received while the loop runs.
+  std::shared_ptr<CallerRun> Ask(
+    std::size_t aEdge,
+    const std::string& aPath,
+    const std::string& aRequest,
+    const std::string& aKey = kKey,
+    const std::shared_ptr<http::BackendChannel>& aKept = nullptr);
   // Sends a GET request to another address of an instance; returns the
   // status and body of the answer.
   std::string Get(const Address& aAddress, const std::string& aTarget);
