--- a/src/edge/RateLimit.h
+++ b/src/edge/RateLimit.h
@@ -68,8 +68,8 @@
 void
 SetPart(RateLimit& aLimit, const LimitPart& aPart, MonotonicTime aNow);
 
-// Returns the rate that instances send to a server which names aRate. It is not
-// less than what shows that a limit has been lifted.
+// Returns the rate that instances send to a server which names aRate: at least
+// as often as is needed to find out that the limit has been lifted.
 RequestRate
 UsableRate(RequestRate aRate);
 
@@ -78,9 +78,9 @@
 EqualPart(RequestRate aRate, std::size_t aCount);
 
 // Returns the part of aSelf in aRate of aServer. There are as many equal parts
-// as instances, but each allows some burst. All instances
-// that know the same aInstances compute the same parts; none if no instances
-// are known.
+// as leave each a burst of more than one request, at most one for each
+// instance. All instances that know the same aInstances compute the same parts;
+// none if no instances are known.
 LimitPart
 PartOf(RequestRate aRate,
        const ServerId& aServer,
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -285,7 +285,7 @@
       RecordViolation(aSoak,
                       *run,
                       "an added route is answered with " +
-                        std::to_string(run->status_));
+                        std::to_string(run->status_) + " " + run->body_);
     }
   }
 }
