Log the parts of a prompt whose server ended

The logs could not tell whether the ends of engines follow one part of the prompts or only the repeats, because no line named the parts. A line about a failed attempt now has the parts that others may share, and the number of events that had arrived.

--- /dev/null
+++ b/src/edge/Fingerprint.cpp
@@ -0,0 +1,32 @@
+#include "edge/Fingerprint.h"
+
+#include <cstdio>
+
+namespace sycamoreward::edge {
+
+std::vector<Fingerprint>
+PromptFingerprints(const std::vector<PromptPart>& aParts)
+{
+  std::vector<Fingerprint> fingerprints;
+  for (std::size_t index = 0; index + 1 < aParts.size(); ++index) {
+    fingerprints.emplace_back(aParts[index].id_);
+  }
+  return fingerprints;
+}
+
+std::string
+ToText(const std::vector<Fingerprint>& aFingerprints)
+{
+  std::string text;
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    char digits[20];
+    std::snprintf(digits,
+                  sizeof digits,
+                  "%llx",
+                  static_cast<unsigned long long>(fingerprint.Value()));
+    text += text.empty() ? digits : std::string(",") + digits;
+  }
+  return text;
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/Fingerprint.h
@@ -0,0 +1,25 @@
+#pragma once
+
+// What requests can have in common that ends every server which runs them.
+
+#include "base/StrongType.h"
+#include "edge/WireCodec.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sycamoreward::edge {
+
+using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
+
+// Returns the fingerprints of the parts that the prompt may share with other
+// prompts: all but the last one, which belongs to the request or its session.
+std::vector<Fingerprint>
+PromptFingerprints(const std::vector<PromptPart>& aParts);
+
+// Returns the fingerprints as hexadecimal numbers, separated by commas.
+std::string
+ToText(const std::vector<Fingerprint>& aFingerprints);
+
+} // namespace sycamoreward::edge
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -313,6 +313,8 @@
     .Add("framing",
          answerHead_.status_ == 0 ? "" : http::ToText(answerFraming_.end_))
     .Add("partialBytes", events_.Position().partialBytes_)
+    .Add("events", events_.Position().events_)
+    .Add("fingerprints", ToText(fingerprints_))
     .Add("afterMs", Milliseconds(now - sent_));
   state_.log_.WriteImportant(line);
   NotifyPlacer(isUnsent ? PlacementEvent::Unreachable : PlacementEvent::Failed);
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -84,6 +84,7 @@
       return false;
     }
   }
+  fingerprints_ = PromptFingerprints(request_.parts_);
   service_ = PickService(*route_, state_.Draw());
   const Duration timeout =
     std::min(request_.timeout_.value_or(route_->timeout_), route_->timeout_);
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -7,6 +7,7 @@
 
 #include "edge/EdgeState.h"
 #include "edge/EventSplitter.h"
+#include "edge/Fingerprint.h"
 #include "edge/Placement.h"
 #include "edge/PlacementExchange.h"
 #include "http/CallerServer.h"
@@ -16,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sycamoreward::edge {
 
@@ -130,6 +132,7 @@
   const Route* route_ = nullptr;
   const WorkspaceSpec* workspace_ = nullptr;
   ServiceName service_;
+  std::vector<Fingerprint> fingerprints_;
   MonotonicTime deadline_;
   // Amount of the workspace's quota that the request needs, in requests or
   // tokens, and whether it was taken.
