Reproduce a prompt part that crashes one engine after the other

Callers saw long reviews with one prompt part crash engine after engine. The stand-in of a backend server now crashes under a part, resets its connections, refuses new ones and comes back as another process at the same address.

--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -28,13 +28,53 @@
 BackendStandIn::BackendStandIn(EventLoop& aLoop, BackendOptions aOptions)
   : loop_(aLoop)
   , options_(std::move(aOptions))
-  , server_(std::make_unique<http::CallerServer>(
-      aLoop,
-      Address{ "127.0.0.1", 0 },
-      [this](const std::shared_ptr<http::CallerExchange>& aExchange) {
-        Handle(aExchange);
-      }))
 {
+  Listen({ "127.0.0.1", 0 });
+  address_ = server_->BoundAddress();
+}
+
+BackendStandIn::~BackendStandIn()
+{
+  loop_.CancelTimer(restartTimer_);
+}
+
+void
+BackendStandIn::Listen(const Address& aAddress)
+{
+  server_ = std::make_unique<http::CallerServer>(
+    loop_,
+    aAddress,
+    [this](const std::shared_ptr<http::CallerExchange>& aExchange) {
+      Handle(aExchange);
+    });
+}
+
+bool
+BackendStandIn::IsDeadly(const http::CallerExchange& aExchange) const
+{
+  return !crashPart_.empty() &&
+         Field(aExchange, "X-Prefix-Hash").find(crashPart_) !=
+           std::string::npos;
+}
+
+void
+BackendStandIn::Crash()
+{
+  if (server_ == nullptr) {
+    return;
+  }
+  server_.reset();
+  crashes_.push_back(loop_.GetClock().Now());
+  if (onCrashed_) {
+    onCrashed_();
+  }
+  restartTimer_ = loop_.CallAfter(restartDelay_, [this] {
+    ++incarnation_;
+    Listen(address_);
+    if (onRestarted_) {
+      onRestarted_();
+    }
+  });
 }
 
 std::string
@@ -48,7 +88,7 @@
     { "slots", 16 },
     { "state", aState },
     { "cold-remaining-ms", 0 },
-    { "born", 1000 },
+    { "born", incarnation_ },
     { "sequence", 1 }
   }.dump();
 }
@@ -172,44 +212,56 @@
     default:
       break;
   }
-  loop_.CallAfter(options_.firstDelay_, [this, aExchange, index, aFault] {
-    http::ResponseHead head;
-    head.status_ = 200;
-    head.reason_ = "OK";
-    head.fields_ = { { "X-Request-Id", runs_[index].request_ },
-                     { "X-Response-Signature", "sig-" + runs_[index].request_ },
-                     { "X-Backend-Load", "1,0,16,100" } };
-    if (!limit_.empty()) {
-      head.fields_.push_back({ "Server-Limit", limit_ });
-    }
-    if (options_.events_ > 0) {
-      head.fields_.push_back({ "Content-Type", "text/event-stream" });
-      const std::string& last = runs_[index].lastEvent_;
-      const int first = last.empty() ? 1 : std::stoi(last) + 1;
-      const std::string text = StreamText(runs_[index].request_, first, aFault);
-      aExchange->Start(std::move(head), { framing_, text.size() });
-      const bool isCutInOrder =
-        aFault == BackendFault::EndWithin || aFault == BackendFault::EndBefore;
-      if (isCutInOrder) {
-        aExchange->Send(text);
-        aExchange->Finish();
+  const bool isDeadly = IsDeadly(*aExchange);
+  loop_.CallAfter(
+    options_.firstDelay_, [this, aExchange, index, aFault, isDeadly] {
+      http::ResponseHead head;
+      head.status_ = 200;
+      head.reason_ = "OK";
+      head.fields_ = { { "X-Request-Id", runs_[index].request_ },
+                       { "X-Response-Signature",
+                         "sig-" + runs_[index].request_ },
+                       { "X-Backend-Load", "1,0,16,100" } };
+      if (!limit_.empty()) {
+        head.fields_.push_back({ "Server-Limit", limit_ });
+      }
+      if (options_.events_ > 0) {
+        head.fields_.push_back({ "Content-Type", "text/event-stream" });
+        const std::string& last = runs_[index].lastEvent_;
+        const int first = last.empty() ? 1 : std::stoi(last) + 1;
+        const std::string text =
+          StreamText(runs_[index].request_, first, aFault);
+        aExchange->Start(std::move(head), { framing_, text.size() });
+        if (isDeadly) {
+          loop_.CallAfter(options_.eventDelay_, [this] { Crash(); });
+          return;
+        }
+        const bool isCutInOrder = aFault == BackendFault::EndWithin ||
+                                  aFault == BackendFault::EndBefore;
+        if (isCutInOrder) {
+          aExchange->Send(text);
+          aExchange->Finish();
+          return;
+        }
+        SendEvent(aExchange, index, first, aFault);
         return;
       }
-      SendEvent(aExchange, index, first, aFault);
-      return;
-    }
-    const std::string body = AnswerBody(runs_[index].request_, 0);
-    aExchange->Start(std::move(head), { http::BodyEnd::Length, body.size() });
-    if (aFault == BackendFault::CutWithin) {
-      aExchange->Send(body.substr(0, body.size() / 2));
-      loop_.CallAfter(options_.eventDelay_,
-                      [aExchange] { aExchange->Abort(); });
-      return;
-    }
-    aExchange->Send(body);
-    runs_[index].isEnded_ = true;
-    aExchange->Finish();
-  });
+      const std::string body = AnswerBody(runs_[index].request_, 0);
+      if (isDeadly) {
+        Crash();
+        return;
+      }
+      aExchange->Start(std::move(head), { http::BodyEnd::Length, body.size() });
+      if (aFault == BackendFault::CutWithin) {
+        aExchange->Send(body.substr(0, body.size() / 2));
+        loop_.CallAfter(options_.eventDelay_,
+                        [aExchange] { aExchange->Abort(); });
+        return;
+      }
+      aExchange->Send(body);
+      runs_[index].isEnded_ = true;
+      aExchange->Finish();
+    });
 }
 
 void
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -9,6 +9,7 @@
 #include "http/CallerServer.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -66,8 +67,12 @@
 public:
   // Listens on an ephemeral port.
   BackendStandIn(EventLoop& aLoop, BackendOptions aOptions);
+  ~BackendStandIn();
+  BackendStandIn(const BackendStandIn&) = delete;
+  BackendStandIn& operator=(const BackendStandIn&) = delete;
 
-  Address BoundAddress() const { return server_->BoundAddress(); }
+  Address BoundAddress() const { return address_; }
+  bool IsRunning() const { return server_ != nullptr; }
   const BackendOptions& Options() const { return options_; }
   // Returns the server's entry in the platform's list, with state aState.
   std::string Entry(const char* aState) const;
@@ -86,6 +91,15 @@
   std::string lineEnd_ = "\n";
   // The rate limit that answers name, as text; none if empty.
   std::string limit_;
+  // Requests whose prompt has this part crash the server after the head of
+  // their answer; none if empty.
+  std::string crashPart_;
+  // Time until a crashed server runs again, as another process at the same
+  // address.
+  Duration restartDelay_ = std::chrono::milliseconds(1500);
+  std::function<void()> onCrashed_;
+  std::function<void()> onRestarted_;
+  std::vector<MonotonicTime> crashes_;
   std::vector<BackendRun> runs_;
   // When each request arrived, whether it ran or not.
   std::vector<MonotonicTime> arrivals_;
@@ -104,12 +118,20 @@
                  std::size_t aRun,
                  int aNext,
                  BackendFault aFault);
+  // Whether the request crashes the server.
+  bool IsDeadly(const http::CallerExchange& aExchange) const;
+  void Crash();
+  void Listen(const Address& aAddress);
   void AnswerFailure(http::CallerExchange& aExchange, int aStatus, bool aIsRun);
   void AnswerNotFound(http::CallerExchange& aExchange);
 
   EventLoop& loop_;
   BackendOptions options_;
+  Address address_;
+  std::uint64_t incarnation_ = 1000;
+  // Null after a crash.
   std::unique_ptr<http::CallerServer> server_;
+  std::uint64_t restartTimer_ = 0;
 };
 
 } // namespace sycamoreward::standin
--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <netinet/in.h>
@@ -272,6 +273,10 @@
                    { "Api-Key", aKey },
                    { "X-Tenant", "forged" },
                    { "Content-Length", std::to_string(body.size()) } };
+  if (!parts_.empty()) {
+    head.fields_.push_back({ "X-Prefix-Hash", parts_ });
+    head.fields_.push_back({ "X-Token-Usage", "20,5" });
+  }
   http::BackendChannel::Callbacks callbacks;
   const std::weak_ptr<CallerRun> weak = run;
   callbacks.matchesRequest_ = [](const http::ResponseHead&) { return true; };
@@ -360,6 +365,48 @@
   return false;
 }
 
+void
+PlatformFixture::CrashServersOnPart(const std::string& aPart)
+{
+  for (auto* list : { &engines_, &desks_ }) {
+    for (auto& backend : *list) {
+      backend->crashPart_ = aPart;
+      backend->onRestarted_ = [this, server = backend.get()] {
+        ListBackend(*server, "ready");
+      };
+    }
+  }
+}
+
+std::vector<MonotonicTime>
+PlatformFixture::Crashes() const
+{
+  std::vector<MonotonicTime> crashes;
+  for (const auto* list : { &engines_, &desks_ }) {
+    for (const auto& backend : *list) {
+      crashes.insert(
+        crashes.end(), backend->crashes_.begin(), backend->crashes_.end());
+    }
+  }
+  std::sort(crashes.begin(), crashes.end());
+  return crashes;
+}
+
+std::size_t
+PlatformFixture::CountRuns(const std::string& aPrefix) const
+{
+  std::size_t count = 0;
+  for (const auto* list : { &engines_, &desks_ }) {
+    for (const auto& backend : *list) {
+      count += std::size_t(std::count_if(
+        backend->runs_.begin(), backend->runs_.end(), [&](const auto& aRun) {
+          return aRun.request_.rfind(aPrefix, 0) == 0;
+        }));
+    }
+  }
+  return count;
+}
+
 std::vector<standin::BackendRun>
 PlatformFixture::RunsOf(const std::string& aRequest) const
 {
