Refuse requests with a prompt part that crashes engines

Evidence are crashes with the fingerprints of what ran, and complete answers. A broken connection alone is no crash: when this instance has no other open connection to the server, it connects once, and only a refusal is a crash. Crashes count if the request was sent after the crash before, so servers that are lost together count once; a complete answer clears. From the third crash on a fingerprint is refused at once as not run, for two minutes that double, with one try by one instance after that. A fingerprint is not blocked if another one was at each of its crashes and at more. A request is sent again after one crash but not after two. Crashes, answers and blocks travel in reports and digests; one instance writes a block to the store, and each reads the rows at its start.

--- /dev/null
+++ b/src/edge/CrashRecord.cpp
@@ -0,0 +1,295 @@
+#include "edge/CrashRecord.h"
+
+#include <algorithm>
+
+namespace sycamoreward::edge {
+
+namespace {
+
+// Length of the first block. A server that crashes on valid input does so until
+// a release of it, and each try costs a server.
+constexpr Duration kFirstBlock = std::chrono::minutes(2);
+constexpr Duration kMaxBlock = std::chrono::hours(1);
+// Time after the end of a block by which the request that is tried has been
+// answered, or by which no request came.
+constexpr Duration kTryTime = std::chrono::minutes(1);
+// Time for which crashes count, and bounds of the record. Crashes are rare, and
+// a server runs at most some hundred requests.
+constexpr Duration kMemory = std::chrono::minutes(10);
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxFingerprints = 128;
+constexpr std::size_t kMaxBlocks = 64;
+// Time after which nothing new follows from a crash.
+constexpr Duration kEvaluationTime = std::chrono::seconds(5);
+// Error of times that come from other instances: the time of a message.
+constexpr Duration kTimeError = std::chrono::milliseconds(50);
+// Wait of callers until the evidence has settled.
+constexpr Duration kUnsettledWait = std::chrono::milliseconds(600);
+
+// Keeps the fingerprints of the requests that were sent last, as a server
+// crashes soon after it has begun to run a request.
+void
+TrimFingerprints(std::map<Fingerprint, MonotonicTime>& aSent)
+{
+  while (aSent.size() > kMaxFingerprints) {
+    aSent.erase(std::min_element(
+      aSent.begin(), aSent.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
+      }));
+  }
+}
+
+MonotonicTime
+LastAnswer(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  const auto answered = aRecord.answered_.find(aFingerprint);
+  return answered == aRecord.answered_.end() ? MonotonicTime()
+                                             : answered->second;
+}
+
+// Counts the crashes with aFingerprint since its last answer until aEnd.
+std::size_t
+CountUntil(const CrashRecord& aRecord,
+           Fingerprint aFingerprint,
+           MonotonicTime aEnd)
+{
+  const MonotonicTime answered = LastAnswer(aRecord, aFingerprint);
+  std::size_t count = 0;
+  MonotonicTime last;
+  for (const Crash& crash : aRecord.crashes_) {
+    const auto sent = crash.sent_.find(aFingerprint);
+    if (sent == crash.sent_.end() || crash.at_ <= answered ||
+        crash.at_ > aEnd) {
+      continue;
+    }
+    if (count == 0 || sent->second + kTimeError >= last) {
+      ++count;
+      last = crash.at_;
+    }
+  }
+  return count;
+}
+
+// Whether another fingerprint was there at each crash with aFingerprint since
+// its last answer, and at others besides.
+bool
+IsExplained(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  std::vector<const Crash*> with;
+  std::vector<const Crash*> without;
+  const MonotonicTime answered = LastAnswer(aRecord, aFingerprint);
+  for (const Crash& crash : aRecord.crashes_) {
+    if (crash.sent_.count(aFingerprint) == 0) {
+      without.push_back(&crash);
+    } else if (crash.at_ > answered) {
+      with.push_back(&crash);
+    }
+  }
+  if (with.empty()) {
+    return false;
+  }
+  for (const auto& [other, sent] : with.front()->sent_) {
+    const MonotonicTime otherAnswered = LastAnswer(aRecord, other);
+    const auto hasOther = [&, other = other](const Crash* aCrash) {
+      return aCrash->at_ > otherAnswered && aCrash->sent_.count(other) != 0;
+    };
+    if (other != aFingerprint &&
+        std::all_of(with.begin(), with.end(), hasOther) &&
+        std::any_of(without.begin(), without.end(), hasOther)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the crashes until aEnd speak against aFingerprint.
+bool
+IsGuilty(const CrashRecord& aRecord,
+         Fingerprint aFingerprint,
+         MonotonicTime aEnd)
+{
+  return CountUntil(aRecord, aFingerprint, aEnd) >= kCrashesUntilBlock &&
+         !IsExplained(aRecord, aFingerprint);
+}
+
+// Drops old crashes, and the answers that no crash refers to any more.
+void
+DropOld(CrashRecord& aRecord, MonotonicTime aNow)
+{
+  auto& crashes = aRecord.crashes_;
+  while (!crashes.empty() && (crashes.size() > kMaxCrashes ||
+                              aNow - crashes.front().at_ > kMemory)) {
+    crashes.pop_front();
+  }
+  auto& answered = aRecord.answered_;
+  for (auto entry = answered.begin(); entry != answered.end();) {
+    const bool isReferred =
+      std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
+        return aCrash.sent_.count(entry->first) != 0;
+      });
+    entry = isReferred ? std::next(entry) : answered.erase(entry);
+  }
+  auto& blocks = aRecord.blocks_;
+  for (auto entry = blocks.begin(); entry != blocks.end();) {
+    if (aNow <= entry->second.until_ + kTryTime) {
+      ++entry;
+      continue;
+    }
+    // Nobody asked for it in the meantime. Older crashes count no longer.
+    answered[entry->first] = entry->second.until_;
+    entry = blocks.erase(entry);
+  }
+}
+
+} // namespace
+
+const Crash*
+FindCrash(const CrashRecord& aRecord,
+          const ServerId& aServer,
+          Incarnation aIncarnation)
+{
+  const auto found = std::find_if(
+    aRecord.crashes_.begin(), aRecord.crashes_.end(), [&](const Crash& aCrash) {
+      return aCrash.server_ == aServer && aCrash.incarnation_ == aIncarnation;
+    });
+  return found == aRecord.crashes_.end() ? nullptr : &*found;
+}
+
+bool
+AddCrash(CrashRecord& aRecord, const Crash& aCrash, MonotonicTime aNow)
+{
+  auto& crashes = aRecord.crashes_;
+  auto known =
+    std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aOther) {
+      return aOther.server_ == aCrash.server_ &&
+             aOther.incarnation_ == aCrash.incarnation_;
+    });
+  bool isNew = known == crashes.end();
+  if (isNew) {
+    const auto place =
+      std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aOther) {
+        return aOther.at_ > aCrash.at_;
+      });
+    known = crashes.insert(place, aCrash);
+  } else {
+    for (const auto& [fingerprint, sent] : aCrash.sent_) {
+      isNew |= known->sent_.emplace(fingerprint, sent).second;
+    }
+  }
+  TrimFingerprints(known->sent_);
+  if (isNew) {
+    known->learnedAt_ = aNow;
+  }
+  return isNew;
+}
+
+bool
+AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime)
+{
+  const MonotonicTime last = LastAnswer(aRecord, aFingerprint);
+  bool isCleared = false;
+  bool isLatest = true;
+  for (const Crash& crash : aRecord.crashes_) {
+    if (crash.sent_.count(aFingerprint) != 0) {
+      isCleared |= crash.at_ > last && crash.at_ <= aTime;
+      isLatest = crash.at_ <= aTime;
+    }
+  }
+  const bool isLifted = isLatest && aRecord.blocks_.erase(aFingerprint) != 0;
+  if (isCleared) {
+    aRecord.answered_[aFingerprint] = aTime;
+  }
+  return isCleared || isLifted;
+}
+
+void
+AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock)
+{
+  if (aRecord.blocks_.count(aFingerprint) == 0 &&
+      aRecord.blocks_.size() >= kMaxBlocks) {
+    return;
+  }
+  Block& block = aRecord.blocks_[aFingerprint];
+  if (block.until_ + kTimeError < aBlock.until_) {
+    block = aBlock;
+  }
+}
+
+std::size_t
+CountCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  return CountUntil(aRecord, aFingerprint, MonotonicTime::max());
+}
+
+std::vector<Fingerprint>
+UpdateBlocks(CrashRecord& aRecord, MonotonicTime aNow)
+{
+  DropOld(aRecord, aNow);
+  std::vector<Fingerprint> blocked;
+  const MonotonicTime settled = aNow - aRecord.settleTime_;
+  for (const Crash& crash : aRecord.crashes_) {
+    if (aNow - crash.learnedAt_ > kEvaluationTime) {
+      continue;
+    }
+    for (const auto& [fingerprint, sent] : crash.sent_) {
+      const auto block = aRecord.blocks_.find(fingerprint);
+      if (block != aRecord.blocks_.end()) {
+        const bool hasFailed =
+          crash.at_ <= settled && crash.at_ > block->second.until_;
+        if (hasFailed) {
+          const Duration length =
+            std::min<Duration>(block->second.length_ * 2, kMaxBlock);
+          block->second = { aNow + length, length, false };
+          blocked.push_back(fingerprint);
+        }
+        continue;
+      }
+      if (aRecord.blocks_.size() < kMaxBlocks &&
+          IsGuilty(aRecord, fingerprint, settled)) {
+        aRecord.blocks_[fingerprint] = { aNow + kFirstBlock,
+                                         kFirstBlock,
+                                         false };
+        blocked.push_back(fingerprint);
+      }
+    }
+  }
+  return blocked;
+}
+
+std::optional<Duration>
+BlockedFor(const CrashRecord& aRecord,
+           const std::vector<Fingerprint>& aFingerprints,
+           const std::function<bool(Fingerprint)>& aMayTry,
+           MonotonicTime aNow)
+{
+  std::optional<Duration> wait;
+  const auto atLeast = [&wait](Duration aWait) {
+    wait = std::max(wait.value_or(Duration(0)), aWait);
+  };
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    const auto block = aRecord.blocks_.find(fingerprint);
+    if (block == aRecord.blocks_.end()) {
+      if (IsGuilty(aRecord, fingerprint, aNow)) {
+        atLeast(kUnsettledWait);
+      }
+    } else if (aNow < block->second.until_) {
+      atLeast(block->second.until_ - aNow);
+    } else if (!aMayTry(fingerprint) || block->second.isTried_) {
+      atLeast(block->second.until_ + kTryTime - aNow);
+    }
+  }
+  return wait;
+}
+
+void
+RecordTry(CrashRecord& aRecord, const std::vector<Fingerprint>& aFingerprints)
+{
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    const auto block = aRecord.blocks_.find(fingerprint);
+    if (block != aRecord.blocks_.end()) {
+      block->second.isTried_ = true;
+    }
+  }
+}
+
+} // namespace sycamoreward::edge
--- /dev/null
+++ b/src/edge/CrashRecord.h
@@ -0,0 +1,108 @@
+#pragma once
+
+// Requests that crash every server which runs them ("queries of death"), found
+// by what the requests on crashed servers have in common. The evidence is a set
+// of crashes and of complete answers, so that what several instances have seen
+// can be merged in any order.
+
+#include "base/Clock.h"
+#include "base/Ids.h"
+#include "edge/Fingerprint.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sycamoreward::edge {
+
+// The end of a server process with the requests that were running on it.
+struct Crash
+{
+  ServerId server_;
+  Incarnation incarnation_;
+  MonotonicTime at_;
+  // When this instance last learned something new of the crash.
+  MonotonicTime learnedAt_;
+  // For each fingerprint, when the latest request with it was sent.
+  std::map<Fingerprint, MonotonicTime> sent_;
+};
+
+// A fingerprint whose requests are refused.
+struct Block
+{
+  // The end of the block, after which one request is tried.
+  MonotonicTime until_;
+  Duration length_{ 0 };
+  // Whether this instance has sent that request.
+  bool isTried_ = false;
+};
+
+struct CrashRecord
+{
+  // Time that reports of other instances need. A block is not decided before
+  // answers of theirs can have cleared the fingerprint.
+  Duration settleTime_{ std::chrono::milliseconds(300) };
+  // By time of the crash.
+  std::deque<Crash> crashes_;
+  // When a request with the fingerprint was last answered completely. Only for
+  // fingerprints of crashes.
+  std::map<Fingerprint, MonotonicTime> answered_;
+  std::map<Fingerprint, Block> blocks_;
+};
+
+// Number of crashes with a fingerprint from which its requests are refused.
+constexpr std::size_t kCrashesUntilBlock = 3;
+// Number of crashes with a fingerprint from which a request is not sent again.
+// The first retry serves the requests that were only beside the one that
+// crashed the server.
+constexpr std::size_t kCrashesUntilNoRetry = 2;
+
+// Adds a crash, or what it lacks to one that is known. Returns whether it told
+// anything new.
+bool
+AddCrash(CrashRecord& aRecord, const Crash& aCrash, MonotonicTime aNow);
+
+// Finds the crash of a server process; null if none is known.
+const Crash*
+FindCrash(const CrashRecord& aRecord,
+          const ServerId& aServer,
+          Incarnation aIncarnation);
+
+// Records that a request with aFingerprint was answered completely at aTime.
+// Returns whether this clears it of a crash or lifts its block.
+bool
+AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime);
+
+// Adds a block that another instance has decided, or prolongs one.
+void
+AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock);
+
+// Number of crashes with aFingerprint since the last complete answer. Crashes
+// count only if the request was sent after the one before: servers that are
+// lost together prove nothing about the requests on them.
+std::size_t
+CountCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint);
+
+// Blocks the fingerprints that the settled evidence speaks against, and drops
+// what is too old. A fingerprint is not blocked if another one was there at
+// each of its crashes and at more. Returns the fingerprints that are blocked
+// anew.
+std::vector<Fingerprint>
+UpdateBlocks(CrashRecord& aRecord, MonotonicTime aNow);
+
+// Returns how long a request with aFingerprints has to wait; nullopt if it may
+// be sent. aMayTry tells whether this instance is the one that tries a
+// fingerprint after its block.
+std::optional<Duration>
+BlockedFor(const CrashRecord& aRecord,
+           const std::vector<Fingerprint>& aFingerprints,
+           const std::function<bool(Fingerprint)>& aMayTry,
+           MonotonicTime aNow);
+
+// Records that a request with aFingerprints is sent.
+void
+RecordTry(CrashRecord& aRecord, const std::vector<Fingerprint>& aFingerprints);
+
+} // namespace sycamoreward::edge
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -1,6 +1,7 @@
 // The part of ReportExchange that communicates with collectors: digests of
 // sums, and rows of the store.
 
+#include "edge/CrashReports.h"
 #include "edge/ReportExchange.h"
 #include "edge/ReportTimes.h"
 #include "edge/ServerLimits.h"
@@ -179,6 +180,8 @@
   AddCounts(own);
   digest.used_ = own.used_;
   digest.limits_ = own.limits_;
+  digest.crashes_ = own.crashes_;
+  digest.fingerprints_ = own.fingerprints_;
   add(own, Duration(0));
   addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
   for (const auto& [id, peer] : peers_) {
@@ -220,6 +223,7 @@
   ApplyDigestMembers(aDigest);
   ApplyRows(aFrom, aDigest);
   ApplyRelayedLimits(state_, aDigest.limits_);
+  ApplyCrashes(state_, aDigest.crashes_, aDigest.fingerprints_);
   SetInstanceCount(state_, LiveCount());
   if (isCollector_) {
     // A collector uses the reports themselves, once they arrive.
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -92,6 +92,7 @@
                return SelfStatus{ IsReady(), isDraining_, duties_.HeldEpoch() };
              })
   , placementExchange_(state_, network_)
+  , blockRows_(state_, aStore)
   , started_(aLoop.GetClock().Now())
 {
   state_.domain_ = aOptions.self_.failureDomain_;
@@ -383,6 +384,10 @@
   metrics_.Set("channels_opened", double(state_.channels_.Opened()));
   metrics_.Set("channels_idle", double(state_.channels_.IdleCount()));
   metrics_.Set("caller_connections", double(callers_->ConnectionCount()));
+  metrics_.Set("server_crashes",
+               double(state_.crashes_.record_.crashes_.size()));
+  metrics_.Set("blocked_fingerprints",
+               double(state_.crashes_.record_.blocks_.size()));
   metrics_.Set("log_lines_dropped", double(log_.Dropped()));
   metrics_.Set("wall_clock_offset_seconds", Seconds(state_.wallOffset_));
   return metrics_.Text();
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -4,6 +4,7 @@
 // of backend servers and the list of instances.
 
 #include "edge/AddressAnswer.h"
+#include "edge/BlockRows.h"
 #include "edge/Cloud.h"
 #include "edge/DutyTask.h"
 #include "edge/EdgeState.h"
@@ -114,6 +115,7 @@
   DutyTask duties_;
   ReportExchange reports_;
   PlacementExchange placementExchange_;
+  BlockRows blockRows_;
   std::unique_ptr<TableWatch> deploymentWatch_;
   // The row of the deployment in force.
   std::string deploymentInForce_;
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -6,6 +6,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "edge/ChannelPool.h"
+#include "edge/CrashDetector.h"
 #include "edge/DecisionLog.h"
 #include "edge/DemandRate.h"
 #include "edge/Deployment.h"
@@ -66,9 +67,15 @@
     , log_(aLog)
     , metrics_(aMetrics)
     , channels_(aLoop)
+    , crashes_(aLoop, channels_, aLog)
     , random_(aSeed)
   {
     usage_.window_ = aBounds.usageWindow_;
+    crashes_.OnNews([this] {
+      if (reportSoon_) {
+        reportSoon_();
+      }
+    });
   }
 
   EventLoop& loop_;
@@ -89,6 +96,7 @@
   std::map<ServiceName, RetryBudget> budgets_;
   UsageCounts usage_;
   ChannelPool channels_;
+  CrashDetector crashes_;
   std::mt19937_64 random_;
   // Number of entry instances that share the system-wide limits.
   std::size_t instances_ = 1;
@@ -113,6 +121,8 @@
                      double aAmount,
                      std::function<void(bool aIsGranted)> aOnAnswer)>
     askForQuota_;
+  // Called when a fingerprint is blocked. May be unset.
+  std::function<void(Fingerprint aFingerprint)> onBlocked_;
   // Reports load, use of quotas and limits of servers to the others soon. May
   // be unset.
   std::function<void()> reportSoon_;
--- a/src/edge/Fingerprint.cpp
+++ b/src/edge/Fingerprint.cpp
@@ -1,6 +1,7 @@
 #include "edge/Fingerprint.h"
 
 #include <cstdio>
+#include <cstdlib>
 
 namespace sycamoreward::edge {
 
@@ -29,4 +30,15 @@
   return text;
 }
 
+std::optional<Fingerprint>
+ParseFingerprint(const std::string& aText)
+{
+  constexpr std::size_t kMaxDigits = 16;
+  if (aText.empty() || aText.size() > kMaxDigits ||
+      aText.find_first_not_of("0123456789abcdef") != std::string::npos) {
+    return std::nullopt;
+  }
+  return Fingerprint(std::strtoull(aText.c_str(), nullptr, 16));
+}
+
 } // namespace sycamoreward::edge
--- a/src/edge/Fingerprint.h
+++ b/src/edge/Fingerprint.h
@@ -6,6 +6,7 @@
 #include "edge/WireCodec.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,4 +23,8 @@
 std::string
 ToText(const std::vector<Fingerprint>& aFingerprints);
 
+// Reads a fingerprint written by ToText; nullopt if aText is something else.
+std::optional<Fingerprint>
+ParseFingerprint(const std::string& aText);
+
 } // namespace sycamoreward::edge
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/ReportExchange.h"
 
 #include "base/DurationUnits.h"
+#include "edge/CrashReports.h"
 #include "edge/MessageCount.h"
 #include "edge/ReportTimes.h"
 #include "edge/ServerLimits.h"
@@ -38,6 +39,11 @@
 // Reports that are kept until the others confirm them. The oldest are dropped
 // while an instance is silent.
 constexpr std::size_t kMaxUnconfirmedReports = 128;
+// Time in which the answers that other instances have received are reported
+// here: with few instances two intervals, otherwise their report to a collector
+// and its digest.
+constexpr Duration kMeshSettleTime = 2 * kReportInterval;
+constexpr Duration kCollectedSettleTime = kCollectorInterval;
 // Age above which the slowness that a backend server reported is not forwarded.
 constexpr Duration kMaxSlownessAge = std::chrono::milliseconds(600);
 
@@ -112,6 +118,9 @@
   UpdateCollectors();
   UpdateReportsComplete();
   UpdateShare();
+  state_.crashes_.record_.settleTime_ =
+    IsMesh() ? kMeshSettleTime : kCollectedSettleTime;
+  UpdateBlocked(state_);
   Send(false);
   timer_ = state_.loop_.CallAfter(
     IsMesh() ? kReportInterval : kCollectorInterval, [this] { Tick(); });
@@ -356,6 +365,7 @@
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
   AddLimits(state_, aReport.limits_);
+  AddCrashes(state_, aReport.crashes_, aReport.fingerprints_);
   for (const auto& [service, pool] : state_.pools_) {
     for (const auto& [id, view] : pool.servers_) {
       ServerUse use;
@@ -488,6 +498,7 @@
     state_.log_.WriteImportant(line);
   }
   ApplyRelayedLimits(state_, aReport.limits_);
+  ApplyCrashes(state_, aReport.crashes_, aReport.fingerprints_);
   // Other instances get the load and use from the sums of a digest.
   const bool isCounted = IsMesh() || isCollector_;
   if (isCounted) {
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -264,6 +264,8 @@
   }
   if (isFailure) {
     NotifyPlacer(PlacementEvent::Failed);
+  } else {
+    state_.crashes_.RecordAnswer(fingerprints_);
   }
   ReleaseServer(true);
   switch (answerState_) {
@@ -317,6 +319,12 @@
     .Add("fingerprints", ToText(fingerprints_))
     .Add("afterMs", Milliseconds(now - sent_));
   state_.log_.WriteImportant(line);
+  const bool isLost = aFailure == http::ChannelFailure::NoAnswer ||
+                      aFailure == http::ChannelFailure::TruncatedAnswer;
+  state_.crashes_.RemoveRun(work_, isLost);
+  if (isLost) {
+    lost_.emplace_back(placement_.server_, serverIncarnation_);
+  }
   NotifyPlacer(isUnsent ? PlacementEvent::Unreachable : PlacementEvent::Failed);
   ReleaseServer(false);
   if (isUnsent || (answerState_ == AnswerState::Discarded && isNotRun_)) {
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -3,12 +3,33 @@
 
 #include "base/DurationUnits.h"
 #include "edge/Admission.h"
+#include "edge/CrashReports.h"
 #include "edge/RequestRun.h"
 #include "edge/RequestStatus.h"
 #include "edge/ServerLimits.h"
 
 namespace sycamoreward::edge {
 
+bool
+RequestRun::RefuseIfBlocked()
+{
+  const auto wait = BlockedFor(
+    state_.crashes_.record_,
+    fingerprints_,
+    [this](Fingerprint aFingerprint) { return MayTry(state_, aFingerprint); },
+    state_.loop_.GetClock().Now());
+  if (!wait.has_value()) {
+    return false;
+  }
+  LogLine line("request_blocked");
+  line.Add("request", request_.id_.Value())
+    .Add("fingerprints", ToText(fingerprints_))
+    .Add("retryAfterSeconds", Seconds(*wait));
+  state_.log_.WriteImportant(line);
+  Refuse(kUnavailable, "crashes_servers", *wait);
+  return true;
+}
+
 void
 RequestRun::CheckQuota()
 {
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -53,7 +53,7 @@
     }
   };
   exchange_->SetCallbacks(std::move(callbacks));
-  if (Accept()) {
+  if (Accept() && !RefuseIfBlocked()) {
     CheckQuota();
   }
 }
@@ -158,6 +158,7 @@
       state_.onPromptSent_(placement_.tokens_);
     }
   }
+  state_.crashes_.AddRun(view.server_, work_, fingerprints_);
   tried_.insert(placement_.server_);
   ++attempts_;
   ++possibleRuns_;
@@ -231,6 +232,7 @@
   }
   const auto channel = std::move(channel_);
   channel_.reset();
+  state_.crashes_.RemoveRun(work_, false);
   if (aKeep) {
     state_.channels_.Return(placement_.server_, channel, request_.id_);
   } else {
@@ -249,6 +251,26 @@
   return route_->kind_ == RouteKind::Idempotent || route_->isResumable_;
 }
 
+bool
+RequestRun::MayCrashServers() const
+{
+  const auto own =
+    std::count_if(lost_.begin(), lost_.end(), [this](const auto& aServer) {
+      return state_.crashes_.MayHaveCrashed(aServer.first, aServer.second);
+    });
+  if (own == 0) {
+    return false;
+  }
+  const CrashRecord& record = state_.crashes_.record_;
+  return std::size_t(own) >= kCrashesUntilNoRetry ||
+         std::any_of(fingerprints_.begin(),
+                     fingerprints_.end(),
+                     [&](Fingerprint aFingerprint) {
+                       return CountCrashes(record, aFingerprint) >=
+                              kCrashesUntilNoRetry;
+                     });
+}
+
 bool
 RequestRun::CanRetry() const
 {
@@ -257,7 +279,8 @@
   const bool isAllowed =
     possibleRuns_ == 0 || (IsRepeatable() && possibleRuns_ < maxRuns);
   const auto budget = state_.budgets_.find(service_);
-  return isAllowed && attempts_ < kMaxRefusedAttempts + maxRuns &&
+  return isAllowed && !MayCrashServers() &&
+         attempts_ < kMaxRefusedAttempts + maxRuns &&
          Remaining() > Duration(0) && budget != state_.budgets_.end() &&
          HasRetry(budget->second);
 }
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sycamoreward::edge {
@@ -47,6 +48,9 @@
   // timer. Returns false if the request was refused and has ended.
   bool Accept();
 
+  // Refuses the request if it has in common with others that they crashed
+  // servers. Returns whether it was refused.
+  bool RefuseIfBlocked();
   // Each of these starts the first attempt or refuses the request.
   void CheckQuota();
   void AskForQuota();
@@ -74,6 +78,8 @@
   bool CanRetry() const;
   // Whether the request may run more than once.
   bool IsRepeatable() const;
+  // Whether sending the request again would probably crash another server.
+  bool MayCrashServers() const;
 
   // Whether the received head belongs to this request.
   bool IsAnswerToRequest(const http::ResponseHead& aHead) const;
@@ -146,6 +152,8 @@
   std::uint32_t attempts_ = 0;
   // Servers to which the request was sent; a retry chooses another one.
   std::set<ServerId> tried_;
+  // Servers whose connections broke before the answer was complete.
+  std::vector<std::pair<ServerId, Incarnation>> lost_;
 
   // The current attempt.
   Placement placement_;
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -275,6 +275,28 @@
   aArchive("age", aValue.ageMs_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, ServerCrash& aValue)
+{
+  aArchive("server", aValue.server_);
+  aArchive("incarnation", aValue.incarnation_);
+  aArchive("age", aValue.ageMs_);
+  aArchive("fingerprints", aValue.fingerprints_);
+  aArchive("sentAges", aValue.sentAgesMs_);
+}
+
+template<typename A>
+void
+Describe(A& aArchive, FingerprintStatus& aValue)
+{
+  aArchive("fingerprint", aValue.fingerprint_);
+  aArchive("answered", aValue.isAnswered_);
+  aArchive("answerAge", aValue.answerAgeMs_);
+  aArchive("blocked", aValue.blockedMs_);
+  aArchive("blockLength", aValue.blockLengthMs_);
+}
+
 template<typename A>
 void
 Describe(A& aArchive, WindowUse& aValue)
@@ -297,6 +319,8 @@
   aArchive("dutyEpoch", aValue.dutyEpoch_);
   aArchive("servers", aValue.servers_);
   aArchive("limits", aValue.limits_);
+  aArchive("crashes", aValue.crashes_);
+  aArchive("fingerprints", aValue.fingerprints_);
   aArchive("used", aValue.used_);
   aArchive("quotaLevels", aValue.quotaLevels_);
   aArchive("begun", aValue.begun_);
@@ -345,6 +369,8 @@
   aArchive("rowEras", aValue.rowEras_);
   aArchive("rows", aValue.rows_);
   aArchive("limits", aValue.limits_);
+  aArchive("crashes", aValue.crashes_);
+  aArchive("fingerprints", aValue.fingerprints_);
 }
 
 template<typename A>
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -205,6 +205,31 @@
   std::uint64_t ageMs_ = 0;
 };
 
+// The crash of a backend server, with the fingerprints of the requests that
+// were running on it and the time since the latest one with each was sent.
+struct ServerCrash
+{
+  ServerId server_;
+  Incarnation incarnation_;
+  std::uint64_t ageMs_ = 0;
+  std::vector<std::uint64_t> fingerprints_;
+  std::vector<std::uint64_t> sentAgesMs_;
+};
+
+// What an entry instance knows of a fingerprint of requests that were running
+// on a crashed server.
+struct FingerprintStatus
+{
+  std::uint64_t fingerprint_ = 0;
+  // Whether a request with it was answered, and the time since then.
+  bool isAnswered_ = false;
+  std::uint64_t answerAgeMs_ = 0;
+  // Time left until one request with it may be tried, and the whole time for
+  // which it is refused; 0 when it is not refused.
+  std::uint64_t blockedMs_ = 0;
+  std::uint64_t blockLengthMs_ = 0;
+};
+
 // Number of requests that started in a window of wall time, by workspace.
 struct WindowUse
 {
@@ -219,8 +244,9 @@
   PeerIdentity identity_;
   // Sequence number of the report within one incarnation.
   std::uint64_t sequence_ = 0;
-  // Set when only servers_, limits_ and the unconfirmed part of used_ are
-  // filled, in a report sent right after a long prompt.
+  // Set when only servers_, limits_, crashes_, fingerprints_ and the
+  // unconfirmed part of used_ are filled, in a report sent right after a long
+  // prompt.
   bool isLoadOnly_ = false;
   WallTime sent_;
   bool isReady_ = false;
@@ -230,6 +256,8 @@
   FencingToken dutyEpoch_;
   std::vector<ServerUse> servers_;
   std::vector<ServerLimit> limits_;
+  std::vector<ServerCrash> crashes_;
+  std::vector<FingerprintStatus> fingerprints_;
   // Quota consumed since the start of the instance, by workspace.
   std::map<std::string, std::uint64_t> used_;
   // Amount that can be consumed now, of workspaces that have used much of their
@@ -298,6 +326,8 @@
   std::map<std::string, std::uint64_t> rowEras_;
   std::vector<RelayedRow> rows_;
   std::vector<ServerLimit> limits_;
+  std::vector<ServerCrash> crashes_;
+  std::vector<FingerprintStatus> fingerprints_;
 };
 
 // Requests quota of a workspace beyond the sender's local limit from an
--- /dev/null
+++ b/test/correctness/CrashRecordTest.cpp
@@ -0,0 +1,211 @@
+// Which requests are refused because servers crashed under them.
+
+#include "edge/CrashRecord.h"
+#include "edge/BlockRows.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace sycamoreward;
+using namespace sycamoreward::edge;
+
+namespace {
+
+constexpr Duration kSecond = std::chrono::seconds(1);
+const Fingerprint kDeadly(0xd);
+const Fingerprint kShared(0x5);
+
+MonotonicTime
+At(double aSeconds)
+{
+  return MonotonicTime() + std::chrono::hours(1) +
+         Duration(Duration::rep(aSeconds * 1e6));
+}
+
+// The crash of aServer at aTime under requests that were sent a tenth of a
+// second before.
+Crash
+CrashOf(int aServer,
+        double aTime,
+        const std::vector<Fingerprint>& aFingerprints,
+        double aSentBefore = 0.1)
+{
+  Crash crash;
+  crash.server_ = ServerId("server-" + std::to_string(aServer));
+  crash.incarnation_ = Incarnation(1);
+  crash.at_ = At(aTime);
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    crash.sent_[fingerprint] = At(aTime - aSentBefore);
+  }
+  return crash;
+}
+
+bool
+IsBlocked(const CrashRecord& aRecord, Fingerprint aFingerprint, double aTime)
+{
+  return BlockedFor(
+           aRecord,
+           { aFingerprint },
+           [](Fingerprint) { return true; },
+           At(aTime))
+    .has_value();
+}
+
+CrashRecord
+BlockedRecord()
+{
+  CrashRecord record;
+  for (const int server : { 1, 2, 3 }) {
+    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+    AddAnswer(record, kShared, At(server + 0.2));
+  }
+  UpdateBlocks(record, At(4));
+  return record;
+}
+
+} // namespace
+
+Test(CrashRecord, BlocksWhatCrashedThreeServersAndNothingThatWasAnswered)
+{
+  CrashRecord record;
+  for (const int server : { 1, 2, 3 }) {
+    cr_expect_not(IsBlocked(record, kDeadly, server));
+    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+    AddAnswer(record, kShared, At(server + 0.2));
+  }
+  // Refused at once, and blocked when the evidence has settled.
+  cr_expect(IsBlocked(record, kDeadly, 3));
+  cr_expect(UpdateBlocks(record, At(3.1)).empty());
+  const auto blocked = UpdateBlocks(record, At(4));
+  cr_assert_eq(blocked.size(), 1);
+  cr_expect_eq(blocked[0], kDeadly);
+  cr_expect(IsBlocked(record, kDeadly, 100));
+  cr_expect_not(IsBlocked(record, kShared, 4));
+}
+
+// Guards against blocks of requests that were sent again beside the one that
+// crashes servers.
+Test(CrashRecord, WhatWasOnlyBesideTheOneThatCrashesServersIsNotBlocked)
+{
+  CrashRecord record;
+  for (const int server : { 1, 2, 3 }) {
+    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+  }
+  AddCrash(record, CrashOf(4, 3.1, { kDeadly }), At(3.1));
+  const auto blocked = UpdateBlocks(record, At(4));
+  cr_assert_eq(blocked.size(), 1);
+  cr_expect_eq(blocked[0], kDeadly);
+  cr_expect_not(IsBlocked(record, kShared, 4));
+}
+
+Test(CrashRecord, AnAnswerToARequestThatWasInProgressLiftsABlock)
+{
+  CrashRecord record = BlockedRecord();
+  cr_expect_not(AddAnswer(record, kDeadly, At(0.5)));
+  cr_expect(IsBlocked(record, kDeadly, 5));
+  cr_expect(AddAnswer(record, kDeadly, At(5)));
+  cr_expect_not(IsBlocked(record, kDeadly, 5));
+  cr_expect(UpdateBlocks(record, At(6)).empty());
+}
+
+Test(CrashRecord, ServersThatAreLostTogetherCountOnce)
+{
+  CrashRecord record;
+  for (int server = 0; server < 18; ++server) {
+    AddCrash(
+      record, CrashOf(server, 1 + server * 0.02, { kShared }, 0.6), At(2));
+  }
+  cr_expect_eq(CountCrashes(record, kShared), 1);
+  cr_expect(UpdateBlocks(record, At(5)).empty());
+}
+
+Test(CrashRecord, ReportsThatComeTwiceOrLateCountOnce)
+{
+  CrashRecord record;
+  cr_expect(AddCrash(record, CrashOf(2, 2, { kDeadly }), At(2)));
+  cr_expect(AddCrash(record, CrashOf(1, 1, { kDeadly }), At(3)));
+  cr_expect_not(AddCrash(record, CrashOf(1, 1.1, { kDeadly }), At(3)));
+  cr_expect(AddCrash(record, CrashOf(1, 1.1, { kShared }), At(3)));
+  cr_expect_eq(CountCrashes(record, kDeadly), 2);
+  AddAnswer(record, kDeadly, At(1.5));
+  cr_expect_eq(CountCrashes(record, kDeadly), 1);
+}
+
+Test(CrashRecord, OneInstanceTriesOnceAfterABlockAndTheNextBlockIsLonger)
+{
+  CrashRecord record = BlockedRecord();
+  const auto block = record.blocks_[kDeadly];
+  const double end = 4 + std::chrono::duration<double>(block.length_).count();
+  cr_expect(IsBlocked(record, kDeadly, end - 1));
+  cr_expect_not(IsBlocked(record, kDeadly, end + 1));
+  cr_expect(
+    BlockedFor(
+      record, { kDeadly }, [](Fingerprint) { return false; }, At(end + 1))
+      .has_value());
+  RecordTry(record, { kDeadly });
+  cr_expect(IsBlocked(record, kDeadly, end + 1));
+  CrashRecord answered = record;
+  AddCrash(record, CrashOf(9, end + 2, { kDeadly }), At(end + 2));
+  cr_expect_eq(UpdateBlocks(record, At(end + 3)).size(), 1);
+  cr_expect_eq(record.blocks_[kDeadly].length_, 2 * block.length_);
+  cr_expect(IsBlocked(record, kDeadly, end + 100));
+  // A complete answer lifts the block.
+  cr_expect(AddAnswer(answered, kDeadly, At(end + 2)));
+  cr_expect(UpdateBlocks(answered, At(end + 3)).empty());
+  cr_expect_not(IsBlocked(answered, kDeadly, end + 3));
+}
+
+Test(CrashRecord, ABlockThatNobodyTriesIsForgotten)
+{
+  CrashRecord record = BlockedRecord();
+  const double end =
+    4 + std::chrono::duration<double>(record.blocks_[kDeadly].length_).count();
+  cr_expect(UpdateBlocks(record, At(end + 61)).empty());
+  cr_expect(record.blocks_.empty());
+  cr_expect_not(IsBlocked(record, kDeadly, end + 62));
+}
+
+Test(CrashRecord, MemoryIsBounded)
+{
+  CrashRecord record;
+  for (int server = 0; server < 1000; ++server) {
+    std::vector<Fingerprint> many;
+    for (std::uint64_t index = 0; index < 500; ++index) {
+      many.emplace_back(std::uint64_t(server) * 1000 + index);
+    }
+    AddCrash(record, CrashOf(server, server * 0.1, many), At(server * 0.1));
+    UpdateBlocks(record, At(server * 0.1));
+  }
+  cr_expect_leq(record.crashes_.size(), 64);
+  for (const Crash& crash : record.crashes_) {
+    cr_expect_leq(crash.sent_.size(), 128);
+  }
+  for (std::uint64_t index = 0; index < 1000; ++index) {
+    AddBlock(record, Fingerprint(index), { At(1000), kSecond, false });
+  }
+  cr_expect_leq(record.blocks_.size(), 64);
+}
+
+Test(CrashRecord, ABlockSurvivesInARowOfTheStore)
+{
+  const WallTime wall{ std::chrono::hours(400000) };
+  const Block block{ At(90), 60 * kSecond, false };
+  const std::string row = EncodeBlock(block, At(10), wall);
+  const auto read = DecodeBlock(row, At(500), wall + 20 * kSecond);
+  cr_assert(read.has_value());
+  cr_expect_eq(read->until_, At(560));
+  cr_expect_eq(read->length_, block.length_);
+  cr_expect_not(DecodeBlock(row, At(500), wall + 81 * kSecond).has_value());
+  for (const char* odd : { "",
+                           "[]",
+                           "{}",
+                           "{\"until_ms\":1e300,"
+                           "\"length_ms\":1}",
+                           "{\"until_ms\":18446744073709551615,"
+                           "\"length_ms\":\"x\"}" }) {
+    cr_expect_not(DecodeBlock(odd, At(1), wall).has_value(), "%s", odd);
+  }
+  cr_expect_not(ParseFingerprint("x").has_value());
+  cr_expect_eq(*ParseFingerprint(ToText({ kDeadly })), kDeadly);
+}
