Reproduce a request that comes again and crashes one server after the other

Callers of sound requests got 502 and 503 for seconds, because one request of another caller, which came again with the same path, caller and body, crashed all three servers each time they were back. The stand-in now also crashes under a body.

--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -52,9 +52,10 @@
 bool
 BackendStandIn::IsDeadly(const http::CallerExchange& aExchange) const
 {
-  return !crashPart_.empty() &&
-         Field(aExchange, "X-Prefix-Hash").find(crashPart_) !=
-           std::string::npos;
+  const bool hasPart =
+    !crashPart_.empty() &&
+    Field(aExchange, "X-Prefix-Hash").find(crashPart_) != std::string::npos;
+  return hasPart || (!crashBody_.empty() && aExchange.body_ == crashBody_);
 }
 
 void
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -91,9 +91,10 @@
   std::string lineEnd_ = "\n";
   // The rate limit that answers name, as text; none if empty.
   std::string limit_;
-  // Requests whose prompt has this part crash the server after the head of
-  // their answer; none if empty.
+  // Requests whose prompt has this part, or which have this body, crash the
+  // server after the head of their answer; none if empty.
   std::string crashPart_;
+  std::string crashBody_;
   // Time until a crashed server runs again, as another process at the same
   // address.
   Duration restartDelay_ = std::chrono::milliseconds(1500);
--- a/test/failure/CrashingRequestTest.cpp
+++ b/test/failure/CrashingRequestTest.cpp
@@ -59,7 +59,7 @@
   options.engines_ = 6;
   PlatformFixture world(options);
   cr_assert(world.WaitReady(kStartTimeoutSeconds));
-  world.CrashServersOnPart("dead1");
+  world.CrashServersOn("dead1", "");
   RunsAfterCrash runs(world, 5);
   std::vector<std::shared_ptr<CallerRun>> deadly;
   std::vector<std::shared_ptr<CallerRun>> sound;
@@ -89,3 +89,43 @@
     cr_expect_eq(sound[index]->status_, 200, "%s", sound[index]->body_.c_str());
   }
 }
+
+// Guards against a request that comes again and crashes one server after the
+// other.
+Test(CrashingRequest, ARequestThatCrashedThreeServersIsRefused)
+{
+  PlatformFixtureOptions options;
+  options.desks_ = 3;
+  PlatformFixture world(options);
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  world.CrashServersOn("", "the sheet that no desk survives");
+  RunsAfterCrash runs(world, 3);
+  std::vector<std::shared_ptr<CallerRun>> deadly;
+  std::vector<std::shared_ptr<CallerRun>> sound;
+  for (int index = 0; index < 240; ++index) {
+    const std::string id = std::to_string(index);
+    const auto edge = std::size_t(index % 2);
+    world.body_ = "";
+    sound.push_back(world.Ask(edge,
+                              index % 4 == 0 ? PlatformFixture::kOnce
+                                             : PlatformFixture::kRepeatable,
+                              "sound-" + id));
+    if (index % 8 == 0) {
+      world.body_ = "the sheet that no desk survives";
+      deadly.push_back(
+        world.Ask(edge, PlatformFixture::kRepeatable, "deadly-" + id));
+    }
+    world.RunFor(kPauseSeconds);
+    runs.Update();
+  }
+  world.RunFor(1);
+  cr_expect_leq(runs.Count(), kAllowedAfterwards, "%zu", runs.Count());
+  for (std::size_t index = deadly.size() - 8; index < deadly.size(); ++index) {
+    cr_expect_eq(deadly[index]->status_, 503);
+    cr_expect_neq(deadly[index]->body_.find("not_run"), std::string::npos);
+    cr_expect_gt(std::atof(deadly[index]->retryAfter_.c_str()), 1);
+  }
+  for (std::size_t index = sound.size() - 60; index < sound.size(); ++index) {
+    cr_expect_eq(sound[index]->status_, 200, "%s", sound[index]->body_.c_str());
+  }
+}
--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -266,7 +266,7 @@
   http::RequestHead head;
   head.method_ = "POST";
   head.target_ = aPath;
-  const std::string body = "body of " + aRequest;
+  const std::string body = body_.empty() ? "body of " + aRequest : body_;
   head.fields_ = { { "Host", "office.example" },
                    { "X-Request-Id", aRequest },
                    { "X-Deadline-Ms", "3000" },
@@ -366,11 +366,13 @@
 }
 
 void
-PlatformFixture::CrashServersOnPart(const std::string& aPart)
+PlatformFixture::CrashServersOn(const std::string& aPart,
+                                const std::string& aBody)
 {
   for (auto* list : { &engines_, &desks_ }) {
     for (auto& backend : *list) {
       backend->crashPart_ = aPart;
+      backend->crashBody_ = aBody;
       backend->onRestarted_ = [this, server = backend.get()] {
         ListBackend(*server, "ready");
       };
--- a/test/support/PlatformFixture.h
+++ b/test/support/PlatformFixture.h
@@ -99,14 +99,17 @@
   // Returns the executions of a request at all servers.
   std::vector<standin::BackendRun> RunsOf(const std::string& aRequest) const;
 
-  // Lets every server crash under requests whose prompt has aPart. The entry of
-  // a crashed server is replaced when it runs again.
-  void CrashServersOnPart(const std::string& aPart);
+  // Lets every server crash under requests whose prompt has aPart, or whose
+  // body is aBody. The entry of a crashed server is replaced when it runs
+  // again.
+  void CrashServersOn(const std::string& aPart, const std::string& aBody);
   // Returns when servers crashed, in order.
   std::vector<MonotonicTime> Crashes() const;
   // Returns how many requests servers ran whose ids begin with aPrefix.
   std::size_t CountRuns(const std::string& aPrefix) const;
 
+  // Body of requests; one that names the request if empty.
+  std::string body_;
   // Parts of the prompts of requests, "ID:TOKENS,..."; none if empty.
   std::string parts_;
   // HTTP version of requests: HTTP/1.1 or HTTP/1.0.
