--- a/src/edge/Fingerprint.cpp
+++ b/src/edge/Fingerprint.cpp
@@ -1,5 +1,7 @@
 #include "edge/Fingerprint.h"
 
+#include <xxhash.h>
+
 #include <cstdio>
 #include <cstdlib>
 
@@ -15,6 +17,21 @@
   return fingerprints;
 }
 
+Fingerprint
+RequestFingerprint(const http::RequestHead& aHead,
+                   const std::string& aBody,
+                   const std::string& aHost,
+                   const std::string& aWorkspace)
+{
+  std::uint64_t hash = 0;
+  for (const std::string* text :
+       { &aHead.method_, &aHost, &aHead.target_, &aWorkspace, &aBody }) {
+    // The hash of each text is the seed of the next one.
+    hash = XXH64(text->data(), text->size(), hash);
+  }
+  return Fingerprint(hash);
+}
+
 std::string
 ToText(const std::vector<Fingerprint>& aFingerprints)
 {
--- a/src/edge/Fingerprint.h
+++ b/src/edge/Fingerprint.h
@@ -19,6 +19,15 @@
 std::vector<Fingerprint>
 PromptFingerprints(const std::vector<PromptPart>& aParts);
 
+// Returns the fingerprint of a request with all that the server sees of it and
+// that stays the same when it comes again: method, host, path, workspace and
+// body. The parts of its prompt may differ in the last one.
+Fingerprint
+RequestFingerprint(const http::RequestHead& aHead,
+                   const std::string& aBody,
+                   const std::string& aHost,
+                   const std::string& aWorkspace);
+
 // Returns the fingerprints as hexadecimal numbers, separated by commas.
 std::string
 ToText(const std::vector<Fingerprint>& aFingerprints);
