Refuse a request that crashes the servers that run it

The cause and the class are those of the prompt part: nothing related the end of a server to what it was running.

The hash of method, host, path, workspace and body is one more fingerprint of each request, so crashes, answers and blocks apply to it as to prompt parts.

CrashingRequest/ARequestThatCrashedThreeServersIsRefused failed before and passes.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -317,7 +317,6 @@
     .Add("partialBytes", events_.Position().partialBytes_)
     .Add("events", events_.Position().events_)
     .Add("fingerprints", ToText(fingerprints_))
-    .Add("requestFingerprint", ToText({ requestFingerprint_ }))
     .Add("afterMs", Milliseconds(now - sent_));
   state_.log_.WriteImportant(line);
   const bool isLost = aFailure == http::ChannelFailure::NoAnswer ||
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -85,11 +85,11 @@
     }
   }
   fingerprints_ = PromptFingerprints(request_.parts_);
-  requestFingerprint_ =
+  fingerprints_.push_back(
     RequestFingerprint(exchange_->head_,
                        exchange_->body_,
                        request_.host_,
-                       workspace_ == nullptr ? "" : workspace_->id_.Value());
+                       workspace_ == nullptr ? "" : workspace_->id_.Value()));
   service_ = PickService(*route_, state_.Draw());
   const Duration timeout =
     std::min(request_.timeout_.value_or(route_->timeout_), route_->timeout_);
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -141,7 +141,6 @@
   // What the request has in common with others of its kind, and with itself
   // when it comes again.
   std::vector<Fingerprint> fingerprints_;
-  Fingerprint requestFingerprint_;
   MonotonicTime deadline_;
   // Amount of the workspace's quota that the request needs, in requests or
   // tokens, and whether it was taken.
