Bound the numbers of rows that other writers can leave in the store

Reported by other operators: an odd entry among those of the servers (too deep, with a number too large, a port out of range) ended the processes that read the list. Here depth and ports above 65535 were refused already, but a floating number out of range was converted (undefined behaviour), times of any size went into sums, port 0 and a negative start were taken, and an id with line ends would have become part of a header field. One row of the store's answer with a wrong type hid all others of its table.

Whole numbers are checked against their type, times are bounded, ids must be printable, and a row that can't be read is left out by itself. The same holds for the manifest.

--- a/test/error/PlatformInputTest.cpp
+++ b/test/error/PlatformInputTest.cpp
@@ -95,6 +95,91 @@
   }
 }
 
+// Guards against entries of another writer that end the processes which read
+// the list, for example by a conversion out of range.
+Test(PlatformInput, IgnoresServerEntriesWithExtremeFields)
+{
+  const auto entry = [](const std::string& aSlots,
+                        const std::string& aBorn,
+                        const std::string& aAddress) {
+    return R"({"service":"s","address":")" + aAddress +
+           R"(","zone":"z","state":"ready","slots":)" + aSlots + R"(,"born":)" +
+           aBorn + "}";
+  };
+  const char* address = "10.0.0.3:80";
+  cr_assert(DecodeServerEntry("i-1", entry("4", "7", address), {}));
+  const std::string deep(100000, '[');
+  for (const std::string& text : {
+         entry("1e300", "7", address),
+         entry("-1e300", "7", address),
+         entry("4.5", "7", address),
+         entry("-1", "7", address),
+         entry("18446744073709551616", "7", address),
+         entry("4", "-7", address),
+         entry("4", "1e300", address),
+         entry("4", "18446744073709551616", address),
+         entry("4", "\"7\"", address),
+         entry("4", deep, address),
+         entry("4", "7", "10.0.0.3:0"),
+         entry("4", "7", "10.0.0.3:65536"),
+         entry("4", "7", "10.0.0.3:-1"),
+         entry("4", "7", "10.0.0.3:99999999999999999999"),
+       }) {
+    cr_expect_not(DecodeServerEntry("i-1", text, {}).has_value(),
+                  "%s",
+                  text.substr(0, 100).c_str());
+  }
+  // An id becomes part of a header field.
+  for (const std::string& id :
+       { std::string(), std::string("i\r\nX-A: b"), std::string(201, 'i') }) {
+    cr_expect_not(DecodeServerEntry(id, entry("4", "7", address), {}));
+  }
+  for (const char* cold :
+       { "1e300", "-1e300", "1e18", "9223372036854775807" }) {
+    const auto server = DecodeServerEntry(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.3:80","zone":"z","slots":4,)"
+      R"("state":"ready","cold-remaining-ms":)" +
+        std::string(cold) + "}",
+      {});
+    cr_assert(server.has_value());
+    cr_expect_geq(server->coldDuration_.count(), 0);
+    cr_expect_leq(server->coldDuration_, std::chrono::hours(24));
+  }
+}
+
+// The same for the manifest, whose times and numbers are converted alike.
+Test(PlatformInput, BoundsNumbersOfManifests)
+{
+  const auto manifest = DecodeManifest(
+    R"({"version":4,"routes":[{"timeout-ms":1e300,"slo-ms":-1e300}]})");
+  cr_assert_eq(manifest.routes_.size(), 1);
+  cr_expect_leq(manifest.routes_[0].timeout_, std::chrono::hours(24));
+  cr_expect_geq(manifest.routes_[0].objective_.count(), 0);
+  for (const char* text : { R"({"version":1e300})",
+                            R"({"version":-1})",
+                            R"({"routes":[{"priority":1e300}]})",
+                            R"({"routes":[{"max-attempts":-1e300}]})",
+                            R"({"routes":[{"max-attempts":99999999999}]})" }) {
+    cr_expect_throw(DecodeManifest(text), UserError, "%s", text);
+  }
+}
+
+// Guards against one odd row that hides the others of a table.
+Test(PlatformInput, ReadsTheRowsBesideOneThatCantBeRead)
+{
+  JsonReply reply;
+  reply.status_ = 200;
+  reply.body_ =
+    R"({"schema-version":9,"rows":[{"key":"a","value":"","schema-version":1e300},)"
+    R"({"key":7},3,{"key":"b","value":"YQ==","schema-version":8}]})";
+  const auto decoded = DecodeStoreReply(reply);
+  cr_assert_eq(decoded.status_, edge::StoreStatus::Ok);
+  cr_assert_eq(decoded.rows_.size(), 1);
+  cr_expect_eq(decoded.rows_[0].key_, "b");
+  cr_expect_eq(decoded.rows_[0].version_, 8);
+}
+
 Test(PlatformInput, RejectsManifestsWithFieldsOfWrongType)
 {
   cr_expect_throw(DecodeManifest("nonsense"), UserError);
