Answer requests that a planned stop can't finish

Reported by other operators: requests that came late in the grace of a planned stop were taken, passed on, and cut at its end without an answer. The same happened here: nothing looked at the time that was left, and at the end of the grace all connections were dropped.

A request that is read whole later than two seconds after the signal is taken only if its time limit is over before the end of the grace; otherwise it is refused at once as not run. Half a second before the process is killed the requests that still run are answered: as not run if no server got them, as unknown otherwise; streams are broken off.

--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -43,8 +43,10 @@
 // up addresses have switched to other instances, and the accepted requests
 // still have most of the time until the platform kills the process.
 constexpr Duration kDrainAcceptTime = std::chrono::milliseconds(2000);
-// The drain ends this long before the platform kills the process.
+// The requests that still run are answered this long before the platform kills
+// the process, and their answers have this time to be sent.
 constexpr Duration kDrainReserve = std::chrono::milliseconds(500);
+constexpr Duration kLastAnswerTime = std::chrono::milliseconds(200);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 // Probe interval and timeouts that detect silent connections to other instances
 // and unreachable instances.
@@ -372,7 +374,7 @@
 {
   const MonotonicTime now = loop_.GetClock().Now();
   const auto age = [now](MonotonicTime aTime) { return Seconds(now - aTime); };
-  metrics_.Set("running_requests", double(state_.running_));
+  metrics_.Set("running_requests", double(state_.requests_.size()));
   metrics_.Set("live_instances", double(reports_.LiveCount()));
   metrics_.Set("deployment_version",
                state_.routes_ == nullptr
@@ -401,16 +403,36 @@
   }
   isDraining_ = true;
   drainStarted_ = loop_.GetClock().Now();
+  state_.drainAcceptUntil_ = drainStarted_ + kDrainAcceptTime;
+  state_.drainEnd_ = drainStarted_ + state_.bounds_.grace_ - kDrainReserve;
   onDrained_ = std::move(aDone);
   duties_.Stop();
   callers_->StartDrain();
   reports_.SendNow();
   LogLine line("drain_started");
-  line.Add("running", std::uint64_t(state_.running_));
+  line.Add("running", std::uint64_t(state_.requests_.size()));
   log_.WriteImportant(line);
   CheckDrained();
 }
 
+void
+Edge::StopRequests()
+{
+  if (state_.requests_.empty()) {
+    return;
+  }
+  LogLine line("requests_stopped");
+  line.Add("running", std::uint64_t(state_.requests_.size()));
+  log_.WriteImportant(line);
+  const std::set<RequestRun*> requests = state_.requests_;
+  for (RequestRun* request : requests) {
+    // A request that ends may end others.
+    if (state_.requests_.count(request) != 0) {
+      request->Stop();
+    }
+  }
+}
+
 void
 Edge::CheckDrained()
 {
@@ -420,9 +442,13 @@
   }
   const bool isDone =
     elapsed >= kDrainAcceptTime && callers_->ConnectionCount() == 0;
-  if (isDone || elapsed >= state_.bounds_.grace_ - kDrainReserve) {
+  const MonotonicTime now = loop_.GetClock().Now();
+  if (now >= *state_.drainEnd_) {
+    StopRequests();
+  }
+  if (isDone || now >= *state_.drainEnd_ + kLastAnswerTime) {
     LogLine line("drain_ended");
-    line.Add("running", std::uint64_t(state_.running_));
+    line.Add("connections", std::uint64_t(callers_->ConnectionCount()));
     log_.WriteImportant(line);
     onDrained_();
     return;
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -102,6 +102,8 @@
   void UpdateStoreReading();
   void Tick();
   void CheckDrained();
+  // Answers the requests that still run.
+  void StopRequests();
 
   EventLoop& loop_;
   EdgeOptions options_;
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -23,10 +23,12 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace sycamoreward::edge {
 
 class PlacementExchange;
+class RequestRun;
 
 // Limits that the platform sets for the whole system.
 struct SystemBounds
@@ -101,7 +103,12 @@
   // Number of entry instances that share the system-wide limits.
   std::size_t instances_ = 1;
   // Requests of callers that have not ended.
-  std::size_t running_ = 0;
+  std::set<RequestRun*> requests_;
+  // When the instance answers the requests that still run and ends; unset
+  // unless it drains. Requests that arrive after drainAcceptUntil_ are taken
+  // only if their time limit is over by then.
+  std::optional<MonotonicTime> drainEnd_;
+  MonotonicTime drainAcceptUntil_;
   // Rate of the prompt tokens that engines have to read for requests of this
   // instance.
   std::map<ServiceName, DemandRate> demand_;
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -10,6 +10,18 @@
 
 namespace sycamoreward::edge {
 
+bool
+RequestRun::RefuseIfTooLate()
+{
+  const bool isTooLate = state_.drainEnd_.has_value() &&
+                         exchange_->received_ > state_.drainAcceptUntil_ &&
+                         deadline_ > *state_.drainEnd_;
+  if (isTooLate) {
+    Refuse(kUnavailable, "instance_ends", kStartingRetryAfter);
+  }
+  return isTooLate;
+}
+
 bool
 RequestRun::RefuseIfBlocked()
 {
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -76,6 +76,19 @@
   End(aReason, aStatus, true);
 }
 
+void
+RequestRun::Stop()
+{
+  constexpr const char* kReason = "instance_ends";
+  const auto self = shared_from_this();
+  if (channel_ != nullptr && !channel_->IsConnected()) {
+    // The request can't have reached the server.
+    --possibleRuns_;
+  }
+  ReleaseServer(false);
+  Refuse(kUnavailable, kReason, kStartingRetryAfter);
+}
+
 void
 RequestRun::AbortAnswer(const char* aReason)
 {
@@ -107,7 +120,7 @@
     return;
   }
   isEnded_ = true;
-  --state_.running_;
+  state_.requests_.erase(this);
   CancelAttemptTimers();
   state_.loop_.CancelTimer(deadlineTimer_);
   exchange_->SetCallbacks({});
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -43,7 +43,7 @@
 void
 RequestRun::Start()
 {
-  ++state_.running_;
+  state_.requests_.insert(this);
   const auto self = shared_from_this();
   http::CallerExchange::Callbacks callbacks;
   callbacks.onGone_ = [self] { self->OnCallerDisconnected(); };
@@ -53,7 +53,7 @@
     }
   };
   exchange_->SetCallbacks(std::move(callbacks));
-  if (Accept() && !RefuseIfBlocked()) {
+  if (Accept() && !RefuseIfTooLate() && !RefuseIfBlocked()) {
     CheckQuota();
   }
 }
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -32,6 +32,10 @@
   // ended.
   void Start();
 
+  // Ends the request because the instance ends: with an answer, or by breaking
+  // off the answer that has begun.
+  void Stop();
+
 private:
   // How the answer of the current attempt is handled.
   enum class AnswerState
@@ -48,6 +52,9 @@
   // timer. Returns false if the request was refused and has ended.
   bool Accept();
 
+  // Refuses the request if the instance ends before it could be finished.
+  // Returns whether it was refused.
+  bool RefuseIfTooLate();
   // Refuses the request if it has in common with others that they crashed
   // servers. Returns whether it was refused.
   bool RefuseIfBlocked();
--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 BackendStandIn::BackendStandIn(EventLoop& aLoop, BackendOptions aOptions)
-  : loop_(aLoop)
+  : firstDelay_(aOptions.firstDelay_)
+  , loop_(aLoop)
   , options_(std::move(aOptions))
 {
   Listen({ "127.0.0.1", 0 });
@@ -214,55 +215,52 @@
       break;
   }
   const bool isDeadly = IsDeadly(*aExchange);
-  loop_.CallAfter(
-    options_.firstDelay_, [this, aExchange, index, aFault, isDeadly] {
-      http::ResponseHead head;
-      head.status_ = 200;
-      head.reason_ = "OK";
-      head.fields_ = { { "X-Request-Id", runs_[index].request_ },
-                       { "X-Response-Signature",
-                         "sig-" + runs_[index].request_ },
-                       { "X-Backend-Load", "1,0,16,100" } };
-      if (!limit_.empty()) {
-        head.fields_.push_back({ "Server-Limit", limit_ });
-      }
-      if (options_.events_ > 0) {
-        head.fields_.push_back({ "Content-Type", "text/event-stream" });
-        const std::string& last = runs_[index].lastEvent_;
-        const int first = last.empty() ? 1 : std::stoi(last) + 1;
-        const std::string text =
-          StreamText(runs_[index].request_, first, aFault);
-        aExchange->Start(std::move(head), { framing_, text.size() });
-        if (isDeadly) {
-          loop_.CallAfter(options_.eventDelay_, [this] { Crash(); });
-          return;
-        }
-        const bool isCutInOrder = aFault == BackendFault::EndWithin ||
-                                  aFault == BackendFault::EndBefore;
-        if (isCutInOrder) {
-          aExchange->Send(text);
-          aExchange->Finish();
-          return;
-        }
-        SendEvent(aExchange, index, first, aFault);
-        return;
-      }
-      const std::string body = AnswerBody(runs_[index].request_, 0);
+  loop_.CallAfter(firstDelay_, [this, aExchange, index, aFault, isDeadly] {
+    http::ResponseHead head;
+    head.status_ = 200;
+    head.reason_ = "OK";
+    head.fields_ = { { "X-Request-Id", runs_[index].request_ },
+                     { "X-Response-Signature", "sig-" + runs_[index].request_ },
+                     { "X-Backend-Load", "1,0,16,100" } };
+    if (!limit_.empty()) {
+      head.fields_.push_back({ "Server-Limit", limit_ });
+    }
+    if (options_.events_ > 0) {
+      head.fields_.push_back({ "Content-Type", "text/event-stream" });
+      const std::string& last = runs_[index].lastEvent_;
+      const int first = last.empty() ? 1 : std::stoi(last) + 1;
+      const std::string text = StreamText(runs_[index].request_, first, aFault);
+      aExchange->Start(std::move(head), { framing_, text.size() });
       if (isDeadly) {
-        Crash();
+        loop_.CallAfter(options_.eventDelay_, [this] { Crash(); });
         return;
       }
-      aExchange->Start(std::move(head), { http::BodyEnd::Length, body.size() });
-      if (aFault == BackendFault::CutWithin) {
-        aExchange->Send(body.substr(0, body.size() / 2));
-        loop_.CallAfter(options_.eventDelay_,
-                        [aExchange] { aExchange->Abort(); });
+      const bool isCutInOrder =
+        aFault == BackendFault::EndWithin || aFault == BackendFault::EndBefore;
+      if (isCutInOrder) {
+        aExchange->Send(text);
+        aExchange->Finish();
         return;
       }
-      aExchange->Send(body);
-      runs_[index].isEnded_ = true;
-      aExchange->Finish();
-    });
+      SendEvent(aExchange, index, first, aFault);
+      return;
+    }
+    const std::string body = AnswerBody(runs_[index].request_, 0);
+    if (isDeadly) {
+      Crash();
+      return;
+    }
+    aExchange->Start(std::move(head), { http::BodyEnd::Length, body.size() });
+    if (aFault == BackendFault::CutWithin) {
+      aExchange->Send(body.substr(0, body.size() / 2));
+      loop_.CallAfter(options_.eventDelay_,
+                      [aExchange] { aExchange->Abort(); });
+      return;
+    }
+    aExchange->Send(body);
+    runs_[index].isEnded_ = true;
+    aExchange->Finish();
+  });
 }
 
 void
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -87,6 +87,8 @@
   int faultCount_ = -1;
   // Framing of streams.
   http::BodyEnd framing_ = http::BodyEnd::Chunked;
+  // Time until an answer begins, as in the options at first.
+  Duration firstDelay_;
   // End of each line of a stream.
   std::string lineEnd_ = "\n";
   // The rate limit that answers name, as text; none if empty.
