Blame a request rather than the parts of its prompt

If all crashes with a part were with one request, that request explains them; another request with the part adds one crash and shows that it is the part. CrashRecord/ARequestIsBlockedRatherThanThePartsOfItsPrompt covers both.

--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -71,7 +71,8 @@
 }
 
 // Whether another fingerprint was there at each crash with aFingerprint since
-// its last answer, and at others besides.
+// its last answer, and at others besides. A request that crashes servers also
+// explains the crashes with the parts of its prompt.
 bool
 IsExplained(const CrashRecord& aRecord, Fingerprint aFingerprint)
 {
@@ -95,7 +96,8 @@
     };
     if (other != aFingerprint &&
         std::all_of(with.begin(), with.end(), hasOther) &&
-        std::any_of(without.begin(), without.end(), hasOther)) {
+        ((IsRequest(other) && !IsRequest(aFingerprint)) ||
+         std::any_of(without.begin(), without.end(), hasOther))) {
       return true;
     }
   }
--- a/src/edge/Fingerprint.cpp
+++ b/src/edge/Fingerprint.cpp
@@ -7,12 +7,25 @@
 
 namespace sycamoreward::edge {
 
+namespace {
+
+// Set in fingerprints of requests only.
+constexpr std::uint64_t kRequestBit = std::uint64_t(1) << 63;
+
+} // namespace
+
+bool
+IsRequest(Fingerprint aFingerprint)
+{
+  return (aFingerprint.Value() & kRequestBit) != 0;
+}
+
 std::vector<Fingerprint>
 PromptFingerprints(const std::vector<PromptPart>& aParts)
 {
   std::vector<Fingerprint> fingerprints;
   for (std::size_t index = 0; index + 1 < aParts.size(); ++index) {
-    fingerprints.emplace_back(aParts[index].id_);
+    fingerprints.emplace_back(aParts[index].id_ & ~kRequestBit);
   }
   return fingerprints;
 }
@@ -29,7 +42,7 @@
     // The hash of each text is the seed of the next one.
     hash = XXH64(text->data(), text->size(), hash);
   }
-  return Fingerprint(hash);
+  return Fingerprint(hash | kRequestBit);
 }
 
 std::string
--- a/src/edge/Fingerprint.h
+++ b/src/edge/Fingerprint.h
@@ -14,6 +14,10 @@
 
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 
+// Whether the fingerprint is that of a request, not of a part of prompts.
+bool
+IsRequest(Fingerprint aFingerprint);
+
 // Returns the fingerprints of the parts that the prompt may share with other
 // prompts: all but the last one, which belongs to the request or its session.
 std::vector<Fingerprint>
--- a/test/correctness/CrashRecordTest.cpp
+++ b/test/correctness/CrashRecordTest.cpp
@@ -99,6 +99,26 @@
   cr_expect_not(IsBlocked(record, kShared, 4));
 }
 
+// Guards against blocks of the sound requests that share a prompt part with one
+// request that crashes servers.
+Test(CrashRecord, ARequestIsBlockedRatherThanThePartsOfItsPrompt)
+{
+  CrashRecord record;
+  const Fingerprint request =
+    RequestFingerprint(http::RequestHead(), "body", "host", "workspace");
+  for (const int server : { 1, 2, 3 }) {
+    AddCrash(record, CrashOf(server, server, { kDeadly, request }), At(server));
+  }
+  const auto blocked = UpdateBlocks(record, At(4));
+  cr_assert_eq(blocked.size(), 1);
+  cr_expect_eq(blocked[0], request);
+  // Another request with the part shows that it is the part.
+  AddCrash(record, CrashOf(4, 4.5, { kDeadly }), At(4.5));
+  const auto next = UpdateBlocks(record, At(5));
+  cr_assert_eq(next.size(), 1);
+  cr_expect_eq(next[0], kDeadly);
+}
+
 Test(CrashRecord, AnAnswerToARequestThatWasInProgressLiftsABlock)
 {
   CrashRecord record = BlockedRecord();
