Remember answers until crashes of other instances are reported

In simulation with 12 and 60 instances a part that all requests share was refused: an answer was only recorded if the crash before it was known already, and with collectors it is known up to two seconds later. Answers of the last four seconds are kept, crashes and clearings are reported to the collectors at once, and a block is decided after two digests. CrashReports/* failed before (12 and 60 instances) and pass.

--- a/src/edge/CrashDetector.cpp
+++ b/src/edge/CrashDetector.cpp
@@ -14,6 +14,10 @@
 // crashed, and is not probed, since each connection costs it work.
 constexpr Duration kUseCheckInterval = std::chrono::milliseconds(20);
 constexpr int kUseChecks = 10;
+// Time after which crashes of other instances have been reported, and bound of
+// the answers that are remembered for them.
+constexpr Duration kAnswerMemory = std::chrono::seconds(4);
+constexpr std::size_t kMaxAnswers = 4096;
 // A server that has crashed refuses connections at once. One that does not
 // answer in this time may be partitioned from this instance.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
@@ -69,12 +73,32 @@
 void
 CrashDetector::RecordAnswer(const std::vector<Fingerprint>& aFingerprints)
 {
-  if (record_.crashes_.empty() && record_.blocks_.empty()) {
+  const MonotonicTime now = loop_.GetClock().Now();
+  bool isNews = false;
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    answers_.push_back({ now, fingerprint });
+    isNews |= AddAnswer(record_, fingerprint, now);
+  }
+  while (answers_.size() > kMaxAnswers ||
+         (!answers_.empty() && now - answers_.front().at_ > kAnswerMemory)) {
+    answers_.pop_front();
+  }
+  if (isNews && onNews_) {
+    onNews_();
+  }
+}
+
+void
+CrashDetector::AddReported(const Crash& aCrash)
+{
+  if (!AddCrash(record_, aCrash, loop_.GetClock().Now())) {
     return;
   }
   bool isNews = false;
-  for (const Fingerprint& fingerprint : aFingerprints) {
-    isNews |= AddAnswer(record_, fingerprint, loop_.GetClock().Now());
+  for (const Answer& answer : answers_) {
+    isNews |= answer.at_ > aCrash.at_ &&
+              aCrash.sent_.count(answer.fingerprint_) != 0 &&
+              AddAnswer(record_, answer.fingerprint_, answer.at_);
   }
   if (isNews && onNews_) {
     onNews_();
--- a/src/edge/CrashDetector.h
+++ b/src/edge/CrashDetector.h
@@ -8,6 +8,7 @@
 #include "edge/CrashRecord.h"
 #include "edge/DecisionLog.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,9 @@
   void RemoveRun(std::uint64_t aRun, bool aIsLost);
   // A request was answered completely.
   void RecordAnswer(const std::vector<Fingerprint>& aFingerprints);
+  // Adds a crash that another instance has reported. Requests that were
+  // answered here in the meantime clear their fingerprints.
+  void AddReported(const Crash& aCrash);
   // Returns whether a server to which a connection broke has crashed, as far as
   // is known.
   bool MayHaveCrashed(const ServerId& aServer, Incarnation aIncarnation) const;
@@ -74,6 +78,12 @@
     std::uint64_t timer_ = 0;
   };
 
+  struct Answer
+  {
+    MonotonicTime at_;
+    Fingerprint fingerprint_;
+  };
+
   void RecordLost(const Run& aRun);
   bool IsInUse(const ServerId& aServer) const;
   void CheckUse(const std::shared_ptr<Probe>& aProbe, int aChecksLeft);
@@ -85,6 +95,8 @@
   DecisionLog& log_;
   std::function<void()> onNews_;
   std::map<std::uint64_t, Run> runs_;
+  // Complete answers of the last seconds, the oldest first.
+  std::deque<Answer> answers_;
   std::map<ServerId, std::shared_ptr<Probe>> probes_;
 };
 
--- a/src/edge/CrashReports.cpp
+++ b/src/edge/CrashReports.cpp
@@ -90,7 +90,7 @@
       crash.sent_[Fingerprint(report.fingerprints_[index])] =
         TimeBefore(now, report.sentAgesMs_[index]);
     }
-    AddCrash(record, crash, now);
+    aState.crashes_.AddReported(crash);
   }
   for (const FingerprintStatus& status : aFingerprints) {
     const Fingerprint fingerprint(status.fingerprint_);
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -105,6 +105,7 @@
   };
   state_.placementExchange_ = &placementExchange_;
   state_.reportSoon_ = [this] { reports_.ReportSoon(); };
+  state_.reportCrashes_ = [this] { reports_.ReportCrashes(); };
   state_.onPromptSent_ = [this](double aTokens) { reports_.NoteSent(aTokens); };
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -74,8 +74,8 @@
   {
     usage_.window_ = aBounds.usageWindow_;
     crashes_.OnNews([this] {
-      if (reportSoon_) {
-        reportSoon_();
+      if (reportCrashes_) {
+        reportCrashes_();
       }
     });
   }
@@ -133,6 +133,9 @@
   // Reports load, use of quotas and limits of servers to the others soon. May
   // be unset.
   std::function<void()> reportSoon_;
+  // Reports crashes of servers and what clears requests of them soon. May be
+  // unset.
+  std::function<void()> reportCrashes_;
   // Instances that share the request rates which servers name: all that run or
   // were running a short time ago, this one included. Empty while they are not
   // known.
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -40,10 +40,10 @@
 // while an instance is silent.
 constexpr std::size_t kMaxUnconfirmedReports = 128;
 // Time in which the answers that other instances have received are reported
-// here: with few instances two intervals, otherwise their report to a collector
-// and its digest.
+// here: with few instances two intervals, otherwise the digests that tell of
+// the crash and of the answer.
 constexpr Duration kMeshSettleTime = 2 * kReportInterval;
-constexpr Duration kCollectedSettleTime = kCollectorInterval;
+constexpr Duration kCollectedSettleTime = 2 * kCollectorInterval;
 // Age above which the slowness that a backend server reported is not forwarded.
 constexpr Duration kMaxSlownessAge = std::chrono::milliseconds(600);
 
@@ -137,7 +137,15 @@
 void
 ReportExchange::ReportSoon()
 {
-  if (loadTimer_ != 0 || !IsMesh()) {
+  if (IsMesh()) {
+    ScheduleLoadReport();
+  }
+}
+
+void
+ReportExchange::ScheduleLoadReport()
+{
+  if (loadTimer_ != 0) {
     return;
   }
   loadTimer_ = state_.loop_.CallAfter(kLoadReportDelay, [this] {
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -109,6 +109,9 @@
   // Reports load and use soon. Has no effect unless this is a mesh.
   void ReportSoon();
 
+  // Reports crashes of servers soon, in a mesh or to the collectors.
+  void ReportCrashes() { ScheduleLoadReport(); }
+
 private:
   // What this instance knows of another one.
   struct Peer
@@ -137,6 +140,7 @@
   };
 
   void Tick();
+  void ScheduleLoadReport();
   // Sends a report to all instances of a mesh, or to the collectors. With
   // aIsLoadOnly it carries the load of the servers but no counters.
   void Send(bool aIsLoadOnly);
--- /dev/null
+++ b/test/property/CrashReportsTest.cpp
@@ -0,0 +1,182 @@
+// Crashes that single instances see, known to 3 to 60 entry instances.
+
+#include "edge/CrashReports.h"
+#include "edge/ReportExchange.h"
+#include "runtime/EventLoop.h"
+#include "support/FakePeerNetwork.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace sycamoreward;
+using namespace sycamoreward::edge;
+
+namespace {
+
+// Time within which the platform expects all instances to know.
+constexpr double kContactSeconds = 3;
+const Fingerprint kDeadly(0xdead);
+const Fingerprint kShared(0x5a);
+
+struct Instance
+{
+  Instance(EventLoop& aLoop,
+           DecisionLog& aLog,
+           EdgeMetrics& aMetrics,
+           FakePeerHub& aHub,
+           const PeerIdentity& aSelf)
+    : state_(aLoop, WireCodec{}, SystemBounds{}, aLog, aMetrics, 1)
+    , network_(aHub, aSelf)
+  {
+    state_.self_ = aSelf.instance_;
+    reports_ = std::make_unique<ReportExchange>(state_, network_, aSelf, [] {
+      return SelfStatus{ true, false, {} };
+    });
+    state_.reportCrashes_ = [this] { reports_->ReportCrashes(); };
+  }
+
+  bool IsRefused(Fingerprint aFingerprint)
+  {
+    return BlockedFor(
+             state_.crashes_.record_,
+             { aFingerprint },
+             [](Fingerprint) { return false; },
+             state_.loop_.GetClock().Now())
+      .has_value();
+  }
+
+  EdgeState state_;
+  FakePeerNetwork network_;
+  std::unique_ptr<ReportExchange> reports_;
+};
+
+class Fleet
+{
+public:
+  explicit Fleet(std::size_t aCount)
+  {
+    clock_.Advance(std::chrono::hours(1));
+    for (std::size_t index = 0; index < aCount; ++index) {
+      PeerIdentity identity;
+      identity.instance_ = InstanceId("i" + std::to_string(index));
+      identity.incarnation_ = Incarnation(1);
+      identity.strength_ = 500 - index;
+      members_.push_back(identity);
+      instances_.push_back(nullptr);
+    }
+    for (std::size_t index = 0; index < aCount; ++index) {
+      Start(index);
+    }
+    Run(6);
+  }
+
+  void Start(std::size_t aIndex)
+  {
+    instances_[aIndex] = nullptr;
+    instances_[aIndex] =
+      std::make_unique<Instance>(loop_, log_, metrics_, hub_, members_[aIndex]);
+    instances_[aIndex]->reports_->SetMembers(members_);
+  }
+
+  void Run(double aSeconds)
+  {
+    for (double passed = 0; passed < aSeconds; passed += 0.01) {
+      clock_.Advance(std::chrono::milliseconds(10));
+      for (int round = 0; round < 3; ++round) {
+        loop_.RunReady();
+      }
+    }
+  }
+
+  // aInstance sees a crash under requests that were sent a moment ago.
+  void Crash(std::size_t aInstance,
+             int aServer,
+             const std::vector<Fingerprint>& aFingerprints)
+  {
+    edge::Crash crash;
+    crash.server_ = ServerId("server-" + std::to_string(aServer));
+    crash.at_ = clock_.Now();
+    for (const Fingerprint& fingerprint : aFingerprints) {
+      crash.sent_[fingerprint] = clock_.Now() - std::chrono::milliseconds(90);
+    }
+    AddCrash(
+      instances_[aInstance]->state_.crashes_.record_, crash, clock_.Now());
+  }
+
+  void Answer(std::size_t aInstance, Fingerprint aFingerprint)
+  {
+    instances_[aInstance]->state_.crashes_.RecordAnswer({ aFingerprint });
+  }
+
+  std::size_t CountRefusing(Fingerprint aFingerprint)
+  {
+    std::size_t count = 0;
+    for (const auto& instance : instances_) {
+      count += instance->IsRefused(aFingerprint) ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::vector<PeerIdentity> members_;
+
+private:
+  ManualClock clock_;
+  EventLoop loop_{ clock_ };
+  DecisionLogOptions logOptions_{ -1 };
+  DecisionLog log_{ loop_, logOptions_ };
+  EdgeMetrics metrics_;
+  FakePeerHub hub_{ loop_ };
+  std::vector<std::unique_ptr<Instance>> instances_;
+};
+
+} // namespace
+
+// Guards against instances that learn too late of crashes seen elsewhere. Each
+// crash is seen by another instance.
+Test(CrashReports, AllInstancesKnowInTime)
+{
+  for (const std::size_t count : { 3, 12, 60 }) {
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+      std::mt19937_64 random(seed);
+      Fleet fleet(count);
+      for (int server = 0; server < 3; ++server) {
+        fleet.Crash(random() % count, server, { kDeadly, kShared });
+        fleet.Run(0.3);
+        fleet.Answer(random() % count, kShared);
+        fleet.Run(0.2);
+      }
+      fleet.Run(kContactSeconds - 0.5);
+      cr_expect_eq(fleet.CountRefusing(kDeadly), count, "%zu", count);
+      cr_expect_eq(fleet.CountRefusing(kShared), 0, "%zu", count);
+      // An instance that has just started learns it before callers reach it.
+      fleet.members_[1].incarnation_ = Incarnation(2);
+      fleet.Start(1);
+      fleet.Run(kContactSeconds);
+      cr_expect_eq(fleet.CountRefusing(kDeadly), count, "%zu", count);
+    }
+  }
+}
+
+// Guards against blocks because of servers that crash in series for another
+// reason, beside a part that many requests have.
+Test(CrashReports, CrashesInSeriesBlockNothingThatIsAnsweredElsewhere)
+{
+  for (const std::size_t count : { 3, 12, 60 }) {
+    std::mt19937_64 random(4);
+    Fleet fleet(count);
+    for (int server = 0; server < 12; ++server) {
+      fleet.Crash(random() % count,
+                  server,
+                  { kShared, Fingerprint(std::uint64_t(1000 + server)) });
+      fleet.Run(0.1);
+      fleet.Answer(random() % count, kShared);
+      fleet.Run(0.7);
+    }
+    fleet.Run(kContactSeconds);
+    cr_expect_eq(fleet.CountRefusing(kShared), 0, "%zu", count);
+  }
+}
