Check for a block before each send

A request that waited for quota or a placer, or that a server had refused, was still sent after its fingerprint had been blocked. The check is repeated before a request is sent; one that may have run gets 502.

--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -213,6 +213,11 @@
 void
 RequestRun::Admit(const char* aCause)
 {
+  // It may be blocked since it arrived or was last sent.
+  if (RefuseIfBlocked()) {
+    NotifyPlacer(PlacementEvent::NotSent);
+    return;
+  }
   const PoolView& pool = state_.pools_[service_];
   const MonotonicTime now = state_.loop_.GetClock().Now();
   AdmissionQuery admission;
