Send a request that crashes servers in the soak

In every third run a request crashes the desks that run it, beside the other faults; once all instances have to know, at most three may reach servers.

--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -7,6 +7,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 #include <random>
@@ -25,6 +26,14 @@
 constexpr double kSettleSeconds = 8;
 // Time for a change of the deployment to be in force everywhere.
 constexpr double kApplySeconds = 3;
+// In every third run a request crashes the desks that run it. From this time
+// after the third crash and the last fault on, this number may reach them.
+constexpr std::uint64_t kDeadlySeedStep = 3;
+constexpr const char* kDeadlyBody = "the sheet that no desk survives";
+constexpr const char* kDeadlyPrefix = "deadly-";
+constexpr std::size_t kCrashesUntilKnown = 3;
+constexpr Duration kKnownTime = std::chrono::seconds(3);
+constexpr std::size_t kAllowedDeadly = 3;
 // Connections of callers to each instance that stay open.
 constexpr std::size_t kKeptConnections = 4;
 // Copies of the store, one made each second, to which it can return.
@@ -39,6 +48,8 @@
   int asked_ = 0;
   int served_ = 0;
   std::uint64_t version_ = 1;
+  // Whether a request crashes the desks that run it.
+  bool hasDeadlyRequest_ = false;
   std::vector<StoreStandIn::Copy> copies_;
   // Connections of callers that use them until the process is gone, by
   // instance.
@@ -87,6 +98,18 @@
   }
 }
 
+void
+SendDeadlyRequest(Soak& aSoak)
+{
+  PlatformFixture& fixture = aSoak.fixture_;
+  fixture.body_ = kDeadlyBody;
+  aSoak.runs_.push_back(
+    fixture.Ask(aSoak.RandomBelow(fixture.edges_.size()),
+                PlatformFixture::kRepeatable,
+                kDeadlyPrefix + std::to_string(aSoak.asked_++)));
+  fixture.body_.clear();
+}
+
 // Returns the store to a copy some seconds old. Operators and servers write
 // again what was lost.
 void
@@ -132,6 +155,9 @@
       return [link] { link->SetMode(LinkMode::Pass); };
     }
     case 4: {
+      if (fixture.backendLinks_.empty()) {
+        return [] {};
+      }
       auto link = fixture.backendLinks_.begin();
       std::advance(link, aSoak.RandomBelow(fixture.backendLinks_.size()));
       constexpr LinkMode kModes[] = { LinkMode::SilenceOpen, LinkMode::Cut };
@@ -211,9 +237,11 @@
     RecordViolation(
       aSoak, aRun, "ran " + std::to_string(runs.size()) + " times");
   }
+  const bool isDeadly = aRun.request_.rfind(kDeadlyPrefix, 0) == 0;
+  const std::string body = isDeadly ? kDeadlyBody : "body of " + aRun.request_;
   for (const auto& run : runs) {
     if (run.hasKey_ || run.workspace_ != "one" || run.target_ != path ||
-        run.body_ != "body of " + aRun.request_) {
+        run.body_ != body) {
       RecordViolation(aSoak, aRun, "reached a server changed");
     }
   }
@@ -251,6 +279,9 @@
         aSoak.copies_.erase(aSoak.copies_.begin());
       }
     }
+    if (aSoak.hasDeadlyRequest_ && aSoak.RandomBelow(20) == 0) {
+      SendDeadlyRequest(aSoak);
+    }
     // About one fault per second, each up to 3 s long, so that faults occur in
     // series and overlap.
     if (aSoak.RandomBelow(25) == 0) {
@@ -270,6 +301,36 @@
   fixture.store_.faults_ = {};
 }
 
+// Sends the request that crashes desks for kSettleSeconds after the faults, and
+// checks that the instances refuse it once all of them have to know.
+void
+CheckDeadlyRequest(Soak& aSoak)
+{
+  PlatformFixture& fixture = aSoak.fixture_;
+  const MonotonicTime faultsEnd = fixture.clock_.Now();
+  const MonotonicTime end =
+    faultsEnd + Duration(Duration::rep(kSettleSeconds * 1e6));
+  std::size_t before = 0;
+  while (fixture.clock_.Now() < end) {
+    SendDeadlyRequest(aSoak);
+    fixture.RunFor(0.25);
+    const auto crashes = fixture.Crashes();
+    const bool isKnown =
+      crashes.size() >= kCrashesUntilKnown &&
+      fixture.clock_.Now() >=
+        std::max(crashes[kCrashesUntilKnown - 1], faultsEnd) + kKnownTime;
+    if (!isKnown) {
+      before = fixture.CountRuns(kDeadlyPrefix);
+    }
+  }
+  const std::size_t after = fixture.CountRuns(kDeadlyPrefix) - before;
+  if (after > kAllowedDeadly) {
+    aSoak.violations_.push_back(
+      "a request that had crashed three servers reached servers " +
+      std::to_string(after) + " times more");
+  }
+}
+
 // Adds a route and checks that each instance serves it in time.
 void
 CheckLastChange(Soak& aSoak)
@@ -298,15 +359,26 @@
   options.engines_ = 3;
   options.desks_ = 3;
   options.events_ = kEvents;
-  options.hasBackendLinks_ = true;
+  // A link accepts connections although the server behind it has crashed.
+  const bool hasDeadly = aSeed % kDeadlySeedStep == 0;
+  options.hasBackendLinks_ = !hasDeadly;
   options.hasStoreLinks_ = true;
   PlatformFixture fixture(options);
-  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, {}, {} };
+  Soak soak{
+    fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, hasDeadly, {}, {}
+  };
+  if (hasDeadly) {
+    fixture.CrashServersOn("", kDeadlyBody);
+  }
   if (!fixture.WaitReady(kStartTimeoutSeconds)) {
     soak.violations_.emplace_back("the instances did not get ready");
   }
   RunFaults(soak, aSeconds);
-  fixture.RunFor(kSettleSeconds);
+  if (hasDeadly) {
+    CheckDeadlyRequest(soak);
+  } else {
+    fixture.RunFor(kSettleSeconds);
+  }
   const bool isBack = fixture.WaitReady(kStartTimeoutSeconds);
   if (!isBack) {
     soak.violations_.emplace_back(
