Keep a block lifted that other instances still report

Once one instance had an answer to a request with a blocked fingerprint, the block came back with the next report of another instance, and both kept it for each other until its end. A block that was decided before the last answer is ignored. CrashReports/AnAnswerLiftsABlockOnAllInstances failed before with 3, 12 and 60 instances.

--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -104,11 +104,12 @@
   return false;
 }
 
-// Whether the crashes until aEnd speak against aFingerprint.
+// Whether enough crashes until aEnd are with aFingerprint and not explained by
+// another one.
 bool
-IsGuilty(const CrashRecord& aRecord,
-         Fingerprint aFingerprint,
-         MonotonicTime aEnd)
+ShouldBlock(const CrashRecord& aRecord,
+            Fingerprint aFingerprint,
+            MonotonicTime aEnd)
 {
   return CountUntil(aRecord, aFingerprint, aEnd) >= kCrashesUntilBlock &&
          !IsExplained(aRecord, aFingerprint);
@@ -129,7 +130,10 @@
       std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
         return aCrash.sent_.count(entry->first) != 0;
       });
-    entry = isReferred ? std::next(entry) : answered.erase(entry);
+    // An answer is also needed while other instances can report a block that it
+    // has lifted.
+    const bool isKept = isReferred || aNow - entry->second <= kMemory;
+    entry = isKept ? std::next(entry) : answered.erase(entry);
   }
   auto& blocks = aRecord.blocks_;
   for (auto entry = blocks.begin(); entry != blocks.end();) {
@@ -198,7 +202,7 @@
     }
   }
   const bool isLifted = isLatest && aRecord.blocks_.erase(aFingerprint) != 0;
-  if (isCleared) {
+  if (isCleared || isLifted) {
     aRecord.answered_[aFingerprint] = aTime;
   }
   return isCleared || isLifted;
@@ -207,8 +211,11 @@
 void
 AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock)
 {
-  if (aRecord.blocks_.count(aFingerprint) == 0 &&
-      aRecord.blocks_.size() >= kMaxBlocks) {
+  const bool isLifted =
+    LastAnswer(aRecord, aFingerprint) > aBlock.until_ - aBlock.length_;
+  const bool isFull = aRecord.blocks_.count(aFingerprint) == 0 &&
+                      aRecord.blocks_.size() >= kMaxBlocks;
+  if (isLifted || isFull) {
     return;
   }
   Block& block = aRecord.blocks_[aFingerprint];
@@ -247,7 +254,7 @@
         continue;
       }
       if (aRecord.blocks_.size() < kMaxBlocks &&
-          IsGuilty(aRecord, fingerprint, settled)) {
+          ShouldBlock(aRecord, fingerprint, settled)) {
         aRecord.blocks_[fingerprint] = { aNow + kFirstBlock,
                                          kFirstBlock,
                                          false };
@@ -271,7 +278,7 @@
   for (const Fingerprint& fingerprint : aFingerprints) {
     const auto block = aRecord.blocks_.find(fingerprint);
     if (block == aRecord.blocks_.end()) {
-      if (IsGuilty(aRecord, fingerprint, aNow)) {
+      if (ShouldBlock(aRecord, fingerprint, aNow)) {
         atLeast(kUnsettledWait);
       }
     } else if (aNow < block->second.until_) {
--- a/src/edge/CrashRecord.h
+++ b/src/edge/CrashRecord.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Requests that crash every server which runs them ("queries of death"), found
-// by what the requests on crashed servers have in common. The evidence is a set
+// Finds requests that crash every server which runs them by what the requests
+// on crashed servers have in common. The evidence is a set
 // of crashes and of complete answers, so that what several instances have seen
 // can be merged in any order.
 
@@ -47,7 +47,7 @@
   // By time of the crash.
   std::deque<Crash> crashes_;
   // When a request with the fingerprint was last answered completely. Only for
-  // fingerprints of crashes.
+  // fingerprints of crashes and of blocks that were lifted.
   std::map<Fingerprint, MonotonicTime> answered_;
   std::map<Fingerprint, Block> blocks_;
 };
@@ -75,7 +75,8 @@
 bool
 AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime);
 
-// Adds a block that another instance has decided, or prolongs one.
+// Adds a block that another instance has decided, or prolongs one. Has no
+// effect if the fingerprint was answered since the decision.
 void
 AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock);
 
@@ -85,7 +86,7 @@
 std::size_t
 CountCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint);
 
-// Blocks the fingerprints that the settled evidence speaks against, and drops
+// Blocks the fingerprints with enough crashes before the settle time, and drops
 // what is too old. A fingerprint is not blocked if another one was there at
 // each of its crashes and at more. Returns the fingerprints that are blocked
 // anew.
--- a/test/property/CrashReportsTest.cpp
+++ b/test/property/CrashReportsTest.cpp
@@ -19,7 +19,7 @@
 
 // Time within which the platform expects all instances to know.
 constexpr double kContactSeconds = 3;
-const Fingerprint kDeadly(0xdead);
+const Fingerprint kCrashing(0xdead);
 const Fingerprint kShared(0x5a);
 
 struct Instance
@@ -144,23 +144,41 @@
       std::mt19937_64 random(seed);
       Fleet fleet(count);
       for (int server = 0; server < 3; ++server) {
-        fleet.Crash(random() % count, server, { kDeadly, kShared });
+        fleet.Crash(random() % count, server, { kCrashing, kShared });
         fleet.Run(0.3);
         fleet.Answer(random() % count, kShared);
         fleet.Run(0.2);
       }
       fleet.Run(kContactSeconds - 0.5);
-      cr_expect_eq(fleet.CountRefusing(kDeadly), count, "%zu", count);
+      cr_expect_eq(fleet.CountRefusing(kCrashing), count, "%zu", count);
       cr_expect_eq(fleet.CountRefusing(kShared), 0, "%zu", count);
       // An instance that has just started learns it before callers reach it.
       fleet.members_[1].incarnation_ = Incarnation(2);
       fleet.Start(1);
       fleet.Run(kContactSeconds);
-      cr_expect_eq(fleet.CountRefusing(kDeadly), count, "%zu", count);
+      cr_expect_eq(fleet.CountRefusing(kCrashing), count, "%zu", count);
     }
   }
 }
 
+// Guards against instances that tell each other of a block that one of them has
+// lifted.
+Test(CrashReports, AnAnswerLiftsABlockOnAllInstances)
+{
+  for (const std::size_t count : { 3, 12, 60 }) {
+    Fleet fleet(count);
+    for (int server = 0; server < 3; ++server) {
+      fleet.Crash(std::size_t(server), server, { kCrashing });
+      fleet.Run(0.5);
+    }
+    fleet.Run(2 * kContactSeconds);
+    cr_assert_eq(fleet.CountRefusing(kCrashing), count, "%zu", count);
+    fleet.Answer(1, kCrashing);
+    fleet.Run(2 * kContactSeconds);
+    cr_expect_eq(fleet.CountRefusing(kCrashing), 0, "%zu", count);
+  }
+}
+
 // Guards against blocks because of servers that crash in series for another
 // reason, beside a part that many requests have.
 Test(CrashReports, CrashesInSeriesBlockNothingThatIsAnsweredElsewhere)
