--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -51,7 +51,7 @@
 }
 
 bool
-BackendStandIn::IsDeadly(const http::CallerExchange& aExchange) const
+BackendStandIn::IsCrashing(const http::CallerExchange& aExchange) const
 {
   const bool hasPart =
     !crashPart_.empty() &&
@@ -214,8 +214,8 @@
     default:
       break;
   }
-  const bool isDeadly = IsDeadly(*aExchange);
-  loop_.CallAfter(firstDelay_, [this, aExchange, index, aFault, isDeadly] {
+  const bool isCrashing = IsCrashing(*aExchange);
+  loop_.CallAfter(firstDelay_, [this, aExchange, index, aFault, isCrashing] {
     http::ResponseHead head;
     head.status_ = 200;
     head.reason_ = "OK";
@@ -231,7 +231,7 @@
       const int first = last.empty() ? 1 : std::stoi(last) + 1;
       const std::string text = StreamText(runs_[index].request_, first, aFault);
       aExchange->Start(std::move(head), { framing_, text.size() });
-      if (isDeadly) {
+      if (isCrashing) {
         loop_.CallAfter(options_.eventDelay_, [this] { Crash(); });
         return;
       }
@@ -246,7 +246,7 @@
       return;
     }
     const std::string body = AnswerBody(runs_[index].request_, 0);
-    if (isDeadly) {
+    if (isCrashing) {
       Crash();
       return;
     }
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -122,7 +122,7 @@
                  int aNext,
                  BackendFault aFault);
   // Whether the request crashes the server.
-  bool IsDeadly(const http::CallerExchange& aExchange) const;
+  bool IsCrashing(const http::CallerExchange& aExchange) const;
   void Crash();
   void Listen(const Address& aAddress);
   void AnswerFailure(http::CallerExchange& aExchange, int aStatus, bool aIsRun);
--- a/test/correctness/CrashRecordTest.cpp
+++ b/test/correctness/CrashRecordTest.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration kSecond = std::chrono::seconds(1);
-const Fingerprint kDeadly(0xd);
+const Fingerprint kCrashing(0xd);
 const Fingerprint kShared(0x5);
 
 MonotonicTime
@@ -57,7 +57,8 @@
 {
   CrashRecord record;
   for (const int server : { 1, 2, 3 }) {
-    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+    AddCrash(
+      record, CrashOf(server, server, { kCrashing, kShared }), At(server));
     AddAnswer(record, kShared, At(server + 0.2));
   }
   UpdateBlocks(record, At(4));
@@ -70,17 +71,18 @@
 {
   CrashRecord record;
   for (const int server : { 1, 2, 3 }) {
-    cr_expect_not(IsBlocked(record, kDeadly, server));
-    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+    cr_expect_not(IsBlocked(record, kCrashing, server));
+    AddCrash(
+      record, CrashOf(server, server, { kCrashing, kShared }), At(server));
     AddAnswer(record, kShared, At(server + 0.2));
   }
   // Refused at once, and blocked when the evidence has settled.
-  cr_expect(IsBlocked(record, kDeadly, 3));
+  cr_expect(IsBlocked(record, kCrashing, 3));
   cr_expect(UpdateBlocks(record, At(3.1)).empty());
   const auto blocked = UpdateBlocks(record, At(4));
   cr_assert_eq(blocked.size(), 1);
-  cr_expect_eq(blocked[0], kDeadly);
-  cr_expect(IsBlocked(record, kDeadly, 100));
+  cr_expect_eq(blocked[0], kCrashing);
+  cr_expect(IsBlocked(record, kCrashing, 100));
   cr_expect_not(IsBlocked(record, kShared, 4));
 }
 
@@ -90,12 +92,13 @@
 {
   CrashRecord record;
   for (const int server : { 1, 2, 3 }) {
-    AddCrash(record, CrashOf(server, server, { kDeadly, kShared }), At(server));
+    AddCrash(
+      record, CrashOf(server, server, { kCrashing, kShared }), At(server));
   }
-  AddCrash(record, CrashOf(4, 3.1, { kDeadly }), At(3.1));
+  AddCrash(record, CrashOf(4, 3.1, { kCrashing }), At(3.1));
   const auto blocked = UpdateBlocks(record, At(4));
   cr_assert_eq(blocked.size(), 1);
-  cr_expect_eq(blocked[0], kDeadly);
+  cr_expect_eq(blocked[0], kCrashing);
   cr_expect_not(IsBlocked(record, kShared, 4));
 }
 
@@ -107,25 +110,26 @@
   const Fingerprint request =
     RequestFingerprint(http::RequestHead(), "body", "host", "workspace");
   for (const int server : { 1, 2, 3 }) {
-    AddCrash(record, CrashOf(server, server, { kDeadly, request }), At(server));
+    AddCrash(
+      record, CrashOf(server, server, { kCrashing, request }), At(server));
   }
   const auto blocked = UpdateBlocks(record, At(4));
   cr_assert_eq(blocked.size(), 1);
   cr_expect_eq(blocked[0], request);
   // Another request with the part shows that it is the part.
-  AddCrash(record, CrashOf(4, 4.5, { kDeadly }), At(4.5));
+  AddCrash(record, CrashOf(4, 4.5, { kCrashing }), At(4.5));
   const auto next = UpdateBlocks(record, At(5));
   cr_assert_eq(next.size(), 1);
-  cr_expect_eq(next[0], kDeadly);
+  cr_expect_eq(next[0], kCrashing);
 }
 
 Test(CrashRecord, AnAnswerToARequestThatWasInProgressLiftsABlock)
 {
   CrashRecord record = BlockedRecord();
-  cr_expect_not(AddAnswer(record, kDeadly, At(0.5)));
-  cr_expect(IsBlocked(record, kDeadly, 5));
-  cr_expect(AddAnswer(record, kDeadly, At(5)));
-  cr_expect_not(IsBlocked(record, kDeadly, 5));
+  cr_expect_not(AddAnswer(record, kCrashing, At(0.5)));
+  cr_expect(IsBlocked(record, kCrashing, 5));
+  cr_expect(AddAnswer(record, kCrashing, At(5)));
+  cr_expect_not(IsBlocked(record, kCrashing, 5));
   cr_expect(UpdateBlocks(record, At(6)).empty());
 }
 
@@ -143,47 +147,48 @@
 Test(CrashRecord, ReportsThatComeTwiceOrLateCountOnce)
 {
   CrashRecord record;
-  cr_expect(AddCrash(record, CrashOf(2, 2, { kDeadly }), At(2)));
-  cr_expect(AddCrash(record, CrashOf(1, 1, { kDeadly }), At(3)));
-  cr_expect_not(AddCrash(record, CrashOf(1, 1.1, { kDeadly }), At(3)));
+  cr_expect(AddCrash(record, CrashOf(2, 2, { kCrashing }), At(2)));
+  cr_expect(AddCrash(record, CrashOf(1, 1, { kCrashing }), At(3)));
+  cr_expect_not(AddCrash(record, CrashOf(1, 1.1, { kCrashing }), At(3)));
   cr_expect(AddCrash(record, CrashOf(1, 1.1, { kShared }), At(3)));
-  cr_expect_eq(CountCrashes(record, kDeadly), 2);
-  AddAnswer(record, kDeadly, At(1.5));
-  cr_expect_eq(CountCrashes(record, kDeadly), 1);
+  cr_expect_eq(CountCrashes(record, kCrashing), 2);
+  AddAnswer(record, kCrashing, At(1.5));
+  cr_expect_eq(CountCrashes(record, kCrashing), 1);
 }
 
 Test(CrashRecord, OneInstanceTriesOnceAfterABlockAndTheNextBlockIsLonger)
 {
   CrashRecord record = BlockedRecord();
-  const auto block = record.blocks_[kDeadly];
+  const auto block = record.blocks_[kCrashing];
   const double end = 4 + std::chrono::duration<double>(block.length_).count();
-  cr_expect(IsBlocked(record, kDeadly, end - 1));
-  cr_expect_not(IsBlocked(record, kDeadly, end + 1));
+  cr_expect(IsBlocked(record, kCrashing, end - 1));
+  cr_expect_not(IsBlocked(record, kCrashing, end + 1));
   cr_expect(
     BlockedFor(
-      record, { kDeadly }, [](Fingerprint) { return false; }, At(end + 1))
+      record, { kCrashing }, [](Fingerprint) { return false; }, At(end + 1))
       .has_value());
-  RecordTry(record, { kDeadly });
-  cr_expect(IsBlocked(record, kDeadly, end + 1));
+  RecordTry(record, { kCrashing });
+  cr_expect(IsBlocked(record, kCrashing, end + 1));
   CrashRecord answered = record;
-  AddCrash(record, CrashOf(9, end + 2, { kDeadly }), At(end + 2));
+  AddCrash(record, CrashOf(9, end + 2, { kCrashing }), At(end + 2));
   cr_expect_eq(UpdateBlocks(record, At(end + 3)).size(), 1);
-  cr_expect_eq(record.blocks_[kDeadly].length_, 2 * block.length_);
-  cr_expect(IsBlocked(record, kDeadly, end + 100));
+  cr_expect_eq(record.blocks_[kCrashing].length_, 2 * block.length_);
+  cr_expect(IsBlocked(record, kCrashing, end + 100));
   // A complete answer lifts the block.
-  cr_expect(AddAnswer(answered, kDeadly, At(end + 2)));
+  cr_expect(AddAnswer(answered, kCrashing, At(end + 2)));
   cr_expect(UpdateBlocks(answered, At(end + 3)).empty());
-  cr_expect_not(IsBlocked(answered, kDeadly, end + 3));
+  cr_expect_not(IsBlocked(answered, kCrashing, end + 3));
 }
 
 Test(CrashRecord, ABlockThatNobodyTriesIsForgotten)
 {
   CrashRecord record = BlockedRecord();
   const double end =
-    4 + std::chrono::duration<double>(record.blocks_[kDeadly].length_).count();
+    4 +
+    std::chrono::duration<double>(record.blocks_[kCrashing].length_).count();
   cr_expect(UpdateBlocks(record, At(end + 61)).empty());
   cr_expect(record.blocks_.empty());
-  cr_expect_not(IsBlocked(record, kDeadly, end + 62));
+  cr_expect_not(IsBlocked(record, kCrashing, end + 62));
 }
 
 Test(CrashRecord, MemoryIsBounded)
@@ -227,5 +232,5 @@
     cr_expect_not(DecodeBlock(odd, At(1), wall).has_value(), "%s", odd);
   }
   cr_expect_not(ParseFingerprint("x").has_value());
-  cr_expect_eq(*ParseFingerprint(ToText({ kDeadly })), kDeadly);
+  cr_expect_eq(*ParseFingerprint(ToText({ kCrashing })), kCrashing);
 }
--- a/test/failure/CrashingRequestTest.cpp
+++ b/test/failure/CrashingRequestTest.cpp
@@ -38,11 +38,11 @@
       crashes.size() >= crash_ &&
       world_.clock_.Now() - crashes[crash_ - 1] >= kContactTime;
     if (!isDue) {
-      before_ = world_.CountRuns("deadly");
+      before_ = world_.CountRuns("crashing");
     }
   }
 
-  std::size_t Count() const { return world_.CountRuns("deadly") - before_; }
+  std::size_t Count() const { return world_.CountRuns("crashing") - before_; }
 
 private:
   const PlatformFixture& world_;
@@ -61,7 +61,7 @@
   cr_assert(world.WaitReady(kStartTimeoutSeconds));
   world.CrashServersOn("dead1", "");
   RunsAfterCrash runs(world, 5);
-  std::vector<std::shared_ptr<CallerRun>> deadly;
+  std::vector<std::shared_ptr<CallerRun>> crashing;
   std::vector<std::shared_ptr<CallerRun>> sound;
   for (int index = 0; index < 240; ++index) {
     const std::string id = std::to_string(index);
@@ -71,18 +71,19 @@
       world.Ask(edge, PlatformFixture::kResumable, "sound-" + id));
     if (index % 3 == 0) {
       world.parts_ = "5a:10,dead1:6,b" + id + ":4";
-      deadly.push_back(
-        world.Ask(edge, PlatformFixture::kResumable, "deadly-" + id));
+      crashing.push_back(
+        world.Ask(edge, PlatformFixture::kResumable, "crashing-" + id));
     }
     world.RunFor(kPauseSeconds);
     runs.Update();
   }
   world.RunFor(1);
   cr_expect_leq(runs.Count(), kAllowedAfterwards, "%zu", runs.Count());
-  for (std::size_t index = deadly.size() - 20; index < deadly.size(); ++index) {
-    cr_expect_eq(deadly[index]->status_, 503);
-    cr_expect_neq(deadly[index]->body_.find("not_run"), std::string::npos);
-    cr_expect_gt(std::atof(deadly[index]->retryAfter_.c_str()), 1);
+  for (std::size_t index = crashing.size() - 20; index < crashing.size();
+       ++index) {
+    cr_expect_eq(crashing[index]->status_, 503);
+    cr_expect_neq(crashing[index]->body_.find("not_run"), std::string::npos);
+    cr_expect_gt(std::atof(crashing[index]->retryAfter_.c_str()), 1);
   }
   // Sound requests share the caller and the first part.
   for (std::size_t index = sound.size() - 60; index < sound.size(); ++index) {
@@ -98,9 +99,9 @@
   options.desks_ = 3;
   PlatformFixture world(options);
   cr_assert(world.WaitReady(kStartTimeoutSeconds));
-  world.CrashServersOn("", "the sheet that no desk survives");
+  world.CrashServersOn("", "a sheet that crashes desks");
   RunsAfterCrash runs(world, 3);
-  std::vector<std::shared_ptr<CallerRun>> deadly;
+  std::vector<std::shared_ptr<CallerRun>> crashing;
   std::vector<std::shared_ptr<CallerRun>> sound;
   for (int index = 0; index < 240; ++index) {
     const std::string id = std::to_string(index);
@@ -111,19 +112,20 @@
                                              : PlatformFixture::kRepeatable,
                               "sound-" + id));
     if (index % 8 == 0) {
-      world.body_ = "the sheet that no desk survives";
-      deadly.push_back(
-        world.Ask(edge, PlatformFixture::kRepeatable, "deadly-" + id));
+      world.body_ = "a sheet that crashes desks";
+      crashing.push_back(
+        world.Ask(edge, PlatformFixture::kRepeatable, "crashing-" + id));
     }
     world.RunFor(kPauseSeconds);
     runs.Update();
   }
   world.RunFor(1);
   cr_expect_leq(runs.Count(), kAllowedAfterwards, "%zu", runs.Count());
-  for (std::size_t index = deadly.size() - 8; index < deadly.size(); ++index) {
-    cr_expect_eq(deadly[index]->status_, 503);
-    cr_expect_neq(deadly[index]->body_.find("not_run"), std::string::npos);
-    cr_expect_gt(std::atof(deadly[index]->retryAfter_.c_str()), 1);
+  for (std::size_t index = crashing.size() - 8; index < crashing.size();
+       ++index) {
+    cr_expect_eq(crashing[index]->status_, 503);
+    cr_expect_neq(crashing[index]->body_.find("not_run"), std::string::npos);
+    cr_expect_gt(std::atof(crashing[index]->retryAfter_.c_str()), 1);
   }
   for (std::size_t index = sound.size() - 60; index < sound.size(); ++index) {
     cr_expect_eq(sound[index]->status_, 200, "%s", sound[index]->body_.c_str());
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -28,12 +28,12 @@
 constexpr double kApplySeconds = 3;
 // In every third run a request crashes the desks that run it. From this time
 // after the third crash and the last fault on, this number may reach them.
-constexpr std::uint64_t kDeadlySeedStep = 3;
-constexpr const char* kDeadlyBody = "the sheet that no desk survives";
-constexpr const char* kDeadlyPrefix = "deadly-";
+constexpr std::uint64_t kCrashingSeedStep = 3;
+constexpr const char* kCrashingBody = "a sheet that crashes desks";
+constexpr const char* kCrashingPrefix = "crashing-";
 constexpr std::size_t kCrashesUntilKnown = 3;
 constexpr Duration kKnownTime = std::chrono::seconds(3);
-constexpr std::size_t kAllowedDeadly = 3;
+constexpr std::size_t kAllowedCrashing = 3;
 // Connections of callers to each instance that stay open.
 constexpr std::size_t kKeptConnections = 4;
 // Copies of the store, one made each second, to which it can return.
@@ -49,7 +49,7 @@
   int served_ = 0;
   std::uint64_t version_ = 1;
   // Whether a request crashes the desks that run it.
-  bool hasDeadlyRequest_ = false;
+  bool hasCrashingRequest_ = false;
   std::vector<StoreStandIn::Copy> copies_;
   // Connections of callers that use them until the process is gone, by
   // instance.
@@ -99,14 +99,14 @@
 }
 
 void
-SendDeadlyRequest(Soak& aSoak)
+SendCrashingRequest(Soak& aSoak)
 {
   PlatformFixture& fixture = aSoak.fixture_;
-  fixture.body_ = kDeadlyBody;
+  fixture.body_ = kCrashingBody;
   aSoak.runs_.push_back(
     fixture.Ask(aSoak.RandomBelow(fixture.edges_.size()),
                 PlatformFixture::kRepeatable,
-                kDeadlyPrefix + std::to_string(aSoak.asked_++)));
+                kCrashingPrefix + std::to_string(aSoak.asked_++)));
   fixture.body_.clear();
 }
 
@@ -237,8 +237,9 @@
     RecordViolation(
       aSoak, aRun, "ran " + std::to_string(runs.size()) + " times");
   }
-  const bool isDeadly = aRun.request_.rfind(kDeadlyPrefix, 0) == 0;
-  const std::string body = isDeadly ? kDeadlyBody : "body of " + aRun.request_;
+  const bool isCrashing = aRun.request_.rfind(kCrashingPrefix, 0) == 0;
+  const std::string body =
+    isCrashing ? kCrashingBody : "body of " + aRun.request_;
   for (const auto& run : runs) {
     if (run.hasKey_ || run.workspace_ != "one" || run.target_ != path ||
         run.body_ != body) {
@@ -279,8 +280,8 @@
         aSoak.copies_.erase(aSoak.copies_.begin());
       }
     }
-    if (aSoak.hasDeadlyRequest_ && aSoak.RandomBelow(20) == 0) {
-      SendDeadlyRequest(aSoak);
+    if (aSoak.hasCrashingRequest_ && aSoak.RandomBelow(20) == 0) {
+      SendCrashingRequest(aSoak);
     }
     // About one fault per second, each up to 3 s long, so that faults occur in
     // series and overlap.
@@ -304,7 +305,7 @@
 // Sends the request that crashes desks for kSettleSeconds after the faults, and
 // checks that the instances refuse it once all of them have to know.
 void
-CheckDeadlyRequest(Soak& aSoak)
+CheckCrashingRequest(Soak& aSoak)
 {
   PlatformFixture& fixture = aSoak.fixture_;
   const MonotonicTime faultsEnd = fixture.clock_.Now();
@@ -312,7 +313,7 @@
     faultsEnd + Duration(Duration::rep(kSettleSeconds * 1e6));
   std::size_t before = 0;
   while (fixture.clock_.Now() < end) {
-    SendDeadlyRequest(aSoak);
+    SendCrashingRequest(aSoak);
     fixture.RunFor(0.25);
     const auto crashes = fixture.Crashes();
     const bool isKnown =
@@ -320,11 +321,11 @@
       fixture.clock_.Now() >=
         std::max(crashes[kCrashesUntilKnown - 1], faultsEnd) + kKnownTime;
     if (!isKnown) {
-      before = fixture.CountRuns(kDeadlyPrefix);
+      before = fixture.CountRuns(kCrashingPrefix);
     }
   }
-  const std::size_t after = fixture.CountRuns(kDeadlyPrefix) - before;
-  if (after > kAllowedDeadly) {
+  const std::size_t after = fixture.CountRuns(kCrashingPrefix) - before;
+  if (after > kAllowedCrashing) {
     aSoak.violations_.push_back(
       "a request that had crashed three servers reached servers " +
       std::to_string(after) + " times more");
@@ -360,22 +361,21 @@
   options.desks_ = 3;
   options.events_ = kEvents;
   // A link accepts connections although the server behind it has crashed.
-  const bool hasDeadly = aSeed % kDeadlySeedStep == 0;
-  options.hasBackendLinks_ = !hasDeadly;
+  const bool hasCrashing = aSeed % kCrashingSeedStep == 0;
+  options.hasBackendLinks_ = !hasCrashing;
   options.hasStoreLinks_ = true;
   PlatformFixture fixture(options);
-  Soak soak{
-    fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, hasDeadly, {}, {}
-  };
-  if (hasDeadly) {
-    fixture.CrashServersOn("", kDeadlyBody);
+  Soak soak{ fixture, std::mt19937_64(aSeed), {}, {}, 0, 0, 1, hasCrashing, {},
+             {} };
+  if (hasCrashing) {
+    fixture.CrashServersOn("", kCrashingBody);
   }
   if (!fixture.WaitReady(kStartTimeoutSeconds)) {
     soak.violations_.emplace_back("the instances did not get ready");
   }
   RunFaults(soak, aSeconds);
-  if (hasDeadly) {
-    CheckDeadlyRequest(soak);
+  if (hasCrashing) {
+    CheckCrashingRequest(soak);
   } else {
     fixture.RunFor(kSettleSeconds);
   }
