Review: requests to engines that have said that they leave

Cause: answers with Server-Leaving are passed on but not read, so while the store is down new requests go to engines that are about to end.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -106,6 +106,8 @@
         self.changed = asyncio.Event()
         self.begin = time.monotonic()
         self.servers = []
+        # While the store is down it answers 503: nothing was done.
+        self.down = False
 
     async def listen(self, port):
         self.servers.append(
@@ -156,6 +158,8 @@
         path, _, query = target.partition("?")
         args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         await asyncio.sleep(0.004)
+        if self.down:
+            return 503, {}
         if path == "/sycamoreward/rows-get":
             return 200, self.read(args)
         if path == "/sycamoreward/rows-feed":
@@ -182,6 +186,8 @@
             since = int(args["since-revision"])
             if since > self.version:
                 return 410, {}
+            if self.down:
+                return 503, {}
             keys = sorted((row[0], key) for (table, key), row
                           in self.rows.items()
                           if table == args["table"] and row[0] > since)
