Review: usage of a window reported twice after a return from a copy

Cause: a process that makes its first call about the duties after the store has come back from a copy does not notice the change of the era, and reports windows that were reported before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,119 +1,141 @@
-"""SIGTERM of a process while callers on slow links read long answers."""
+"""A zone loses power and the store comes back from a copy, soon after a machine
+of another zone was restarted as planned."""
 
 import asyncio
+import json
 import os
 import signal
-import socket
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
 import world as w  # noqa: E402
 
-CALLERS = 12
-# Bytes of an answer; of different lengths, for kernels that hold more or less.
-ANSWERS = [1_000_000, 1_200_000, 1_400_000, 1_600_000]
-# A caller's link carries 1.6 Mbit/s.
-BYTES_PER_SECOND = 200_000
-STEP = 4096
-LIMIT_MS = 20_000
+WINDOW_S = 5
+# As in the site file: three machines in the first zone, two in the second and
+# one in the third.
+EDGES = [w.ZONES[0]] * 3 + [w.ZONES[1]] * 2 + [w.ZONES[2]]
+RESTARTED = 3
+AWAY_S = 1.0
 
 
 async def desk(engine, head, body, writer):
-    """Runs the request for 30 ms and answers it in one piece."""
     name = head.get("X-Request-Id")
     engine.world.record.line(f"{engine.name} runs {name}")
-    await asyncio.sleep(0.03)
-    content = name.encode().ljust(
-        ANSWERS[int(name.split("-")[1]) % len(ANSWERS)], b".")
+    await asyncio.sleep(0.01)
     writer.write(w.answer(200, "OK", [
         ("X-Request-Id", name),
         ("X-Response-Signature", engine.signature(name)),
-        ("X-Backend-Load", engine.load()),
-        ("Content-Type", "text/plain")], content))
-    # Returns when the machine has taken all but the last bytes.
-    writer.transport.set_write_buffer_limits(high=0)
+        ("X-Backend-Load", engine.load())], name.encode()))
     await writer.drain()
-    engine.world.record.line(f"{engine.name} has handed over all of {name}")
-
-
-class Caller:
-    def __init__(self, world, edge, name):
-        self.world = world
-        self.edge = edge
-        self.name = name
-        self.body = b""
-        self.status = ""
-        self.outcome = "no answer"
-
-    async def open(self):
-        plain = socket.socket()
-        # As on a network: packets of usual size, a small receive buffer.
-        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
-        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-        plain.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(
-            plain, ("127.0.0.1", self.edge.callers))
-        self.reader, self.writer = await asyncio.open_connection(
-            sock=plain, limit=STEP)
-
-    async def ask(self):
-        sent = time.monotonic()
-        self.writer.write(w.request("POST", "/cert-issue/2f", self.name,
-                                    LIMIT_MS, b"certificate"))
-        self.world.record.line(f"{self.name} is sent")
-        head = await w.read_head(self.reader)
-        if head is None:
-            self.outcome = "closed without an answer"
-            return
-        self.status = head.first.split(" ", 1)[1]
-        length = int(head.get("Content-Length", "-1"))
-        started = time.monotonic()
-        try:
-            while len(self.body) < length:
-                data = await self.reader.read(STEP)
-                if not data:
-                    break
-                self.body += data
-                due = started + len(self.body) / BYTES_PER_SECOND
-                await asyncio.sleep(max(0, due - time.monotonic()))
-        except ConnectionError as error:
-            self.world.record.line(f"{self.name}: {error!r}")
-        isWhole = len(self.body) == length
-        self.outcome = "whole" if isWhole else (
-            f"cut after {len(self.body)} of {length} bytes")
-        self.world.record.line(
-            f"{self.name} got {self.status}, {self.outcome}, "
-            f"{time.monotonic() - sent:.2f} s after it was sent")
+
+
+async def ask(world, edge, name):
+    outcome = "no answer"
+    try:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", edge.callers)
+        writer.write(w.request("GET", "/sheet-lookup/2f", name, 1500,
+                               fields=[("Connection", "close")]))
+        head = await w.read_head(reader)
+        if head is not None:
+            outcome = head.first.split(" ", 1)[1]
+        writer.close()
+    except OSError:
+        outcome = "no channel"
+    world.record.line(f"{name} at {edge.name}: {outcome}")
+
+
+def window():
+    return int(time.time() // WINDOW_S)
+
+
+async def until_offset(seconds):
+    """Waits for a time in the current window."""
+    await asyncio.sleep(max(0, window() * WINDOW_S + seconds - time.time()))
+
+
+async def traffic(world):
+    """Twelve requests a second at each machine that takes callers."""
+    number = 0
+    world.asked = set()
+    while True:
+        for edge in world.edges:
+            if edge.takesCallers:
+                task = asyncio.create_task(
+                    ask(world, edge, f"request-{number}"))
+                world.asked.add(task)
+                task.add_done_callback(world.asked.discard)
+                number += 1
+        await asyncio.sleep(1 / 12)
 
 
 async def case(world, trouble):
     world.engines = [w.Engine(world, f"i-desk-{i}", "wuno96b", w.ZONES[i],
                               desk) for i in range(3)]
-    await world.start(2, w.manifest(
-        [w.route("cert-issue", "non_idempotent", "wuno96b",
-                 **{"timeout-ms": LIMIT_MS, "slo-ms": 10_000})],
+    content = w.manifest(
+        [w.route("sheet-lookup", "idempotent", "wuno96b",
+                 **{"timeout-ms": 800, "max-attempts": 2, "slo-ms": 150})],
         [{"name": "wuno96b", "health-path": "/healthz",
-          "max-connections": 96, "protocol": "h1", "tls": False}]))
+          "max-connections": 96, "protocol": "h1", "tls": False}])
+    await world.start(EDGES, content)
+    for edge in world.edges:
+        edge.takesCallers = True
     await world.wait_ready()
-    await asyncio.sleep(4)
-    callers = [Caller(world, world.edges[0], f"request-{i}")
-               for i in range(CALLERS)]
-    for caller in callers:
-        await caller.open()
-    tasks = [asyncio.create_task(caller.ask()) for caller in callers]
-    await asyncio.sleep(1)
-    if trouble:
-        world.edges[0].signal(signal.SIGTERM)
-        stopped = time.monotonic()
-    await asyncio.gather(*tasks)
+    task = asyncio.create_task(traffic(world))
+    await asyncio.sleep(8)
+    await asyncio.sleep(WINDOW_S - time.time() % WINDOW_S + 0.05)
+
+    judged = window()
+    world.record.line(f"window {judged} begins")
+    await until_offset(0.8)
+    copy = world.store.copy()
+    world.record.line(f"the store's copy is of this moment, version {copy[0]}")
+    await until_offset(1.4)
+    # Planned work: one machine is restarted.
+    restarted = world.edges[RESTARTED]
+    restarted.takesCallers = False
+    restarted.signal(signal.SIGTERM)
+    await restarted.process.wait()
+    await asyncio.sleep(0.3)
+    await restarted.start()
+    if window() != judged:
+        raise RuntimeError("the restart took too long for this window")
+    end = time.monotonic() + 12
+    while judged not in world.cloud.usage:
+        if time.monotonic() > end:
+            raise RuntimeError("the window was not reported")
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.2)
     if trouble:
-        world.record.line(f"the last answer ended "
-                          f"{time.monotonic() - stopped:.2f} s after SIGTERM; "
-                          f"grace-s is 8")
-    cut = [caller for caller in callers if caller.outcome != "whole"]
-    world.record.line(f"{len(cut)} of {len(callers)} answers were cut")
-    return bool(cut)
+        world.record.line("the first zone loses power; the store is away")
+        world.store.down = True
+        for edge in world.edges:
+            if edge.zone == w.ZONES[0]:
+                edge.takesCallers = False
+                edge.signal(signal.SIGKILL)
+        await asyncio.sleep(AWAY_S)
+        world.store.restore(copy)
+        world.store.down = False
+        world.record.line(f"the store is back, era {world.store.era}")
+        # What the operator and the engines wrote is written again.
+        world.store.put("op", "config", json.dumps(content))
+        for engine in world.engines:
+            engine.report()
+    await asyncio.sleep(14)
+    task.cancel()
+    await asyncio.sleep(1)
+    broken = False
+    for number, reports in sorted(world.cloud.usage.items()):
+        counts = [report[2] for report in reports]
+        isTwice = any(count != counts[0] for count in counts)
+        broken = broken or isTwice
+        world.record.line(
+            f"window {number}: " + "; ".join(
+                f"{holder} with epoch {epoch}: {count}"
+                for holder, epoch, count in reports) +
+            (" <- accepted with different counts" if isTwice else ""))
+    return broken
 
 
 w.main(case)
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -108,6 +108,7 @@
         self.servers = []
         # While the store is down it answers 503: nothing was done.
         self.down = False
+        self.era = 1
 
     async def listen(self, port):
         self.servers.append(
@@ -128,6 +129,16 @@
     def remove(self, table, key):
         self.put(table, key, None)
 
+    def copy(self):
+        return self.version, dict(self.rows)
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, versions go
+        back and the era rises."""
+        self.version, self.rows = copy[0], dict(copy[1])
+        self.era += 1
+        self.notify()
+
     def row(self, table, key):
         version, value = self.rows[(table, key)]
         row = {"table": table, "part": "", "key": key,
@@ -146,7 +157,7 @@
                 data = json.dumps(reply).encode()
                 writer.write(answer(status, "Store", [
                     ("Content-Type", "application/json"),
-                    ("Store-Era", "1")], data))
+                    ("Store-Era", str(self.era))], data))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -182,9 +193,10 @@
 
     async def feed(self, args):
         end = time.monotonic() + int(args.get("wait-ms", "0")) / 1000
+        era = self.era
         while True:
             since = int(args["since-revision"])
-            if since > self.version:
+            if since > self.version or self.era != era:
                 return 410, {}
             if self.down:
                 return 503, {}
@@ -256,6 +268,9 @@
         else:
             self.highest[subject] = epoch
             status = 200
+            if path == "/usage":
+                self.usage.setdefault(body["window"], []).append(
+                    (head.get("X-Lease-Holder"), epoch, body["counts"]))
         self.record.line(f"cloud {path} holder={head.get('X-Lease-Holder')} "
                          f"epoch={epoch} {json.dumps(body)} -> {status}")
         return status
@@ -377,11 +392,11 @@
 class Edge:
     """A process of the system."""
 
-    def __init__(self, world, index):
+    def __init__(self, world, index, zone=None):
         self.world = world
         self.index = index
-        self.name = f"edge-{ZONES[index % 3]}-{index}"
-        self.zone = ZONES[index % 3]
+        self.zone = zone or ZONES[index % 3]
+        self.name = f"edge-{self.zone}-{index}"
         (self.callers, self.ready, self.control, self.registry, self.inner,
          self.last) = [free_ports_of(world) for _ in range(6)]
         self.storeLink = Link(world.storePort)
@@ -531,12 +546,15 @@
         self.engines = []
 
     async def start(self, edges, manifest):
+        """Starts the processes: a number of them, or a list of their zones."""
         await self.store.listen(self.storePort)
         await self.cloud.listen(self.cloudPort)
         self.store.put("op", "config", json.dumps(manifest))
         for engine in self.engines:
             await engine.start()
-        self.edges = [Edge(self, index) for index in range(edges)]
+        zones = [None] * edges if isinstance(edges, int) else edges
+        self.edges = [Edge(self, index, zone)
+                      for index, zone in enumerate(zones)]
         for edge in self.edges:
             await edge.start()
 
