--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 import ast, glob
 for path in glob.glob("standins/*.py") + glob.glob("*/case.py"):
     ast.parse(open(path).read(), path)
-import asyncio, tomllib
+import asyncio
 '
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -9,12 +9,12 @@
 import base64
 import json
 import os
+import re
 import signal
 import socket
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 REPO = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -503,13 +503,16 @@
 """
 
     async def start(self):
+        if self.world.isStopped:
+            return
         path = os.path.join(self.world.folder, f"{self.name}.toml")
         with open(path, "w") as file:
             file.write(self.settings())
         if self.storeLink is not None and not hasattr(self.storeLink, "server"):
             await self.storeLink.listen(self.storeLinkPort)
-        with open(os.path.join(REPO, "deploy", "system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["edge"]["run"].split()
+        with open(os.path.join(REPO, "deploy", "system.toml")) as file:
+            command = re.search(r'^run = "(.+)"$', file.read(),
+                                re.MULTILINE).group(1).split()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["SYCAMOREWARD_CONFIG"] = path
@@ -556,6 +559,7 @@
         self.cloud = Cloud(record)
         self.edges = []
         self.engines = []
+        self.isStopped = False
 
     async def start(self, edges, manifest):
         """Starts the processes: a number of them, or a list of their zones."""
@@ -580,6 +584,8 @@
         raise RuntimeError("the processes did not become ready")
 
     def stop(self):
+        """Ends all processes that this world has started."""
+        self.isStopped = True
         for edge in self.edges:
             if edge.process is not None and edge.process.returncode is None:
                 edge.process.kill()
@@ -642,12 +648,19 @@
             await asyncio.sleep(0.1)
             world.clean()
 
+    def interrupt(number, frame):
+        raise RuntimeError(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         broken = asyncio.run(run())
+        code = 1 if broken else 0
+        result = "the rule was broken" if broken else "the rule held"
     except Exception as error:
-        record.line(f"the case could not run: {error!r}")
-        print("could not run:", repr(error))
-        sys.exit(2)
-    record.line(f"result: the rule {'was broken' if broken else 'held'}")
-    print("the rule was broken" if broken else "the rule held")
-    sys.exit(1 if broken else 0)
+        code = 2
+        result = f"the case could not run: {error!r}"
+    record.line(f"result: {result}")
+    print(result, flush=True)
+    # Without the clean-up of the interpreter, which complains about channels
+    # that are still open.
+    os._exit(code)
