--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,6 +32,7 @@
 
 async def ask(world, edge, name):
     outcome = "no answer"
+    world.record.line(f"{name} is sent to {edge.name}")
     try:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", edge.callers)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,6 +29,7 @@
     """Runs the request for 200 ms."""
     name = head.get("X-Request-Id")
     engine.world.begun.add(name)
+    engine.world.record.line(f"{engine.name} runs {name}")
     await asyncio.sleep(0.2)
     writer.write(w.answer(200, "OK", [
         ("X-Request-Id", name),
@@ -39,6 +40,7 @@
 
 async def ask(world, edge, name, reader, writer):
     """Sends a request and returns the answer's status, empty without one."""
+    world.record.line(f"{name} is sent to {edge.name}")
     try:
         writer.write(w.request("POST", "/cert-issue/2f", name, 1500,
                                b"certificate"))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -48,6 +48,7 @@
 async def ask(world, edge, name):
     sent = time.monotonic()
     world.sent[name] = (sent, edge.name)
+    world.record.line(f"{name} is sent to {edge.name}")
     outcome = "no channel"
     try:
         reader, writer = await asyncio.open_connection(
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -633,10 +633,11 @@
 
 
 def main(case):
-    """Runs a case: 0 the rule held, 1 it was broken, 2 it couldn't run."""
-    folder = os.path.abspath(sys.argv[1])
+    """Runs a case: 0 the rule held, 1 it was broken, 2 it couldn't run. The
+    argument is the path of record.txt, which gets each request that is sent,
+    each one that an engine runs, and each answer."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.abspath(sys.argv[1]))
     record.line(f"trouble: {'yes' if trouble else 'no'}")
 
     async def run():
