Learn the era of the store from every answer

Cause: the bound below which windows are held back was set by calls about the lease only. An instance that made its first such call in the new era took it for no change, and its bound was still the window of its own start.

Change: EraTracker notes the era of each answer, whichever part of the process has asked. ReportableWindows decides which windows a holder may report, also without a row, and through a return right after a change of the holder. Answers of an earlier era, and of writes that began in one, are not applied.

--- a/src/edge/DutyLease.cpp
+++ b/src/edge/DutyLease.cpp
@@ -74,6 +74,12 @@
   return LeaseStep::ReadRow;
 }
 
+bool
+IsFirstEra(StoreEra aEra)
+{
+  return aEra <= kFirstEra;
+}
+
 bool
 HasValidLease(const DutyLease& aLease, MonotonicTime aNow)
 {
@@ -92,7 +98,6 @@
   if (isFirst) {
     return false;
   }
-  aLease.hasEraChanged_ = true;
   aLease.seenVersion_ = 0;
   aLease.seenSince_ = MonotonicTime();
   aLease.earlierExpired_ = aNow + aLease.leaseTime_ + kExpiryMargin;
@@ -149,7 +154,7 @@
   // and no longer acts. After a return from an older copy, the row or its
   // absence may hide a later holder.
   const bool isUnheld = aRow.instance_.Value().empty() || isSelf;
-  const bool isFree = aRow.version_ == 0 ? aLease.era_ <= kFirstEra
+  const bool isFree = aRow.version_ == 0 ? IsFirstEra(aLease.era_)
                                          : isUnheld && aRow.era_ == aLease.era_;
   const bool isExpired =
     aNow - aLease.seenSince_ >= aLease.leaseTime_ + kExpiryMargin;
--- a/src/edge/DutyLease.h
+++ b/src/edge/DutyLease.h
@@ -65,10 +65,8 @@
   MonotonicTime nextRead_;
   // This instance does not try to acquire the lease before this time.
   MonotonicTime earliestClaim_;
-  // Era of the store's last answer, whether it has changed since the start, and
-  // when all leases of earlier eras have expired.
+  // Latest era of the store, and when all leases of earlier eras have expired.
   StoreEra era_;
-  bool hasEraChanged_ = false;
   MonotonicTime earlierExpired_;
   // Highest epoch seen in the row, of a peer or of this instance.
   FencingToken highestEpoch_;
@@ -96,14 +94,18 @@
          std::size_t aRank,
          MonotonicTime aNow);
 
+// Whether the store has never returned from an older copy, as far as aEra
+// tells.
+bool
+IsFirstEra(StoreEra aEra);
+
 // Returns whether this instance holds a verified lease that does not expire
 // within the safety margin, so that it may act as the holder.
 bool
 HasValidLease(const DutyLease& aLease, MonotonicTime aNow);
 
-// Notes the era of an answer of the store, before the answer is applied.
-// Returns whether the store has returned from an older copy since the last
-// answer; a write that was answered so has no effect on the lease.
+// Notes the latest era of the store, before an answer is applied. Returns
+// whether the store has returned from an older copy since the era before.
 bool
 NoteEra(DutyLease& aLease, StoreEra aEra, MonotonicTime aNow);
 
--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -79,7 +79,7 @@
   lastWall_ = state_.loop_.GetClock().Wall();
   lease_.leaseTime_ = state_.bounds_.leaseTime_;
   lease_.holderSeen_ = now - kFirstLeaseDelay;
-  eraWindow_ = WindowOf(state_.usage_, state_.AgreedWall());
+  reportable_.era_ = CurrentWindow();
   timer_ = state_.loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -109,6 +109,7 @@
     return;
   }
   CheckSuspension();
+  CheckEra();
   CheckLease();
   CheckServerList();
   if (HoldsLease() && HasCompleteSums()) {
@@ -173,28 +174,50 @@
               });
 }
 
-bool
-DutyTask::CheckEra(const StoreReply& aReply)
+std::uint64_t
+DutyTask::CurrentWindow() const
 {
-  const FencingToken held = lease_.heldEpoch_;
-  if (!NoteEra(lease_, aReply.era_, state_.loop_.GetClock().Now())) {
-    return false;
+  return WindowOf(state_.usage_, state_.AgreedWall());
+}
+
+void
+DutyTask::CheckEra()
+{
+  if (state_.storeEra_ <= lease_.era_) {
+    return;
   }
-  eraWindow_ = WindowOf(state_.usage_, state_.AgreedWall());
+  const FencingToken held = lease_.heldEpoch_;
+  const bool hasReturned =
+    NoteEra(lease_, state_.storeEra_, state_.loop_.GetClock().Now());
+  const bool isKept = lease_.heldEpoch_.Value() != 0;
+  NoteEra(reportable_, CurrentWindow(), hasReturned && isKept);
   LogLine line("duties_era");
-  line.Add("era", aReply.era_.Value())
+  line.Add("era", lease_.era_.Value())
+    .Add("first", !hasReturned)
     .Add("held", held.Value())
-    .Add("kept", lease_.heldEpoch_.Value() != 0)
-    .Add("window", eraWindow_);
+    .Add("kept", isKept)
+    .Add("window", reportable_.era_);
   state_.log_.WriteImportant(line);
-  return true;
+}
+
+bool
+DutyTask::IsOutdated(const StoreReply& aReply)
+{
+  CheckEra();
+  return aReply.era_.Value() != 0 && aReply.era_ < lease_.era_;
+}
+
+bool
+DutyTask::IsOutdated(const StoreReply& aReply, StoreEra aCallEra)
+{
+  const bool isOutdated = IsOutdated(aReply);
+  return isOutdated || (aCallEra.Value() != 0 && aCallEra != lease_.era_);
 }
 
 void
 DutyTask::OnLeaseRow(const StoreReply& aReply, MonotonicTime aCallStart)
 {
-  CheckEra(aReply);
-  if (aReply.status_ != StoreStatus::Ok || isStopped_) {
+  if (IsOutdated(aReply) || aReply.status_ != StoreStatus::Ok || isStopped_) {
     return;
   }
   const StoreRow* found = FindRow(aReply.rows_, kLeaseKey);
@@ -215,9 +238,7 @@
   row.incarnation_ = lease_.incarnation_;
   row.epoch_ = aEpoch;
   row.era_ = lease_.era_;
-  // The rows of windows that this holder has reported may be lost as well.
-  row.firstWindow_ =
-    lease_.hasEraChanged_ ? std::max(firstWindow_, eraWindow_) : firstWindow_;
+  row.firstWindow_ = reportable_.firstOfSuccessors_;
   return { kDutyTable, kLeaseKey, ToText(row), 0, false };
 }
 
@@ -231,33 +252,34 @@
 DutyTask::ClaimLease(const LeaseRow& aRow)
 {
   const FencingToken epoch = NextEpoch(lease_);
-  const bool isOfEra =
-    aRow.version_ == 0 ? !lease_.hasEraChanged_ : aRow.era_ == lease_.era_;
-  firstWindow_ = isOfEra ? aRow.firstWindow_ : eraWindow_;
+  NoteClaim(reportable_, aRow, lease_.era_, CurrentWindow());
   StoreWrite write;
   write.conditions_.push_back({ kDutyTable, kLeaseKey, aRow.version_ });
   write.rows_.push_back(OwnRow(epoch));
   lease_.isCallPending_ = true;
   const MonotonicTime callStart = state_.loop_.GetClock().Now();
-  store_.Write(write, [this, epoch, callStart](const StoreReply& aReply) {
-    lease_.isCallPending_ = false;
-    const MonotonicTime now = state_.loop_.GetClock().Now();
-    LogLine line("duties_claimed");
-    line.Add("epoch", epoch.Value())
-      .Add("taken", aReply.status_ == StoreStatus::Ok)
-      .Add("firstWindow", firstWindow_);
-    state_.log_.WriteImportant(line);
-    if (CheckEra(aReply)) {
-      return;
-    }
-    if (aReply.status_ == StoreStatus::Ok) {
-      ApplyLeaseWrite(lease_, epoch, aReply.version_, callStart, now);
-      orders_.clear();
-    } else if (aReply.status_ == StoreStatus::Conflict) {
-      lease_.holderSeen_ = now;
-    }
-    // If the outcome is unknown, the next step reads the row again.
-  });
+  const StoreEra callEra = lease_.era_;
+  const auto onReply =
+    [this, epoch, callStart, callEra](const StoreReply& aReply) {
+      lease_.isCallPending_ = false;
+      const MonotonicTime now = state_.loop_.GetClock().Now();
+      LogLine line("duties_claimed");
+      line.Add("epoch", epoch.Value())
+        .Add("taken", aReply.status_ == StoreStatus::Ok)
+        .Add("firstWindow", reportable_.first_);
+      state_.log_.WriteImportant(line);
+      if (IsOutdated(aReply, callEra)) {
+        return;
+      }
+      if (aReply.status_ == StoreStatus::Ok) {
+        ApplyLeaseWrite(lease_, epoch, aReply.version_, callStart, now);
+        orders_.clear();
+      } else if (aReply.status_ == StoreStatus::Conflict) {
+        lease_.holderSeen_ = now;
+      }
+      // If the outcome is unknown, the next step reads the row again.
+    };
+  store_.Write(write, onReply);
 }
 
 void
@@ -273,10 +295,11 @@
   }
   lease_.isCallPending_ = true;
   const MonotonicTime callStart = state_.loop_.GetClock().Now();
-  store_.Write(write, [this, callStart](const StoreReply& aReply) {
+  const StoreEra callEra = lease_.era_;
+  store_.Write(write, [this, callStart, callEra](const StoreReply& aReply) {
     lease_.isCallPending_ = false;
     const MonotonicTime now = state_.loop_.GetClock().Now();
-    if (CheckEra(aReply)) {
+    if (IsOutdated(aReply, callEra)) {
       return;
     }
     if (aReply.status_ == StoreStatus::Ok) {
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -9,6 +9,7 @@
 #include "edge/EdgeState.h"
 #include "edge/EnginePlan.h"
 #include "edge/ReportExchange.h"
+#include "edge/ReportableWindows.h"
 #include "edge/RowStore.h"
 
 #include <map>
@@ -72,8 +73,14 @@
   // empty when this instance releases the lease.
   StoreRow OwnRow(FencingToken aEpoch) const;
   StoreRow MakeRow(const InstanceId& aHolder, FencingToken aEpoch) const;
-  // Notes the era of an answer about the lease. Returns whether it has changed.
-  bool CheckEra(const StoreReply& aReply);
+  // Notes the era of the store.
+  void CheckEra();
+  // Returns whether aReply tells nothing of the row as it is now, because the
+  // store has returned from an older copy since the answer, or since the call
+  // of a write, which began in aCallEra.
+  bool IsOutdated(const StoreReply& aReply);
+  bool IsOutdated(const StoreReply& aReply, StoreEra aCallEra);
+  std::uint64_t CurrentWindow() const;
 
   // The row with the counts of windows that are not reported yet, and how a
   // later holder loads it.
@@ -120,12 +127,7 @@
   MonotonicTime lastTick_;
   WallTime lastWall_;
   std::map<std::uint64_t, WindowReport> windows_;
-  // Window in which this instance noticed the current era of the store, at the
-  // latest: usage of earlier windows may have been reported by a holder whose
-  // rows are lost.
-  std::uint64_t eraWindow_ = 0;
-  // First window that this instance reports as the holder.
-  std::uint64_t firstWindow_ = 0;
+  ReportableWindows reportable_;
   std::map<ServiceName, EnginePlan> plans_;
   std::map<OrderKey, Order> orders_;
   // Reclaimable engines that are known to be leaving.
--- a/src/edge/DutyUsage.cpp
+++ b/src/edge/DutyUsage.cpp
@@ -50,7 +50,7 @@
       continue;
     }
     WindowReport& entry = windows_[window];
-    if (window < firstWindow_ && !entry.isStored_) {
+    if (window < reportable_.first_ && !entry.isStored_) {
       // It may have been reported with other counts.
       continue;
     }
@@ -89,21 +89,24 @@
     { kUsageTable, std::to_string(aWindow - kKeptWindows), "", 0, false });
   lease_.isCallPending_ = true;
   const MonotonicTime callStart = state_.loop_.GetClock().Now();
-  store_.Write(write, [this, aWindow, callStart](const StoreReply& aReply) {
-    lease_.isCallPending_ = false;
-    if (CheckEra(aReply)) {
-      windows_[aWindow].isCallPending_ = false;
-      return;
-    }
-    if (aReply.status_ == StoreStatus::Ok) {
-      ApplyLeaseWrite(lease_,
-                      lease_.heldEpoch_,
-                      aReply.version_,
-                      callStart,
-                      state_.loop_.GetClock().Now());
-    }
-    OnUsageStored(aWindow, aReply);
-  });
+  const StoreEra callEra = lease_.era_;
+  const auto onReply =
+    [this, aWindow, callStart, callEra](const StoreReply& aReply) {
+      lease_.isCallPending_ = false;
+      if (IsOutdated(aReply, callEra)) {
+        windows_[aWindow].isCallPending_ = false;
+        return;
+      }
+      if (aReply.status_ == StoreStatus::Ok) {
+        ApplyLeaseWrite(lease_,
+                        lease_.heldEpoch_,
+                        aReply.version_,
+                        callStart,
+                        state_.loop_.GetClock().Now());
+      }
+      OnUsageStored(aWindow, aReply);
+    };
+  store_.Write(write, onReply);
 }
 
 void
@@ -160,8 +163,7 @@
 StoreRow
 DutyTask::ProgressRow() const
 {
-  const std::uint64_t oldest =
-    WindowOf(state_.usage_, state_.AgreedWall()) - kProgressWindows;
+  const std::uint64_t oldest = CurrentWindow() - kProgressWindows;
   auto json = nlohmann::json::array();
   const auto add = [&](const InstanceId& aInstance,
                        Incarnation aIncarnation,
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -78,13 +78,13 @@
   : loop_(aLoop)
   , options_(aOptions)
   , rows_(aRows)
-  , store_(aStore)
   , log_(aLog)
   , metrics_(aMetrics)
   , state_(aLoop, aWire, aOptions.bounds_, aLog, aMetrics, aOptions.seed_)
+  , store_(aStore, state_.storeEra_)
   , network_(aLoop, NetworkOptions(aOptions.peers_), aOptions.self_)
   , duties_((state_.self_ = aOptions.self_.instance_, state_),
-            aStore,
+            store_,
             aCloud,
             aOptions.self_.incarnation_)
   , reports_(state_,
@@ -94,7 +94,7 @@
                return SelfStatus{ IsReady(), isDraining_, duties_.HeldEpoch() };
              })
   , placementExchange_(state_, network_)
-  , blockRows_(state_, aStore)
+  , blockRows_(state_, store_)
   , started_(aLoop.GetClock().Now())
 {
   state_.domain_ = aOptions.self_.failureDomain_;
@@ -110,7 +110,7 @@
   duties_.Start(reports_);
   deploymentWatch_ = std::make_unique<TableWatch>(
     aLoop,
-    aStore,
+    store_,
     aLog,
     TableWatchOptions{ rows_.deploymentTable_ },
     TableWatch::Callbacks{ [this] { OnDeploymentRows(); }, nullptr, nullptr });
@@ -118,7 +118,7 @@
   serverOptions.batchDelay_ = kServerReadDelay;
   serverWatch_ = std::make_unique<TableWatch>(
     aLoop,
-    aStore,
+    store_,
     aLog,
     serverOptions,
     TableWatch::Callbacks{
--- a/src/edge/Edge.h
+++ b/src/edge/Edge.h
@@ -8,6 +8,7 @@
 #include "edge/Cloud.h"
 #include "edge/DutyTask.h"
 #include "edge/EdgeState.h"
+#include "edge/EraTracker.h"
 #include "edge/PlacementExchange.h"
 #include "edge/ReportExchange.h"
 #include "edge/RowStore.h"
@@ -108,10 +109,10 @@
   EventLoop& loop_;
   EdgeOptions options_;
   RowCodec rows_;
-  RowStore& store_;
   DecisionLog& log_;
   EdgeMetrics& metrics_;
   EdgeState state_;
+  EraTracker store_;
   ServerList servers_;
   WebSocketPeerNetwork network_;
   DutyTask duties_;
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -118,6 +118,8 @@
   Duration wallOffset_{ 0 };
   // When the list of backend servers was last updated, for the log.
   MonotonicTime serversUpdated_;
+  // Latest era of the store that one of its answers named; 0 before.
+  StoreEra storeEra_;
   // Next local number for a request sent to a server.
   std::uint64_t nextWork_ = 1;
 
--- a/test/support/FakePeerNetwork.h
+++ b/test/support/FakePeerNetwork.h
@@ -74,8 +74,11 @@
   {
     auto end =
       std::make_shared<std::function<void(PeerReply)>>(std::move(aOnReply));
-    const auto finish = [end](PeerReply aReply) {
-      if (const auto callback = std::exchange(*end, nullptr)) {
+    // A call ends unanswered with its network.
+    const std::weak_ptr<int> alive = alive_;
+    const auto finish = [alive, end](PeerReply aReply) {
+      const auto callback = std::exchange(*end, nullptr);
+      if (callback && !alive.expired()) {
         callback(std::move(aReply));
       }
     };
@@ -180,6 +183,7 @@
   FakePeerHub& hub_;
   PeerIdentity self_;
   std::map<std::size_t, Handler> handlers_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 } // namespace sycamoreward
