Plan engines only where the deployment prices them

Cause: DetectReclaims looked the domain up with at(); the exception left the event loop's timer and ended the process.

Change: engines in unpriced domains are left out of the plan, in one place. Rows of the duties are decoded in DutyRows, which tells what can't be read. A duty that fails is given up, with a log line and a metric, and the requests of the process go on.

Evidence: ForeignRows/AnEngineOfAnUnknownDomainLeaves, NothingIsOrderedInAn- UnknownDomain, RandomEntriesAndDeploymentsEndNothing and RandomRowsOfTheDuties- EndNothing failed before (map::at, an order for the unknown domain, a type error of a row) and pass; AFaultInADutyGivesItUp is new behaviour.

--- a/src/edge/DutyOrders.cpp
+++ b/src/edge/DutyOrders.cpp
@@ -15,6 +15,14 @@
 constexpr Duration kMaxOrderRetry = std::chrono::seconds(8);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
 
+// Whether engines can be ordered in aDomain. The list may name an engine in a
+// domain that the deployment doesn't know, or doesn't know any more.
+bool
+IsPlanned(const EnginePlanInputs& aInputs, const FailureDomainId& aDomain)
+{
+  return aInputs.prices_.empty() || aInputs.prices_.count(aDomain) != 0;
+}
+
 } // namespace
 
 void
@@ -63,7 +71,7 @@
     inputs.present_[domain];
   }
   for (const auto& [id, view] : pool.servers_) {
-    if (!view.server_.isDraining_) {
+    if (!view.server_.isDraining_ && IsPlanned(inputs, view.server_.domain_)) {
       EngineCounts& counts = inputs.present_[view.server_.domain_];
       (view.server_.isReclaimable_ ? counts.reclaimable_ : counts.reserved_) +=
         1;
@@ -75,9 +83,10 @@
     return;
   }
   UpdatePlan(plan, inputs);
-  for (const auto& [domain, entry] : plan.domains_) {
-    SendOrder({ aService.name_, domain, false }, entry.ordered_.reserved_);
-    SendOrder({ aService.name_, domain, true }, entry.ordered_.reclaimable_);
+  for (const auto& [domain, present] : inputs.present_) {
+    const EngineCounts& ordered = plan.domains_[domain].ordered_;
+    SendOrder({ aService.name_, domain, false }, ordered.reserved_);
+    SendOrder({ aService.name_, domain, true }, ordered.reclaimable_);
   }
 }
 
@@ -94,7 +103,12 @@
     }
   }
   for (const auto& [domain, count] : leaving) {
-    const EngineCounts& present = aInputs.present_.at(domain);
+    if (!IsPlanned(aInputs, domain)) {
+      continue;
+    }
+    const auto found = aInputs.present_.find(domain);
+    const EngineCounts present =
+      found == aInputs.present_.end() ? EngineCounts{} : found->second;
     const DomainPlan& ordered = aPlan.domains_[domain];
     if (!IsReclaim(ordered.ordered_, present, count)) {
       continue;
--- a/src/edge/DutyRows.h
+++ b/src/edge/DutyRows.h
@@ -1,10 +1,14 @@
 #pragma once
 
-// Tables and keys of the store rows that the duties use.
+// Tables, keys and content of the store rows that the duties use. Another
+// writer may have written a row, so what can't be read is told apart.
 
+#include "edge/DutyLease.h"
 #include "edge/RowStore.h"
+#include "edge/UsageCounts.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +25,17 @@
 // Time after a window's end within which its usage is reported.
 constexpr Duration kUsageDeadline = std::chrono::seconds(25);
 
+std::string
+EncodeLease(const LeaseRow& aRow);
+
+// Returns a row without a holder if the content can't be read.
+LeaseRow
+DecodeLease(const StoreRow& aRow);
+
+// Returns nullopt if aText is not a JSON object of whole numbers.
+std::optional<WorkspaceCounts>
+DecodeCounts(const std::string& aText);
+
 // Returns null if there is no such row.
 inline const StoreRow*
 FindRow(const std::vector<StoreRow>& aRows, const std::string& aKey)
--- a/src/edge/DutyTask.cpp
+++ b/src/edge/DutyTask.cpp
@@ -21,36 +21,6 @@
 // system starts there is none.
 constexpr Duration kFirstLeaseDelay = std::chrono::milliseconds(300);
 
-std::string
-ToText(const LeaseRow& aRow)
-{
-  return nlohmann::json{
-    { "instance", aRow.instance_.Value() },
-    { "incarnation", aRow.incarnation_.Value() },
-    { "epoch", aRow.epoch_.Value() },
-    { "era", aRow.era_.Value() },
-    { "firstWindow", aRow.firstWindow_ }
-  }.dump();
-}
-
-// An unreadable row is treated as one without a holder.
-LeaseRow
-ParseLease(const StoreRow& aRow)
-{
-  LeaseRow lease;
-  lease.version_ = aRow.version_;
-  const auto json = nlohmann::json::parse(aRow.value_, nullptr, false);
-  if (json.is_object()) {
-    lease.instance_ = InstanceId(json.value("instance", std::string()));
-    lease.incarnation_ =
-      Incarnation(json.value("incarnation", std::uint64_t()));
-    lease.epoch_ = FencingToken(json.value("epoch", std::uint64_t()));
-    lease.era_ = StoreEra(json.value("era", std::uint64_t()));
-    lease.firstWindow_ = json.value("firstWindow", std::uint64_t());
-  }
-  return lease;
-}
-
 } // namespace
 
 DutyTask::DutyTask(EdgeState& aState,
@@ -92,16 +62,23 @@
 void
 DutyTask::Stop()
 {
-  if (HoldsLease() && !lease_.isCallPending_) {
-    StoreWrite write;
-    write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
-    write.rows_.push_back(MakeRow(InstanceId(), lease_.heldEpoch_));
-    // If the call gets no answer, the lease expires.
-    store_.Write(write, [](const StoreReply&) {});
-  }
+  ReleaseLease();
   isStopped_ = true;
 }
 
+void
+DutyTask::ReleaseLease()
+{
+  if (!HoldsLease() || lease_.isCallPending_) {
+    return;
+  }
+  StoreWrite write;
+  write.conditions_.push_back({ kDutyTable, kLeaseKey, lease_.rowVersion_ });
+  write.rows_.push_back(MakeRow(InstanceId(), lease_.heldEpoch_));
+  // If the call gets no answer, the lease expires.
+  store_.Write(write, [](const StoreReply&) {});
+}
+
 void
 DutyTask::Tick()
 {
@@ -113,8 +90,7 @@
   CheckLease();
   CheckServerList();
   if (HoldsLease() && HasCompleteSums()) {
-    CheckUsage();
-    CheckOrders();
+    CarryOutDuties();
   }
   const std::uint64_t oldest =
     WindowOf(state_.usage_, state_.AgreedWall() - 2 * kUsageDeadline);
@@ -123,6 +99,27 @@
   timer_ = state_.loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
+void
+DutyTask::CarryOutDuties()
+{
+  try {
+    CheckUsage();
+    CheckOrders();
+  } catch (const std::exception& error) {
+    ++failures_;
+    LogLine line("duties_failed");
+    line.Add("error", error.what()).Add("epoch", lease_.heldEpoch_.Value());
+    state_.log_.WriteImportant(line);
+    // The call that failed stays marked as in progress.
+    orders_.clear();
+    for (auto& [window, entry] : windows_) {
+      entry.isCallPending_ = false;
+    }
+    ReleaseLease();
+    LoseLease("failed");
+  }
+}
+
 void
 DutyTask::CheckSuspension()
 {
@@ -221,7 +218,7 @@
     return;
   }
   const StoreRow* found = FindRow(aReply.rows_, kLeaseKey);
-  const LeaseRow row = found == nullptr ? LeaseRow{} : ParseLease(*found);
+  const LeaseRow row = found == nullptr ? LeaseRow{} : DecodeLease(*found);
   if (const StoreRow* progress = FindRow(aReply.rows_, kProgressKey)) {
     LoadProgress(*progress);
   }
@@ -239,7 +236,7 @@
   row.epoch_ = aEpoch;
   row.era_ = lease_.era_;
   row.firstWindow_ = reportable_.firstOfSuccessors_;
-  return { kDutyTable, kLeaseKey, ToText(row), 0, false };
+  return { kDutyTable, kLeaseKey, EncodeLease(row), 0, false };
 }
 
 StoreRow
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -39,6 +39,9 @@
     return isStopped_ ? FencingToken(0) : lease_.heldEpoch_;
   }
 
+  // Number of times that this instance gave up the duties because they failed.
+  std::uint64_t Failures() const { return failures_; }
+
 private:
   // Progress of the usage report of one window.
   struct WindowReport
@@ -48,6 +51,8 @@
     bool isStored_ = false;
     bool isSent_ = false;
     bool isCallPending_ = false;
+    // The stored counts can't be read. Others must not be sent.
+    bool isUnreadable_ = false;
     MonotonicTime nextTry_;
   };
   // State of the order for one kind of engine in one failure domain.
@@ -62,6 +67,11 @@
   using OrderKey = std::tuple<ServiceName, FailureDomainId, bool>;
 
   void Tick();
+  // Carries out what is due. If that fails, another instance takes over the
+  // duties, and the requests of this one go on.
+  void CarryOutDuties();
+  // Lets another instance take over the duties at once.
+  void ReleaseLease();
   // Marks the lease as unverified if the process was suspended.
   void CheckSuspension();
   void CheckLease();
@@ -133,6 +143,7 @@
   // Reclaimable engines that are known to be leaving.
   std::set<ServerId> leaving_;
   double refused_ = 0;
+  std::uint64_t failures_ = 0;
   MonotonicTime lastPlan_;
   ServerListSettling listState_;
 };
--- a/src/edge/DutyUsage.cpp
+++ b/src/edge/DutyUsage.cpp
@@ -54,7 +54,8 @@
       // It may have been reported with other counts.
       continue;
     }
-    if (entry.isSent_ || entry.isCallPending_ || now < entry.nextTry_) {
+    if (entry.isSent_ || entry.isUnreadable_ || entry.isCallPending_ ||
+        now < entry.nextTry_) {
       continue;
     }
     entry.nextTry_ = now + kUsageRetry;
@@ -126,11 +127,16 @@
     if (usage == nullptr) {
       return;
     }
-    const auto json = nlohmann::json::parse(usage->value_, nullptr, false);
-    if (json.is_object()) {
-      entry.report_.counts_ = json.get<WorkspaceCounts>();
+    const auto counts = DecodeCounts(usage->value_);
+    entry.isStored_ = counts.has_value();
+    entry.isUnreadable_ = !counts.has_value();
+    if (counts.has_value()) {
+      entry.report_.counts_ = *counts;
+    } else {
+      LogLine line("usage_counts_unreadable");
+      line.Add("window", aWindow);
+      state_.log_.WriteImportant(line);
     }
-    entry.isStored_ = true;
   }
   if (entry.isStored_ && HoldsLease()) {
     entry.isCallPending_ = true;
