Send nothing to servers that say in an answer that they leave

Cause: the header was not read; only the list of servers told that one leaves.

Change: the adapter decodes it, LeavingServers keeps it by start of the server and applies it after each list, and reports tell it to the others. Idle connections to the server are closed.

Evidence: ServerLeaving/APlainAnswerTellsIt and AStreamTellsIt failed before; ServerLeaving and LeavingServers (10 tests) pass.

--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -180,6 +180,7 @@
   AddCounts(own);
   digest.used_ = own.used_;
   digest.limits_ = own.limits_;
+  digest.leaving_ = own.leaving_;
   digest.crashes_ = own.crashes_;
   digest.fingerprints_ = own.fingerprints_;
   add(own, Duration(0));
@@ -223,6 +224,7 @@
   ApplyDigestMembers(aDigest);
   ApplyRows(aFrom, aDigest);
   ApplyRelayedLimits(state_, aDigest.limits_);
+  ApplyRelayedLeaving(state_, aDigest.leaving_);
   ApplyCrashes(state_, aDigest.crashes_, aDigest.fingerprints_);
   SetInstanceCount(state_, LiveCount());
   if (isCollector_) {
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -384,6 +384,7 @@
   metrics_.Set("deployment_age_seconds", age(deploymentWatch_->LastUpdate()));
   metrics_.Set("server_list_age_seconds", age(serverWatch_->LastUpdate()));
   metrics_.Set("duty_epoch", double(duties_.HeldEpoch().Value()));
+  metrics_.Set("leaving_servers", double(state_.leaving_.entries_.size()));
   metrics_.Set("duties_failed", double(duties_.Failures()));
   metrics_.Set("channels_opened", double(state_.channels_.Opened()));
   metrics_.Set("channels_idle", double(state_.channels_.IdleCount()));
--- a/src/edge/EdgeState.cpp
+++ b/src/edge/EdgeState.cpp
@@ -146,6 +146,7 @@
     view.parts_.SetLimit(
       std::uint64_t(double(pool.memoryTokens_) * kPartsMemoryFraction));
   }
+  MarkLeaving(aState);
   aState.serversUpdated_ = aState.loop_.GetClock().Now();
 }
 
--- a/src/edge/EdgeState.h
+++ b/src/edge/EdgeState.h
@@ -11,6 +11,7 @@
 #include "edge/DemandRate.h"
 #include "edge/Deployment.h"
 #include "edge/EdgeMetrics.h"
+#include "edge/LeavingServers.h"
 #include "edge/PoolView.h"
 #include "edge/Quota.h"
 #include "edge/UsageCounts.h"
@@ -99,6 +100,7 @@
   UsageCounts usage_;
   ChannelPool channels_;
   CrashDetector crashes_;
+  LeavingServers leaving_;
   std::mt19937_64 random_;
   // Number of entry instances that share the system-wide limits.
   std::size_t instances_ = 1;
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -373,6 +373,7 @@
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
   AddLimits(state_, aReport.limits_);
+  AddLeaving(state_, aReport.leaving_);
   AddCrashes(state_, aReport.crashes_, aReport.fingerprints_);
   for (const auto& [service, pool] : state_.pools_) {
     for (const auto& [id, view] : pool.servers_) {
@@ -506,6 +507,7 @@
     state_.log_.WriteImportant(line);
   }
   ApplyRelayedLimits(state_, aReport.limits_);
+  ApplyRelayedLeaving(state_, aReport.leaving_);
   ApplyCrashes(state_, aReport.crashes_, aReport.fingerprints_);
   // Other instances get the load and use from the sums of a digest.
   const bool isCounted = IsMesh() || isCollector_;
--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -52,6 +52,9 @@
   if (view != nullptr && !answer.isOtherServer_) {
     RecordAnsweredLimit(answer, aHead.status_, *view);
   }
+  if (!answer.isOtherServer_) {
+    RecordAnsweredLeaving(answer);
+  }
   isNotRun_ = answer.isNotRun_ || answer.isOtherServer_;
   const bool isServerError = aHead.status_ >= 500;
   if (view != nullptr && route_->kind_ != RouteKind::Stream && !isNotRun_ &&
@@ -129,6 +132,20 @@
   }
 }
 
+void
+RequestRun::RecordAnsweredLeaving(const ServerAnswer& aAnswer)
+{
+  if (aAnswer.hasMalformedLeaving_) {
+    LogLine line("server_leaving_malformed");
+    line.Add("request", request_.id_.Value())
+      .Add("server", placement_.server_.Value());
+    state_.log_.WriteImportant(line);
+  }
+  if (aAnswer.isLeaving_) {
+    RecordLeaving(state_, placement_.server_, serverIncarnation_, "answer");
+  }
+}
+
 void
 RequestRun::ForwardHead(const http::ResponseHead& aHead,
                         const http::Framing& aFraming)
--- a/src/edge/RequestRun.cpp
+++ b/src/edge/RequestRun.cpp
@@ -238,7 +238,10 @@
   const auto channel = std::move(channel_);
   channel_.reset();
   state_.crashes_.RemoveRun(work_, false);
-  if (aKeep) {
+  const bool isKept =
+    aKeep &&
+    !IsLeaving(state_.leaving_, placement_.server_, serverIncarnation_);
+  if (isKept) {
     state_.channels_.Return(placement_.server_, channel, request_.id_);
   } else {
     channel->Cut();
--- a/src/edge/RequestRun.h
+++ b/src/edge/RequestRun.h
@@ -95,6 +95,8 @@
   void RecordAnsweredLimit(const ServerAnswer& aAnswer,
                            int aStatus,
                            BackendView& aView);
+  // Records whether the server that answered leaves.
+  void RecordAnsweredLeaving(const ServerAnswer& aAnswer);
   void OnBody(std::string_view aBytes);
   void OnEnd();
   // Whether the current answer, which ended in order, is a stream that was
--- a/src/edge/WireCodec.h
+++ b/src/edge/WireCodec.h
@@ -64,6 +64,10 @@
   std::optional<RequestRate> limit_;
   // The server names a limit that can't be read.
   bool hasMalformedLimit_ = false;
+  // The server leaves and takes no requests that are sent from now on.
+  bool isLeaving_ = false;
+  // The field that says so has a value that is not known.
+  bool hasMalformedLeaving_ = false;
 };
 
 // The functions that a platform adapter provides.
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -275,6 +275,14 @@
   aArchive("age", aValue.ageMs_);
 }
 
+template<typename A>
+void
+Describe(A& aArchive, LeavingServer& aValue)
+{
+  aArchive("server", aValue.server_);
+  aArchive("incarnation", aValue.incarnation_);
+}
+
 template<typename A>
 void
 Describe(A& aArchive, ServerCrash& aValue)
@@ -319,6 +327,7 @@
   aArchive("dutyEpoch", aValue.dutyEpoch_);
   aArchive("servers", aValue.servers_);
   aArchive("limits", aValue.limits_);
+  aArchive("leavingServers", aValue.leaving_);
   aArchive("crashes", aValue.crashes_);
   aArchive("fingerprints", aValue.fingerprints_);
   aArchive("used", aValue.used_);
@@ -369,6 +378,7 @@
   aArchive("rowEras", aValue.rowEras_);
   aArchive("rows", aValue.rows_);
   aArchive("limits", aValue.limits_);
+  aArchive("leavingServers", aValue.leaving_);
   aArchive("crashes", aValue.crashes_);
   aArchive("fingerprints", aValue.fingerprints_);
 }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -205,6 +205,13 @@
   std::uint64_t ageMs_ = 0;
 };
 
+// A backend server that has said in an answer that it leaves.
+struct LeavingServer
+{
+  ServerId server_;
+  Incarnation incarnation_;
+};
+
 // The crash of a backend server, with the fingerprints of the requests that
 // were running on it and the time since the latest one with each was sent.
 struct ServerCrash
@@ -244,7 +251,7 @@
   PeerIdentity identity_;
   // Sequence number of the report within one incarnation.
   std::uint64_t sequence_ = 0;
-  // Set when only servers_, limits_, crashes_, fingerprints_ and the
+  // Set when only servers_, limits_, leaving_, crashes_, fingerprints_ and the
   // unconfirmed part of used_ are filled, in a report sent right after a long
   // prompt.
   bool isLoadOnly_ = false;
@@ -256,6 +263,7 @@
   FencingToken dutyEpoch_;
   std::vector<ServerUse> servers_;
   std::vector<ServerLimit> limits_;
+  std::vector<LeavingServer> leaving_;
   std::vector<ServerCrash> crashes_;
   std::vector<FingerprintStatus> fingerprints_;
   // Quota consumed since the start of the instance, by workspace.
@@ -326,6 +334,7 @@
   std::map<std::string, std::uint64_t> rowEras_;
   std::vector<RelayedRow> rows_;
   std::vector<ServerLimit> limits_;
+  std::vector<LeavingServer> leaving_;
   std::vector<ServerCrash> crashes_;
   std::vector<FingerprintStatus> fingerprints_;
 };
--- a/standins/platformapi/BackendStandIn.cpp
+++ b/standins/platformapi/BackendStandIn.cpp
@@ -140,6 +140,17 @@
   return fault;
 }
 
+void
+BackendStandIn::AddState(http::ResponseHead& aHead) const
+{
+  if (!limit_.empty()) {
+    aHead.fields_.push_back({ "Server-Limit", limit_ });
+  }
+  if (!leaving_.empty()) {
+    aHead.fields_.push_back({ "Server-Leaving", leaving_ });
+  }
+}
+
 void
 BackendStandIn::AnswerFailure(http::CallerExchange& aExchange,
                               int aStatus,
@@ -152,6 +163,7 @@
   if (!aIsRun) {
     head.fields_.push_back({ "X-Not-Executed", "1" });
   }
+  AddState(head);
   aExchange.Answer(std::move(head), "failed");
 }
 
@@ -163,6 +175,7 @@
   head.reason_ = "Not Found";
   head.fields_ = { { "X-Request-Id", Field(aExchange, "X-Request-Id") },
                    { "Content-Type", "application/json" } };
+  AddState(head);
   aExchange.Start(std::move(head), { http::BodyEnd::Chunked, 0 });
   aExchange.Send("{\"error\":\"no such sheet\"}");
   aExchange.Finish();
@@ -222,9 +235,7 @@
     head.fields_ = { { "X-Request-Id", runs_[index].request_ },
                      { "X-Response-Signature", "sig-" + runs_[index].request_ },
                      { "X-Backend-Load", "1,0,16,100" } };
-    if (!limit_.empty()) {
-      head.fields_.push_back({ "Server-Limit", limit_ });
-    }
+    AddState(head);
     if (options_.events_ > 0) {
       head.fields_.push_back({ "Content-Type", "text/event-stream" });
       const std::string& last = runs_[index].lastEvent_;
--- a/standins/platformapi/BackendStandIn.h
+++ b/standins/platformapi/BackendStandIn.h
@@ -93,6 +93,9 @@
   std::string lineEnd_ = "\n";
   // The rate limit that answers name, as text; none if empty.
   std::string limit_;
+  // The value of the field in all answers that tells that the server leaves;
+  // no field if empty.
+  std::string leaving_;
   // Requests whose prompt has this part, or which have this body, crash the
   // server after the head of their answer; none if empty.
   std::string crashPart_;
@@ -125,6 +128,9 @@
   bool IsCrashing(const http::CallerExchange& aExchange) const;
   void Crash();
   void Listen(const Address& aAddress);
+  // Adds the fields that tell of the state of the server to the head of an
+  // answer.
+  void AddState(http::ResponseHead& aHead) const;
   void AnswerFailure(http::CallerExchange& aExchange, int aStatus, bool aIsRun);
   void AnswerNotFound(http::CallerExchange& aExchange);
 
