Tell other instances only of crashes that can matter to them

Change: reports name only what the instance itself has seen, early ones only what no report has named; digests only fingerprints that came again after a crash, with the latest crashes that count and their answers; early reports ask for no digest and are at least 200 ms apart with collectors. The number of crashes with each fingerprint is kept, so that most need no look at the record.

Evidence: CrashReports/CrashesOfManyServersCostLittle, 14 to 400 instances with 140 servers for each 60 instances lost in 4 s.

--- a/src/edge/CrashDetector.cpp
+++ b/src/edge/CrashDetector.cpp
@@ -14,9 +14,10 @@
 // crashed, and is not probed, since each connection costs it work.
 constexpr Duration kUseCheckInterval = std::chrono::milliseconds(20);
 constexpr int kUseChecks = 10;
-// Time after which crashes of other instances have been reported, and bound of
-// the answers that are remembered for them.
-constexpr Duration kAnswerMemory = std::chrono::seconds(4);
+// Time for which answers are remembered, and bound of them. Crashes with the
+// same fingerprint are reported together when it comes again, and an answer
+// since the first clears it.
+constexpr Duration kAnswerMemory = std::chrono::seconds(60);
 constexpr std::size_t kMaxAnswers = 4096;
 // A server that has crashed refuses connections at once. One that does not
 // answer in this time may be partitioned from this instance.
@@ -76,18 +77,31 @@
   const MonotonicTime now = loop_.GetClock().Now();
   bool isNews = false;
   for (const Fingerprint& fingerprint : aFingerprints) {
-    answers_.push_back({ now, fingerprint });
+    lastAnswers_[fingerprint] = now;
+    answers_.emplace_back(now, fingerprint);
     isNews |= AddAnswer(record_, fingerprint, now);
   }
-  while (answers_.size() > kMaxAnswers ||
-         (!answers_.empty() && now - answers_.front().at_ > kAnswerMemory)) {
-    answers_.pop_front();
-  }
+  TrimAnswers();
   if (isNews && onNews_) {
     onNews_();
   }
 }
 
+void
+CrashDetector::TrimAnswers()
+{
+  const MonotonicTime now = loop_.GetClock().Now();
+  while (answers_.size() > kMaxAnswers ||
+         (!answers_.empty() && now - answers_.front().first > kAnswerMemory)) {
+    const auto& [time, fingerprint] = answers_.front();
+    const auto last = lastAnswers_.find(fingerprint);
+    if (last != lastAnswers_.end() && last->second == time) {
+      lastAnswers_.erase(last);
+    }
+    answers_.pop_front();
+  }
+}
+
 void
 CrashDetector::AddReported(const Crash& aCrash)
 {
@@ -95,10 +109,13 @@
     return;
   }
   bool isNews = false;
-  for (const Answer& answer : answers_) {
-    isNews |= answer.at_ > aCrash.at_ &&
-              aCrash.sent_.count(answer.fingerprint_) != 0 &&
-              AddAnswer(record_, answer.fingerprint_, answer.at_);
+  for (const auto& [fingerprint, sent] : aCrash.sent_) {
+    const auto answer = lastAnswers_.find(fingerprint);
+    isNews |=
+      answer != lastAnswers_.end() && answer->second > aCrash.at_ &&
+      AddAnswer(record_,
+                fingerprint,
+                LastAnswer{ answer->second, loop_.GetClock().Now(), false });
   }
   if (isNews && onNews_) {
     onNews_();
--- a/src/edge/CrashDetector.h
+++ b/src/edge/CrashDetector.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sycamoreward::http {
@@ -78,12 +79,8 @@
     std::uint64_t timer_ = 0;
   };
 
-  struct Answer
-  {
-    MonotonicTime at_;
-    Fingerprint fingerprint_;
-  };
-
+  // Forgets the answers that are too old or too many.
+  void TrimAnswers();
   void RecordLost(const Run& aRun);
   bool IsInUse(const ServerId& aServer) const;
   void CheckUse(const std::shared_ptr<Probe>& aProbe, int aChecksLeft);
@@ -95,8 +92,10 @@
   DecisionLog& log_;
   std::function<void()> onNews_;
   std::map<std::uint64_t, Run> runs_;
-  // Complete answers of the last seconds, the oldest first.
-  std::deque<Answer> answers_;
+  // When a request with the fingerprint was last answered completely, for those
+  // of the last time, and the answers in their order.
+  std::map<Fingerprint, MonotonicTime> lastAnswers_;
+  std::deque<std::pair<MonotonicTime, Fingerprint>> answers_;
   std::map<ServerId, std::shared_ptr<Probe>> probes_;
 };
 
--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -26,35 +26,61 @@
 // Wait of callers until the evidence has settled.
 constexpr Duration kUnsettledWait = std::chrono::milliseconds(600);
 
+// Number of crashes with aFingerprint, cleared or not.
+std::uint32_t
+CrashesWith(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  const auto found = aRecord.crashCounts_.find(aFingerprint);
+  return found == aRecord.crashCounts_.end() ? 0 : found->second;
+}
+
+void
+ForgetCrashWith(CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  const auto found = aRecord.crashCounts_.find(aFingerprint);
+  if (found != aRecord.crashCounts_.end() && --found->second == 0) {
+    aRecord.crashCounts_.erase(found);
+  }
+}
+
 // Keeps the fingerprints of the requests that were sent last, as a server
 // crashes soon after it has begun to run a request.
 void
-TrimFingerprints(std::map<Fingerprint, MonotonicTime>& aSent)
+TrimFingerprints(CrashRecord& aRecord,
+                 std::map<Fingerprint, MonotonicTime>& aSent)
 {
   while (aSent.size() > kMaxFingerprints) {
-    aSent.erase(std::min_element(
+    const auto oldest = std::min_element(
       aSent.begin(), aSent.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second < aRight.second;
-      }));
+      });
+    ForgetCrashWith(aRecord, oldest->first);
+    aSent.erase(oldest);
   }
 }
 
 MonotonicTime
-LastAnswer(const CrashRecord& aRecord, Fingerprint aFingerprint)
+AnsweredAt(const CrashRecord& aRecord, Fingerprint aFingerprint)
 {
   const auto answered = aRecord.answered_.find(aFingerprint);
   return answered == aRecord.answered_.end() ? MonotonicTime()
-                                             : answered->second;
+                                             : answered->second.at_;
 }
 
-// Counts the crashes with aFingerprint since its last answer until aEnd.
-std::size_t
-CountUntil(const CrashRecord& aRecord,
-           Fingerprint aFingerprint,
-           MonotonicTime aEnd)
+// Calls aOnCrash for the crashes with aFingerprint since its last answer until
+// aEnd that count.
+template<typename F>
+void
+ForEachCounted(const CrashRecord& aRecord,
+               Fingerprint aFingerprint,
+               MonotonicTime aEnd,
+               const F& aOnCrash)
 {
-  const MonotonicTime answered = LastAnswer(aRecord, aFingerprint);
-  std::size_t count = 0;
+  if (CrashesWith(aRecord, aFingerprint) == 0) {
+    return;
+  }
+  const MonotonicTime answered = AnsweredAt(aRecord, aFingerprint);
+  bool isFirst = true;
   MonotonicTime last;
   for (const Crash& crash : aRecord.crashes_) {
     const auto sent = crash.sent_.find(aFingerprint);
@@ -62,11 +88,22 @@
         crash.at_ > aEnd) {
       continue;
     }
-    if (count == 0 || sent->second + kTimeError >= last) {
-      ++count;
+    if (isFirst || sent->second + kTimeError >= last) {
+      isFirst = false;
       last = crash.at_;
+      aOnCrash(crash);
     }
   }
+}
+
+std::size_t
+CountUntil(const CrashRecord& aRecord,
+           Fingerprint aFingerprint,
+           MonotonicTime aEnd)
+{
+  std::size_t count = 0;
+  ForEachCounted(
+    aRecord, aFingerprint, aEnd, [&count](const Crash&) { ++count; });
   return count;
 }
 
@@ -78,7 +115,7 @@
 {
   std::vector<const Crash*> with;
   std::vector<const Crash*> without;
-  const MonotonicTime answered = LastAnswer(aRecord, aFingerprint);
+  const MonotonicTime answered = AnsweredAt(aRecord, aFingerprint);
   for (const Crash& crash : aRecord.crashes_) {
     if (crash.sent_.count(aFingerprint) == 0) {
       without.push_back(&crash);
@@ -90,7 +127,7 @@
     return false;
   }
   for (const auto& [other, sent] : with.front()->sent_) {
-    const MonotonicTime otherAnswered = LastAnswer(aRecord, other);
+    const MonotonicTime otherAnswered = AnsweredAt(aRecord, other);
     const auto hasOther = [&, other = other](const Crash* aCrash) {
       return aCrash->at_ > otherAnswered && aCrash->sent_.count(other) != 0;
     };
@@ -111,7 +148,8 @@
             Fingerprint aFingerprint,
             MonotonicTime aEnd)
 {
-  return CountUntil(aRecord, aFingerprint, aEnd) >= kCrashesUntilBlock &&
+  return CrashesWith(aRecord, aFingerprint) >= kCrashesUntilBlock &&
+         CountUntil(aRecord, aFingerprint, aEnd) >= kCrashesUntilBlock &&
          !IsExplained(aRecord, aFingerprint);
 }
 
@@ -122,17 +160,20 @@
   auto& crashes = aRecord.crashes_;
   while (!crashes.empty() && (crashes.size() > kMaxCrashes ||
                               aNow - crashes.front().at_ > kMemory)) {
+    for (const auto& [fingerprint, sent] : crashes.front().sent_) {
+      ForgetCrashWith(aRecord, fingerprint);
+    }
     crashes.pop_front();
   }
   auto& answered = aRecord.answered_;
   for (auto entry = answered.begin(); entry != answered.end();) {
-    const bool isReferred =
-      std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
-        return aCrash.sent_.count(entry->first) != 0;
-      });
     // An answer is also needed while other instances can report a block that it
     // has lifted.
-    const bool isKept = isReferred || aNow - entry->second <= kMemory;
+    const bool isKept = CrashesWith(aRecord, entry->first) > 0 ||
+                        aNow - entry->second.at_ <= kMemory;
+    if (!isKept) {
+      aRecord.lifted_.erase(entry->first);
+    }
     entry = isKept ? std::next(entry) : answered.erase(entry);
   }
   auto& blocks = aRecord.blocks_;
@@ -142,7 +183,7 @@
       continue;
     }
     // Nobody asked for it in the meantime. Older crashes count no longer.
-    answered[entry->first] = entry->second.until_;
+    answered[entry->first] = { entry->second.until_, aNow, false };
     entry = blocks.erase(entry);
   }
 }
@@ -177,42 +218,61 @@
         return aOther.at_ > aCrash.at_;
       });
     known = crashes.insert(place, aCrash);
-  } else {
-    for (const auto& [fingerprint, sent] : aCrash.sent_) {
-      isNew |= known->sent_.emplace(fingerprint, sent).second;
+    known->sent_.clear();
+  }
+  for (const auto& [fingerprint, sent] : aCrash.sent_) {
+    if (known->sent_.emplace(fingerprint, sent).second) {
+      isNew = true;
+      ++aRecord.crashCounts_[fingerprint];
     }
   }
-  TrimFingerprints(known->sent_);
+  TrimFingerprints(aRecord, known->sent_);
   if (isNew) {
     known->learnedAt_ = aNow;
   }
+  if (isNew && !aCrash.isReported_) {
+    known->seenAt_ = aNow;
+  }
   return isNew;
 }
 
 bool
-AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime)
+AddAnswer(CrashRecord& aRecord,
+          Fingerprint aFingerprint,
+          const LastAnswer& aAnswer)
 {
-  const MonotonicTime last = LastAnswer(aRecord, aFingerprint);
+  const MonotonicTime last = AnsweredAt(aRecord, aFingerprint);
   bool isCleared = false;
   bool isLatest = true;
-  for (const Crash& crash : aRecord.crashes_) {
-    if (crash.sent_.count(aFingerprint) != 0) {
-      isCleared |= crash.at_ > last && crash.at_ <= aTime;
-      isLatest = crash.at_ <= aTime;
+  if (CrashesWith(aRecord, aFingerprint) > 0) {
+    for (const Crash& crash : aRecord.crashes_) {
+      if (crash.sent_.count(aFingerprint) != 0) {
+        isCleared |= crash.at_ > last && crash.at_ <= aAnswer.at_;
+        isLatest = crash.at_ <= aAnswer.at_;
+      }
     }
   }
   const bool isLifted = isLatest && aRecord.blocks_.erase(aFingerprint) != 0;
+  if (isLifted) {
+    aRecord.lifted_.insert(aFingerprint);
+  }
   if (isCleared || isLifted) {
-    aRecord.answered_[aFingerprint] = aTime;
+    aRecord.answered_[aFingerprint] = aAnswer;
   }
   return isCleared || isLifted;
 }
 
+bool
+AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime)
+{
+  return AddAnswer(aRecord, aFingerprint, LastAnswer{ aTime, aTime, false });
+}
+
 void
 AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock)
 {
   const bool isLifted =
-    LastAnswer(aRecord, aFingerprint) > aBlock.until_ - aBlock.length_;
+    AnsweredAt(aRecord, aFingerprint) > aBlock.until_ - aBlock.length_;
   const bool isFull = aRecord.blocks_.count(aFingerprint) == 0 &&
                       aRecord.blocks_.size() >= kMaxBlocks;
   if (isLifted || isFull) {
@@ -230,6 +290,35 @@
   return CountUntil(aRecord, aFingerprint, MonotonicTime::max());
 }
 
+std::vector<const Crash*>
+LatestCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  std::vector<const Crash*> crashes;
+  ForEachCounted(aRecord,
+                 aFingerprint,
+                 MonotonicTime::max(),
+                 [&](const Crash& aCrash) { crashes.push_back(&aCrash); });
+  if (crashes.size() > kCrashesUntilBlock) {
+    crashes.erase(crashes.begin(), crashes.end() - kCrashesUntilBlock);
+  }
+  return crashes;
+}
+
+bool
+IsRecurrent(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  return (CrashesWith(aRecord, aFingerprint) > 1 &&
+          CountCrashes(aRecord, aFingerprint) > 1) ||
+         aRecord.blocks_.count(aFingerprint) != 0;
+}
+
+bool
+MayBeKnown(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  return CrashesWith(aRecord, aFingerprint) > 1 ||
+         aRecord.lifted_.count(aFingerprint) != 0;
+}
+
 std::vector<Fingerprint>
 UpdateBlocks(CrashRecord& aRecord, MonotonicTime aNow)
 {
--- a/src/edge/CrashRecord.h
+++ b/src/edge/CrashRecord.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sycamoreward::edge {
@@ -23,12 +24,25 @@
   ServerId server_;
   Incarnation incarnation_;
   MonotonicTime at_;
-  // When this instance last learned something new of the crash.
+  // Whether another instance has told it.
+  bool isReported_ = false;
+  // When this instance last learned something new of the crash, and when it
+  // last saw something new itself; unset if others have told all of it.
   MonotonicTime learnedAt_;
+  MonotonicTime seenAt_;
   // For each fingerprint, when the latest request with it was sent.
   std::map<Fingerprint, MonotonicTime> sent_;
 };
 
+// The last complete answer to a request with a fingerprint.
+struct LastAnswer
+{
+  MonotonicTime at_;
+  // When this instance learned of it, and whether from another one.
+  MonotonicTime learnedAt_;
+  bool isReported_ = false;
+};
+
 // A fingerprint whose requests are refused.
 struct Block
 {
@@ -46,10 +60,15 @@
   Duration settleTime_{ std::chrono::milliseconds(300) };
   // By time of the crash.
   std::deque<Crash> crashes_;
-  // When a request with the fingerprint was last answered completely. Only for
-  // fingerprints of crashes and of blocks that were lifted.
-  std::map<Fingerprint, MonotonicTime> answered_;
+  // Number of crashes with each fingerprint. Most fingerprints are those of a
+  // single request and need no further look.
+  std::map<Fingerprint, std::uint32_t> crashCounts_;
+  // Only for fingerprints of crashes and of blocks that were lifted.
+  std::map<Fingerprint, LastAnswer> answered_;
   std::map<Fingerprint, Block> blocks_;
+  // Fingerprints whose block an answer has lifted. Only while answered_ has
+  // them.
+  std::set<Fingerprint> lifted_;
 };
 
 // Number of crashes with a fingerprint from which its requests are refused.
@@ -70,8 +89,14 @@
           const ServerId& aServer,
           Incarnation aIncarnation);
 
-// Records that a request with aFingerprint was answered completely at aTime.
-// Returns whether this clears it of a crash or lifts its block.
+// Records a complete answer to a request with aFingerprint. Returns whether it
+// clears the fingerprint of a crash or lifts its block.
+bool
+AddAnswer(CrashRecord& aRecord,
+          Fingerprint aFingerprint,
+          const LastAnswer& aAnswer);
+
+// The same for a request of this instance that is answered at aTime.
 bool
 AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime);
 
@@ -86,6 +111,21 @@
 std::size_t
 CountCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint);
 
+// The latest crashes with aFingerprint that CountCrashes counts, at most enough
+// to decide a block.
+std::vector<const Crash*>
+LatestCrashes(const CrashRecord& aRecord, Fingerprint aFingerprint);
+
+// Whether other instances need to know of the crashes with aFingerprint: it
+// came again after a crash, or its block has been decided.
+bool
+IsRecurrent(const CrashRecord& aRecord, Fingerprint aFingerprint);
+
+// Whether other instances may have been told of the crashes with aFingerprint,
+// so that they need to know of its answers.
+bool
+MayBeKnown(const CrashRecord& aRecord, Fingerprint aFingerprint);
+
 // Blocks the fingerprints with enough crashes before the settle time, and drops
 // what is too old. A fingerprint is not blocked if another one was there at
 // each of its crashes and at more. Returns the fingerprints that are blocked
--- a/src/edge/CrashReports.cpp
+++ b/src/edge/CrashReports.cpp
@@ -6,14 +6,15 @@
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sycamoreward::edge {
 
 namespace {
 
-// Time for which a crash or an answer is reported. Each instance reports
-// several times in it, also to collectors.
-constexpr Duration kReportTime = std::chrono::seconds(4);
+// Time for which a crash or an answer stays in digests. Each instance gets
+// several digests in it.
+constexpr Duration kDigestTime = std::chrono::seconds(4);
 // Bound of times in messages.
 constexpr std::uint64_t kMaxAgeMs = 24 * 60 * 60 * 1000;
 
@@ -29,47 +30,113 @@
   return ToCount(Milliseconds(aNow - aTime));
 }
 
+// Makes the report of a crash with those of its fingerprints that aIsTold
+// selects.
+template<typename F>
+ServerCrash
+MakeReport(const Crash& aCrash, const F& aIsTold, MonotonicTime aNow)
+{
+  ServerCrash report;
+  report.server_ = aCrash.server_;
+  report.incarnation_ = aCrash.incarnation_;
+  report.ageMs_ = AgeMs(aNow, aCrash.at_);
+  for (const auto& [fingerprint, sent] : aCrash.sent_) {
+    if (aIsTold(fingerprint)) {
+      report.fingerprints_.push_back(fingerprint.Value());
+      report.sentAgesMs_.push_back(AgeMs(aNow, sent));
+    }
+  }
+  return report;
+}
+
+FingerprintStatus
+AnswerStatus(Fingerprint aFingerprint, MonotonicTime aTime, MonotonicTime aNow)
+{
+  FingerprintStatus status;
+  status.fingerprint_ = aFingerprint.Value();
+  status.isAnswered_ = true;
+  status.answerAgeMs_ = AgeMs(aNow, aTime);
+  return status;
+}
+
+void
+AddBlocks(const CrashRecord& aRecord,
+          MonotonicTime aNow,
+          std::vector<FingerprintStatus>& aFingerprints)
+{
+  for (const auto& [fingerprint, block] : aRecord.blocks_) {
+    FingerprintStatus status;
+    status.fingerprint_ = fingerprint.Value();
+    status.blockedMs_ = AgeMs(block.until_, aNow);
+    status.blockLengthMs_ = ToCount(Milliseconds(block.length_));
+    if (status.blockedMs_ > 0) {
+      aFingerprints.push_back(status);
+    }
+  }
+}
+
 } // namespace
 
 void
-AddCrashes(const EdgeState& aState,
-           std::vector<ServerCrash>& aCrashes,
-           std::vector<FingerprintStatus>& aFingerprints)
+AddSeenCrashes(const EdgeState& aState,
+               MonotonicTime aSince,
+               std::vector<ServerCrash>& aCrashes,
+               std::vector<FingerprintStatus>& aFingerprints)
 {
   const MonotonicTime now = aState.loop_.GetClock().Now();
   const CrashRecord& record = aState.crashes_.record_;
   for (const Crash& crash : record.crashes_) {
-    if (now - crash.learnedAt_ > kReportTime) {
+    if (crash.seenAt_ >= aSince) {
+      aCrashes.push_back(MakeReport(
+        crash, [](Fingerprint) { return true; }, now));
+    }
+  }
+  for (const auto& [fingerprint, answer] : record.answered_) {
+    if (!answer.isReported_ && answer.learnedAt_ >= aSince) {
+      aFingerprints.push_back(AnswerStatus(fingerprint, answer.at_, now));
+    }
+  }
+  AddBlocks(record, now, aFingerprints);
+}
+
+void
+AddRecurrentCrashes(const EdgeState& aState,
+                    std::vector<ServerCrash>& aCrashes,
+                    std::vector<FingerprintStatus>& aFingerprints)
+{
+  const MonotonicTime now = aState.loop_.GetClock().Now();
+  const CrashRecord& record = aState.crashes_.record_;
+  std::set<Fingerprint> recurrent;
+  std::set<const Crash*> told;
+  for (const Crash& crash : record.crashes_) {
+    if (now - crash.learnedAt_ > kDigestTime) {
       continue;
     }
-    ServerCrash report;
-    report.server_ = crash.server_;
-    report.incarnation_ = crash.incarnation_;
-    report.ageMs_ = AgeMs(now, crash.at_);
     for (const auto& [fingerprint, sent] : crash.sent_) {
-      report.fingerprints_.push_back(fingerprint.Value());
-      report.sentAgesMs_.push_back(AgeMs(now, sent));
+      if (IsRecurrent(record, fingerprint) &&
+          recurrent.insert(fingerprint).second) {
+        const auto latest = LatestCrashes(record, fingerprint);
+        told.insert(latest.begin(), latest.end());
+      }
     }
-    aCrashes.push_back(std::move(report));
   }
-  for (const auto& [fingerprint, time] : record.answered_) {
-    if (now - time <= kReportTime) {
-      FingerprintStatus status;
-      status.fingerprint_ = fingerprint.Value();
-      status.isAnswered_ = true;
-      status.answerAgeMs_ = AgeMs(now, time);
-      aFingerprints.push_back(status);
+  // Each crash is told with all of these fingerprints, since one of them can
+  // explain the crashes with another.
+  const auto isRecurrent = [&recurrent](Fingerprint aFingerprint) {
+    return recurrent.count(aFingerprint) != 0;
+  };
+  for (const Crash& crash : record.crashes_) {
+    if (told.count(&crash) != 0) {
+      aCrashes.push_back(MakeReport(crash, isRecurrent, now));
     }
   }
-  for (const auto& [fingerprint, block] : record.blocks_) {
-    FingerprintStatus status;
-    status.fingerprint_ = fingerprint.Value();
-    status.blockedMs_ = AgeMs(block.until_, now);
-    status.blockLengthMs_ = ToCount(Milliseconds(block.length_));
-    if (status.blockedMs_ > 0) {
-      aFingerprints.push_back(status);
+  for (const auto& [fingerprint, answer] : record.answered_) {
+    if (now - answer.learnedAt_ <= kDigestTime &&
+        MayBeKnown(record, fingerprint)) {
+      aFingerprints.push_back(AnswerStatus(fingerprint, answer.at_, now));
     }
   }
+  AddBlocks(record, now, aFingerprints);
 }
 
 void
@@ -83,6 +150,7 @@
     Crash crash;
     crash.server_ = report.server_;
     crash.incarnation_ = report.incarnation_;
+    crash.isReported_ = true;
     crash.at_ = TimeBefore(now, report.ageMs_);
     const std::size_t count =
       std::min(report.fingerprints_.size(), report.sentAgesMs_.size());
@@ -95,7 +163,9 @@
   for (const FingerprintStatus& status : aFingerprints) {
     const Fingerprint fingerprint(status.fingerprint_);
     if (status.isAnswered_) {
-      AddAnswer(record, fingerprint, TimeBefore(now, status.answerAgeMs_));
+      AddAnswer(record,
+                fingerprint,
+                LastAnswer{ TimeBefore(now, status.answerAgeMs_), now, true });
     }
     if (status.blockedMs_ > 0) {
       Block block;
--- a/src/edge/CrashReports.h
+++ b/src/edge/CrashReports.h
@@ -10,12 +10,22 @@
 
 namespace sycamoreward::edge {
 
-// Adds the crashes and complete answers that this instance learned of a short
-// time ago, and all blocks.
+// Adds the crashes that this instance itself has seen since aSince, complete
+// answers since then, and all blocks. For reports to instances that merge them.
 void
-AddCrashes(const EdgeState& aState,
-           std::vector<ServerCrash>& aCrashes,
-           std::vector<FingerprintStatus>& aFingerprints);
+AddSeenCrashes(const EdgeState& aState,
+               MonotonicTime aSince,
+               std::vector<ServerCrash>& aCrashes,
+               std::vector<FingerprintStatus>& aFingerprints);
+
+// Adds what all instances need to know of the crashes that any of them saw, and
+// all blocks. Many servers can end within seconds, each under dozens of
+// requests that never come again, so only fingerprints that came again after a
+// crash are told, with all their crashes.
+void
+AddRecurrentCrashes(const EdgeState& aState,
+                    std::vector<ServerCrash>& aCrashes,
+                    std::vector<FingerprintStatus>& aFingerprints);
 
 // Applies what another instance knows. Malformed entries are ignored.
 void
--- a/src/edge/DigestExchange.cpp
+++ b/src/edge/DigestExchange.cpp
@@ -18,6 +18,10 @@
 // collectors of their own would not find each other again.
 constexpr Duration kProbeInterval = std::chrono::seconds(4);
 
+// Crashes for digests are collected again after this time, because a collector
+// makes many digests each second.
+constexpr Duration kCrashNewsAge = std::chrono::milliseconds(100);
+
 // Values per server in a digest: running requests, unread tokens, slowness in
 // percent, and its age in milliseconds.
 constexpr std::size_t kServerValues = 4;
@@ -29,11 +33,11 @@
 } // namespace
 
 void
-ReportExchange::SendToCollectors(const Reports& aMessage)
+ReportExchange::SendToCollectors(const Reports& aMessage, bool aAsksForDigest)
 {
   // A collector without reports from the others may be a collector in its own
   // view only, so it asks for a digest, too.
-  bool hasAsked = isCollector_ && !IsIsolated();
+  bool hasAsked = !aAsksForDigest || (isCollector_ && !IsIsolated());
   const MonotonicTime now = state_.loop_.GetClock().Now();
   std::vector<InstanceId> targets = collectors_;
   // The holder of the duties needs the counts of all instances.
@@ -135,8 +139,7 @@
 }
 
 Digest
-ReportExchange::MakeDigest(const InstanceId& aReceiver,
-                           const Reports& aRequest) const
+ReportExchange::MakeDigest(const InstanceId& aReceiver, const Reports& aRequest)
 {
   const MonotonicTime now = state_.loop_.GetClock().Now();
   struct Sum
@@ -181,8 +184,9 @@
   digest.used_ = own.used_;
   digest.limits_ = own.limits_;
   digest.leaving_ = own.leaving_;
-  digest.crashes_ = own.crashes_;
-  digest.fingerprints_ = own.fingerprints_;
+  UpdateCrashNews();
+  digest.crashes_ = crashNews_;
+  digest.fingerprints_ = fingerprintNews_;
   add(own, Duration(0));
   addMember(self_, own.isReady_, own.isLeaving_, own.dutyEpoch_);
   for (const auto& [id, peer] : peers_) {
@@ -215,6 +219,19 @@
   return digest;
 }
 
+void
+ReportExchange::UpdateCrashNews()
+{
+  const MonotonicTime now = state_.loop_.GetClock().Now();
+  if (crashNewsAt_ != MonotonicTime() && now - crashNewsAt_ < kCrashNewsAge) {
+    return;
+  }
+  crashNewsAt_ = now;
+  crashNews_.clear();
+  fingerprintNews_.clear();
+  AddRecurrentCrashes(state_, crashNews_, fingerprintNews_);
+}
+
 void
 ReportExchange::ApplyDigest(const InstanceId& aFrom, const Digest& aDigest)
 {
--- a/src/edge/ReportExchange.cpp
+++ b/src/edge/ReportExchange.cpp
@@ -21,6 +21,9 @@
 constexpr double kMinLoadReportTokens = 300;
 // Prompts sent within this time are reported with one message.
 constexpr Duration kLoadReportDelay = std::chrono::milliseconds(12);
+// The same with collectors, which hear from all instances. Many servers can
+// crash within a second.
+constexpr Duration kCollectedLoadReportDelay = std::chrono::milliseconds(200);
 // An instance that has received no digest for this time reads the store itself.
 constexpr Duration kMaxDigestAge = std::chrono::milliseconds(2800);
 // An instance to which this many others report is a collector in their view,
@@ -44,6 +47,9 @@
 // the crash and of the answer.
 constexpr Duration kMeshSettleTime = 2 * kReportInterval;
 constexpr Duration kCollectedSettleTime = 2 * kCollectorInterval;
+// Time for which a crash is named in full reports. With the early one, two or
+// three reports name it to each collector.
+constexpr Duration kCrashReportTime = std::chrono::milliseconds(1500);
 // Age above which the slowness that a backend server reported is not forwarded.
 constexpr Duration kMaxSlownessAge = std::chrono::milliseconds(600);
 
@@ -148,7 +154,9 @@
   if (loadTimer_ != 0) {
     return;
   }
-  loadTimer_ = state_.loop_.CallAfter(kLoadReportDelay, [this] {
+  const Duration delay =
+    IsMesh() ? kLoadReportDelay : kCollectedLoadReportDelay;
+  loadTimer_ = state_.loop_.CallAfter(delay, [this] {
     loadTimer_ = 0;
     Send(true);
   });
@@ -163,6 +171,9 @@
   report.isLoadOnly_ = aIsLoadOnly;
   report.sent_ = state_.loop_.GetClock().Wall();
   AddServers(report);
+  AddSeenCrashes(
+    state_, CrashesSince(aIsLoadOnly), report.crashes_, report.fingerprints_);
+  lastCrashReport_ = state_.loop_.GetClock().Now();
   if (!aIsLoadOnly) {
     AddCounts(report);
   }
@@ -176,6 +187,13 @@
   return report;
 }
 
+MonotonicTime
+ReportExchange::CrashesSince(bool aIsLoadOnly) const
+{
+  const MonotonicTime all = state_.loop_.GetClock().Now() - kCrashReportTime;
+  return aIsLoadOnly ? std::max(lastCrashReport_, all) : all;
+}
+
 void
 ReportExchange::Send(bool aIsLoadOnly)
 {
@@ -188,7 +206,7 @@
     relay_.addChanges_(message);
   }
   if (!IsMesh()) {
-    SendToCollectors(message);
+    SendToCollectors(message, !aIsLoadOnly);
     return;
   }
   for (const auto& [id, peer] : peers_) {
@@ -374,7 +392,6 @@
   const MonotonicTime now = state_.loop_.GetClock().Now();
   AddLimits(state_, aReport.limits_);
   AddLeaving(state_, aReport.leaving_);
-  AddCrashes(state_, aReport.crashes_, aReport.fingerprints_);
   for (const auto& [service, pool] : state_.pools_) {
     for (const auto& [id, view] : pool.servers_) {
       ServerUse use;
--- a/src/edge/ReportExchange.h
+++ b/src/edge/ReportExchange.h
@@ -145,9 +145,13 @@
   // aIsLoadOnly it carries the load of the servers but no counters.
   void Send(bool aIsLoadOnly);
   InstanceReport MakeReport(bool aIsLoadOnly);
+  // The time from which on a report names crashes: a full one all of the last
+  // time, another one only what no report has named.
+  MonotonicTime CrashesSince(bool aIsLoadOnly) const;
   void AddServers(InstanceReport& aReport) const;
   void AddCounts(InstanceReport& aReport) const;
-  void SendToCollectors(const Reports& aMessage);
+  // With aAsksForDigest one collector answers with a digest.
+  void SendToCollectors(const Reports& aMessage, bool aAsksForDigest);
   // A probe asks an instance that may be gone, so its failure is ignored apart
   // from noting that it did not answer.
   void RequestDigest(const PeerIdentity& aCollector,
@@ -157,7 +161,9 @@
   // digest.
   void ProbeMissingCollector(const Reports& aMessage);
   void OnRowsMissing();
-  Digest MakeDigest(const InstanceId& aReceiver, const Reports& aRequest) const;
+  Digest MakeDigest(const InstanceId& aReceiver, const Reports& aRequest);
+  // Collects the crashes for digests, unless that was done a moment ago.
+  void UpdateCrashNews();
   void ApplyDigest(const InstanceId& aFrom, const Digest& aDigest);
   void ApplyDigestMembers(const Digest& aDigest);
   void ApplyReport(const InstanceReport& aReport);
@@ -199,6 +205,11 @@
   std::vector<InstanceId> collectors_;
   bool isCollector_ = false;
   std::vector<InstanceId> placers_;
+  // Crashes as in the last digest, and when they were collected.
+  std::vector<ServerCrash> crashNews_;
+  std::vector<FingerprintStatus> fingerprintNews_;
+  MonotonicTime crashNewsAt_;
+  MonotonicTime lastCrashReport_;
   // Sums of the last digest, in the form of a report over all other instances.
   InstanceReport others_;
   MonotonicTime lastDigest_;
--- a/test/property/CrashReportsTest.cpp
+++ b/test/property/CrashReportsTest.cpp
@@ -2,11 +2,13 @@
 
 #include "edge/CrashReports.h"
 #include "edge/ReportExchange.h"
+#include "peer/MessageCodec.h"
 #include "runtime/EventLoop.h"
 #include "support/FakePeerNetwork.h"
 
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -105,6 +107,7 @@
     }
     AddCrash(
       instances_[aInstance]->state_.crashes_.record_, crash, clock_.Now());
+    instances_[aInstance]->reports_->ReportCrashes();
   }
 
   void Answer(std::size_t aInstance, Fingerprint aFingerprint)
@@ -121,6 +124,22 @@
     return count;
   }
 
+  // Runs for aSeconds and returns the bytes that arrive at an instance each
+  // second. aStep is called every 20 ms.
+  double BytesPerSecond(double aSeconds, const std::function<void()>& aStep)
+  {
+    std::uint64_t bytes = 0;
+    hub_.onArrival_ = [&bytes](const Message& aMessage) {
+      bytes += EncodeMessage(aMessage, 1).size();
+    };
+    for (double passed = 0; passed < aSeconds; passed += 0.02) {
+      aStep();
+      Run(0.02);
+    }
+    hub_.onArrival_ = nullptr;
+    return double(bytes) / aSeconds / double(members_.size());
+  }
+
   std::vector<PeerIdentity> members_;
 
 private:
@@ -198,3 +217,49 @@
     cr_expect_eq(fleet.CountRefusing(kShared), 0, "%zu", count);
   }
 }
+
+// Guards against news of crashes that take the processor time and the network
+// of small instances while many servers end at once. The bound is the budget of
+// an instance for all control traffic.
+Test(CrashReports, CrashesOfManyServersCostLittle)
+{
+  constexpr double kControlBytesPerSecond = 9000;
+  constexpr double kSeconds = 4;
+  // All engines of a deployment of 60 instances and 140 engines.
+  constexpr double kServersPerInstance = 140.0 / 60;
+  for (const std::size_t count : { 14, 60, 400 }) {
+    std::mt19937_64 random(7);
+    Fleet fleet(count);
+    const double calm = fleet.BytesPerSecond(kSeconds, [] {});
+    std::uint64_t unique = 1000;
+    int server = 0;
+    double due = 0;
+    const double inTrouble = fleet.BytesPerSecond(kSeconds, [&] {
+      // Each server runs requests of several instances, which share some parts
+      // of their prompts.
+      for (due += kServersPerInstance * double(count) * 0.02 / kSeconds;
+           due >= 1;
+           --due) {
+        ++server;
+        for (int seen = 0; seen < 6; ++seen) {
+          std::vector<Fingerprint> sent;
+          for (int request = 0; request < 2; ++request) {
+            sent.emplace_back(1 + random() % 40);
+            sent.emplace_back(++unique);
+            sent.emplace_back(++unique);
+          }
+          fleet.Crash(random() % count, server, sent);
+        }
+      }
+      for (int answer = 0; answer < 6; ++answer) {
+        fleet.Answer(random() % count, Fingerprint(1 + random() % 40));
+      }
+    });
+    cr_expect_leq(inTrouble - calm,
+                  kControlBytesPerSecond,
+                  "%zu instances: %.0f bytes a second, %.0f in calm",
+                  count,
+                  inTrouble,
+                  calm);
+  }
+}
--- a/test/support/FakePeerNetwork.h
+++ b/test/support/FakePeerNetwork.h
@@ -6,6 +6,7 @@
 #include "peer/PeerNetwork.h"
 #include "runtime/EventLoop.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -45,6 +46,8 @@
   }
 
   EventLoop& loop_;
+  // Called for each message and each reply that arrives. May be unset.
+  std::function<void(const Message& aMessage)> onArrival_;
   std::map<InstanceId, FakePeerNetwork*> networks_;
   std::set<std::pair<std::string, std::string>> partitioned_;
 };
@@ -167,12 +170,18 @@
       if (handler == handlers.end()) {
         return;
       }
+      if (hub.onArrival_) {
+        hub.onArrival_(aMessage);
+      }
       handler->second(
         from, aMessage, [&hub, from, aTo, aOnReply](Message aReply) {
           hub.loop_.Post([&hub, from, aTo, aOnReply, aReply] {
             if (hub.networks_.count(from.instance_) != 0 &&
                 hub.networks_.count(aTo.instance_) != 0 &&
                 hub.IsOpen(aTo.instance_, from.instance_)) {
+              if (hub.onArrival_) {
+                hub.onArrival_(aReply);
+              }
               aOnReply(aReply);
             }
           });
