Bound what is kept of answers without end

Reported by other operators: a faulty engine sent bytes without end, in a head or a body, and the machine kept them until it ran out of memory.

Cause here: the client of sycamorewardd set no bound for a head, for the line that announces a chunk, for a chunk and for a collected body.

Change: bounds for each of them.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -4,6 +4,7 @@
 
 #include "base/DurationUnits.h"
 #include "edge/RequestStatus.h"
+#include "edge/SendBuffers.h"
 #include "edge/ServerLimits.h"
 
 #include <algorithm>
@@ -15,9 +16,6 @@
 // Maximum size of a plain answer that is buffered until it is complete, so that
 // the request can be retried if the answer breaks off.
 constexpr std::uint64_t kMaxBufferedBytes = 64 * 1024;
-// Reading from the server pauses above this number of bytes not yet sent to the
-// caller.
-constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 // Maximum size of an event. A server in trouble can send the bytes of one event
 // without end, and they are held until the event is complete.
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
@@ -240,7 +238,8 @@
     }
     exchange_->Send(aBytes);
   }
-  if (exchange_->Unsent() > kMaxUnsentBytes && channel_ != nullptr) {
+  if (exchange_->Unsent() > MaxUnsentBytes(state_.requests_.size()) &&
+      channel_ != nullptr) {
     channel_->PauseReading();
   }
 }
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -16,6 +16,13 @@
 // Longer than any silence timeout, so that the timers of ClientCall take effect
 // before that of evhttp.
 constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
+// Maximum size of the head of a reply.
+constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+// Reading pauses above this number of bytes that are not processed yet. evhttp
+// keeps a chunk, and the line that announces it, until it is complete.
+constexpr std::size_t kMaxUnreadBytes = 8 * 1024 * 1024;
+// Maximum size of a reply that is collected in memory.
+constexpr std::size_t kMaxReplyBytes = 32 * 1024 * 1024;
 
 // Adds the bytes of a connection to aTraffic, which must outlive it. Both
 // belong to the same state, which frees its connections.
@@ -77,6 +84,9 @@
   evhttp_connection* connection = evhttp_connection_base_new(
     loop_.Base(), nullptr, aAddress.ip_.c_str(), aAddress.port_);
   evhttp_connection_set_timeout(connection, kEvhttpTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(connection, kMaxHeadBytes);
+  bufferevent_setwatermark(
+    evhttp_connection_get_bufferevent(connection), EV_READ, 0, kMaxUnreadBytes);
   CountBytes(connection, traffic_);
   return connection;
 }
@@ -170,14 +180,28 @@
     reply->status_ = aStatus;
     reply->headers_ = aHeaders;
   };
-  callbacks.onData_ = [reply](std::string_view aData) {
-    reply->body_.append(aData);
+  const auto call = std::make_shared<std::weak_ptr<HttpCall>>();
+  callbacks.onData_ = [reply, call, aOnReply](std::string_view aData) {
+    if (reply->body_.size() + aData.size() <= kMaxReplyBytes) {
+      reply->body_.append(aData);
+      return;
+    }
+    // Cancelling destroys this callback.
+    const auto onReply = aOnReply;
+    HttpClientReply result = std::move(*reply);
+    if (const auto running = call->lock()) {
+      running->Cancel();
+    }
+    result.end_ = HttpEnd::Broken;
+    onReply(std::move(result));
   };
   callbacks.onEnd_ = [reply, aOnReply](HttpEnd aEnd) {
     reply->end_ = aEnd;
     aOnReply(std::move(*reply));
   };
-  return Start(aRequest, std::move(callbacks));
+  auto running = Start(aRequest, std::move(callbacks));
+  *call = running;
+  return running;
 }
 
 } // namespace sycamoreward
--- a/test/correctness/EdgeDecisionTest.cpp
+++ b/test/correctness/EdgeDecisionTest.cpp
@@ -11,6 +11,7 @@
 #include "edge/EventSplitter.h"
 #include "edge/Placement.h"
 #include "edge/Quota.h"
+#include "edge/SendBuffers.h"
 #include "edge/ServerList.h"
 #include "edge/UsageCounts.h"
 
@@ -765,3 +766,14 @@
   cr_expect_eq(table.FindRoute("h.example", "/x")->name_, "/");
   cr_expect_null(table.FindRoute("other.example", "/a/"));
 }
+
+// Guards against answers without end, each within its bound, that fill the
+// memory together.
+Test(SendBuffers, AnswersOfAllRequestsAreBounded)
+{
+  cr_expect_eq(MaxUnsentBytes(1), kMaxUnsentBytes);
+  for (std::size_t requests = 0; requests <= 2000; ++requests) {
+    cr_expect_leq(requests * MaxUnsentBytes(requests), kMaxUnsentOfAll);
+  }
+  cr_expect_eq(MaxUnsentBytes(100000), kMinUnsentBytes);
+}
--- a/test/error/HttpClientAnswerTest.cpp
+++ b/test/error/HttpClientAnswerTest.cpp
@@ -7,8 +7,11 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace sycamoreward;
 
@@ -23,10 +26,11 @@
   {
   }
 
-  HttpClientReply Fetch()
+  HttpClientReply Fetch(Duration aSilence = std::chrono::seconds(30))
   {
     HttpClientRequest request;
     request.address_ = server_.BoundAddress();
+    request.silenceTimeout_ = aSilence;
     std::optional<HttpClientReply> reply;
     client_.Fetch(request,
                   [&](HttpClientReply aReply) { reply = std::move(aReply); });
@@ -94,3 +98,86 @@
   cr_expect_eq(fixture.Fetch().status_, 503);
   cr_expect_eq(fixture.Fetch().status_, 200);
 }
+
+namespace {
+
+// Sends aStart and then aPart again and again, until the client closes or
+// kMostBytes have been sent. Returns how the call ended and what was sent.
+struct EndlessResult
+{
+  HttpEnd end_ = HttpEnd::Complete;
+  std::size_t sent_ = 0;
+};
+
+constexpr std::size_t kMostBytes = 96 * 1024 * 1024;
+
+EndlessResult
+FetchEndless(const std::string& aStart, const std::string& aPart)
+{
+  std::size_t sent = 0;
+  std::string block;
+  while (block.size() < 64 * 1024) {
+    block += aPart;
+  }
+  std::function<void()> send;
+  std::shared_ptr<http::Channel> channel;
+  Fixture fixture([&](auto& aConnection, const auto&) {
+    channel = aConnection.channel_;
+    channel->Write(aStart);
+    send();
+  });
+  send = [&] {
+    // Not more than the client has read is queued here.
+    if (!channel->IsClosed() && channel->Unsent() < block.size() &&
+        sent < kMostBytes) {
+      channel->Write(block);
+      sent += block.size();
+    }
+    if (!channel->IsClosed()) {
+      fixture.loop_.CallAfter(std::chrono::microseconds(100), send);
+    }
+  };
+  EndlessResult result;
+  result.end_ = fixture.Fetch(std::chrono::seconds(1)).end_;
+  result.sent_ = sent;
+  channel->Reset();
+  return result;
+}
+
+} // namespace
+
+// Guards against a faulty server whose bytes are kept until the memory of the
+// process runs out.
+Test(HttpClientAnswer, BytesWithoutEndInAHeadAreNotKept)
+{
+  // More than a head may have, with what the sockets hold.
+  constexpr std::size_t kMostKept = 16 * 1024 * 1024;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> forms[] = {
+    { "HTTP/1.1 200 ", "O" },
+    { head + "Field: ", "x" },
+    { head, "Field: value\r\n" },
+    { chunked, "1" },
+    { chunked + "2;", "extension" },
+    { chunked + "0\r\n", "Field: value\r\n" },
+    { "HTTP/1.1 100 Continue\r\n", "Field: value\r\n" },
+  };
+  for (const auto& [start, part] : forms) {
+    const EndlessResult result = FetchEndless(start, part);
+    cr_expect(result.end_ != HttpEnd::Complete, "%s", start.c_str());
+    cr_expect_leq(result.sent_, kMostKept, "%s", start.c_str());
+  }
+}
+
+// The same for a reply whose body is collected.
+Test(HttpClientAnswer, ABodyWithoutEndIsNotKept)
+{
+  constexpr std::size_t kMostKept = 48 * 1024 * 1024;
+  for (const char* framing : { "", "Content-Length: 99999999999\r\n" }) {
+    const EndlessResult result = FetchEndless(
+      std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n", "body");
+    cr_expect(result.end_ != HttpEnd::Complete, "%s", framing);
+    cr_expect_leq(result.sent_, kMostKept, "%s", framing);
+  }
+}
