--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -96,6 +96,7 @@
   }
 }
 
+// Counts the crashes with aFingerprint since its last answer until aEnd.
 std::size_t
 CountUntil(const CrashRecord& aRecord,
            Fingerprint aFingerprint,
--- a/src/edge/DutyTask.h
+++ b/src/edge/DutyTask.h
@@ -85,10 +85,11 @@
   StoreRow MakeRow(const InstanceId& aHolder, FencingToken aEpoch) const;
   // Notes the era of the store.
   void CheckEra();
-  // Returns whether aReply tells nothing of the row as it is now, because the
-  // store has returned from an older copy since the answer, or since the call
-  // of a write, which began in aCallEra.
+  // Returns whether the store has returned from an older copy since it gave
+  // aReply, which then tells nothing of the rows as they are now.
   bool IsOutdated(const StoreReply& aReply);
+  // The same for a write that began in aCallEra. Its conditions were chosen in
+  // that era, so its outcome counts only within it.
   bool IsOutdated(const StoreReply& aReply, StoreEra aCallEra);
   std::uint64_t CurrentWindow() const;
 
