Correct a comment on the crashes that digests name

Digests name the latest crashes that count, not all of them. Comment only: the formatter and a syntax check of CrashReports.cpp pass; no test was run again.

--- a/src/edge/CrashReports.h
+++ b/src/edge/CrashReports.h
@@ -21,7 +21,7 @@
 // Adds what all instances need to know of the crashes that any of them saw, and
 // all blocks. Many servers can end within seconds, each under dozens of
 // requests that never come again, so only fingerprints that came again after a
-// crash are told, with all their crashes.
+// crash are told, with the latest crashes that count.
 void
 AddRecurrentCrashes(const EdgeState& aState,
                     std::vector<ServerCrash>& aCrashes,
