Review cases 6 and 9, and the order of the cases by gravity

Cause of 6: after three crashes the first part of a prompt is blocked beside the part that crashes servers, if nothing with it was answered in between. Cause of 9: TCP_USER_TIMEOUT of 3 s also ends a connection whose peer keeps its window closed for that long.

The other cases get new numbers: 8 is now 7, 7 is 8, and 6 is 10.

--- a/review/standins-2/Case7.cpp
+++ b/review/standins-2/Case8.cpp
@@ -1,4 +1,4 @@
-// Case 7: one tenant sends many times its usual requests, each within the
+// Case 8: one tenant sends many times its usual requests, each within the
 // manifest's limits, and the entry instance needs more memory than its machine
 // gives it. The platform ends the process; requests that it has passed on to
 // engines, which are sound, end without an answer.
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -102,27 +102,53 @@
   : id_(std::move(aId))
   , loop_(aLoop)
   , service_(std::move(aService))
+{
+  Listen({ "127.0.0.1", 0 });
+  address_ = server_->BoundAddress();
+}
+
+void
+Engine::Listen(const sycamoreward::Address& aAddress)
 {
   server_ = std::make_unique<sycamoreward::http::CallerServer>(
     loop_,
-    sycamoreward::Address{ "127.0.0.1", 0 },
+    aAddress,
     [this](const std::shared_ptr<sycamoreward::http::CallerExchange>& aAsked) {
       Handle(aAsked);
     });
 }
 
+void
+Engine::Crash()
+{
+  if (server_ == nullptr) {
+    return;
+  }
+  Record("engine %s crashes", id_.c_str());
+  crashes_.push_back(Now());
+  server_.reset();
+  loop_.CallAfter(restartDelay_, [this] {
+    ++born_;
+    Listen(address_);
+    Record("engine %s is back", id_.c_str());
+    if (onRestarted_) {
+      onRestarted_();
+    }
+  });
+}
+
 std::string
 Engine::Entry() const
 {
   return nlohmann::json{
     { "service", service_ },
-    { "address", ToString(server_->BoundAddress()) },
+    { "address", ToString(address_) },
     { "zone", "zone-a" },
     { "version", "v1" },
     { "slots", 64 },
     { "state", "ready" },
     { "cold-remaining-ms", 0 },
-    { "born", 1700000000000 },
+    { "born", born_ },
     { "sequence", 1 }
   }.dump();
 }
@@ -162,8 +188,18 @@
   head.status_ = 200;
   head.fields_.push_back({ "X-Response-Signature", "proof-of-" + request });
   head.fields_.push_back({ "X-Backend-Load", "1,0,64,100" });
-  const auto answer = [this, aExchange, run, head, size] {
-    if (!run->isGone_) {
+  const bool isCrashing =
+    !crashPart_.empty() &&
+    Field(*aExchange, "X-Prefix-Hash").find(crashPart_) != std::string::npos;
+  const auto answer = [this, aExchange, run, head, size, isCrashing] {
+    if (isCrashing) {
+      Crash();
+    } else if (!run->isGone_ && events_ > 0) {
+      ResponseHead streamHead = head;
+      streamHead.fields_.push_back({ "Content-Type", "text/event-stream" });
+      aExchange->Start(std::move(streamHead), { BodyEnd::Chunked, 0 });
+      SendEvent(aExchange, run, 1);
+    } else if (!run->isGone_) {
       aExchange->Start(head, { BodyEnd::Length, size });
       Pump(aExchange, run, size);
     }
@@ -171,6 +207,28 @@
   loop_.CallAfter(work_, answer);
 }
 
+void
+Engine::SendEvent(
+  const std::shared_ptr<sycamoreward::http::CallerExchange>& aExchange,
+  const std::shared_ptr<Run>& aRun,
+  int aNext)
+{
+  if (aRun->isGone_) {
+    return;
+  }
+  if (aNext > events_) {
+    aRun->ended_ = Now();
+    aExchange->Finish();
+    return;
+  }
+  const std::string number = std::to_string(aNext);
+  aExchange->Send("id: " + number + "\ndata: " + aRun->request_ + "/" + number +
+                  "\n\n");
+  loop_.CallAfter(eventDelay_, [this, aExchange, aRun, aNext] {
+    SendEvent(aExchange, aRun, aNext + 1);
+  });
+}
+
 void
 Engine::Pump(
   const std::shared_ptr<sycamoreward::http::CallerExchange>& aExchange,
@@ -253,7 +311,11 @@
   for (int index = 0; index < aCount; ++index) {
     engines_.push_back(std::make_unique<Engine>(
       loop_, aService + "-" + std::to_string(index), aService));
-    store_.Put("servers", engines_.back()->id_, engines_.back()->Entry());
+    Engine* engine = engines_.back().get();
+    engine->onRestarted_ = [this, engine] {
+      store_.Put("servers", engine->id_, engine->Entry());
+    };
+    engine->onRestarted_();
   }
 }
 
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -64,6 +64,15 @@
   std::string id_;
   // Time from a request's last byte to the answer.
   Duration work_{ 0 };
+  // If above 0, answers are streams of this many events.
+  int events_ = 0;
+  Duration eventDelay_ = std::chrono::milliseconds(40);
+  // A part of a prompt that ends the engine's process when it begins to write
+  // an answer on it; none if empty. The process is back after a while.
+  std::string crashPart_;
+  Duration restartDelay_ = std::chrono::seconds(3);
+  std::function<void()> onRestarted_;
+  std::vector<double> crashes_;
   std::vector<std::shared_ptr<Run>> runs_;
 
 private:
@@ -71,9 +80,16 @@
   void Pump(const std::shared_ptr<sycamoreward::http::CallerExchange>&,
             const std::shared_ptr<Run>&,
             std::size_t aLeft);
+  void SendEvent(const std::shared_ptr<sycamoreward::http::CallerExchange>&,
+                 const std::shared_ptr<Run>&,
+                 int aNext);
+  void Listen(const sycamoreward::Address& aAddress);
+  void Crash();
 
   EventLoop& loop_;
   std::string service_;
+  sycamoreward::Address address_;
+  std::uint64_t born_ = 1700000000000;
   std::unique_ptr<sycamoreward::http::CallerServer> server_;
 };
 
