--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -192,8 +192,17 @@
     !crashPart_.empty() &&
     Field(*aExchange, "X-Prefix-Hash").find(crashPart_) != std::string::npos;
   const auto answer = [this, aExchange, run, head, size, isCrashing] {
+    // Spreads the failures evenly over the requests since the last one.
+    sinceFailure_ += failedShare_;
     if (isCrashing) {
       Crash();
+    } else if (sinceFailure_ >= 1) {
+      sinceFailure_ -= 1;
+      ResponseHead failure = head;
+      failure.status_ = 503;
+      Record("engine %s fails %s with 503", id_.c_str(), run->request_.c_str());
+      run->ended_ = Now();
+      aExchange->Answer(std::move(failure), "the register is locked");
     } else if (!run->isGone_ && events_ > 0) {
       ResponseHead streamHead = head;
       streamHead.fields_.push_back({ "Content-Type", "text/event-stream" });
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -64,6 +64,9 @@
   std::string id_;
   // Time from a request's last byte to the answer.
   Duration work_{ 0 };
+  // Share of the requests that fail after they have begun: answered 503 without
+  // X-Not-Executed.
+  double failedShare_ = 0;
   // If above 0, answers are streams of this many events.
   int events_ = 0;
   Duration eventDelay_ = std::chrono::milliseconds(40);
@@ -90,6 +93,7 @@
   std::string service_;
   sycamoreward::Address address_;
   std::uint64_t born_ = 1700000000000;
+  double sinceFailure_ = 0;
   std::unique_ptr<sycamoreward::http::CallerServer> server_;
 };
 
