--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -299,6 +299,12 @@
     std::exit(kCouldNotRun);
   }
   directory_ = name;
+  put_ = [this](const std::string& aTable,
+                const std::string& aKey,
+                const std::string& aValue) {
+    store_.Put(aTable, aKey, aValue);
+  };
+  storeAddress_ = store_.BoundAddress();
 }
 
 World::~World()
@@ -322,7 +328,7 @@
       loop_, aService + "-" + std::to_string(index), aService));
     Engine* engine = engines_.back().get();
     engine->onRestarted_ = [this, engine] {
-      store_.Put("servers", engine->id_, engine->Entry());
+      put_("servers", engine->id_, engine->Entry());
     };
     engine->onRestarted_();
   }
@@ -330,26 +336,27 @@
 
 void
 World::PutManifest(const nlohmann::json& aRoutes,
-                   const nlohmann::json& aServices)
+                   const nlohmann::json& aServices,
+                   int aVersion)
 {
-  store_.Put("op",
-             "config",
-             nlohmann::json{ { "version", 1 },
-                             { "routes", aRoutes },
-                             { "services", aServices },
-                             { "limits",
-                               { { "max-header-bytes", 16384 },
-                                 { "max-body-bytes", 4194304 },
-                                 { "header-timeout-ms", 5000 },
-                                 { "idle-timeout-ms", 20000 } } },
-                             { "tenants",
-                               { { { "name", "one" },
-                                   { "api-keys", { kKey } },
-                                   { "unit", "tokens" },
-                                   { "uncached-tokens", 10 },
-                                   { "rate-per-s", 100000 },
-                                   { "burst", 100000 } } } } }
-               .dump());
+  put_("op",
+       "config",
+       nlohmann::json{ { "version", aVersion },
+                       { "routes", aRoutes },
+                       { "services", aServices },
+                       { "limits",
+                         { { "max-header-bytes", 16384 },
+                           { "max-body-bytes", 4194304 },
+                           { "header-timeout-ms", 5000 },
+                           { "idle-timeout-ms", 20000 } } },
+                       { "tenants",
+                         { { { "name", "one" },
+                             { "api-keys", { kKey } },
+                             { "unit", "tokens" },
+                             { "uncached-tokens", 10 },
+                             { "rate-per-s", 100000 },
+                             { "burst", 100000 } } } } }
+         .dump());
 }
 
 std::string
@@ -376,7 +383,7 @@
          "report-window-s = 5\nusage-late-s = 10\nrecovery-s = 12\n"
          "ttl_max_s = 5\n"
          "[platform]\naddress = \"" +
-         ToString(store_.BoundAddress()) + "\"\n[cloud]\naddress = \"" +
+         ToString(storeAddress_) + "\"\n[cloud]\naddress = \"" +
          ToString(cloud_.BoundAddress()) + "\"\n";
 }
 
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -123,7 +123,8 @@
   void AddEngines(const std::string& aService, int aCount);
   // aRoutes and aServices as in a manifest.
   void PutManifest(const nlohmann::json& aRoutes,
-                   const nlohmann::json& aServices);
+                   const nlohmann::json& aServices,
+                   int aVersion = 1);
   void AddEdges(int aCount);
   void Start(Edge& aEdge);
   // Notes which processes have ended.
@@ -136,6 +137,12 @@
   EventLoop loop_{ clock_ };
   sycamoreward::standin::StoreStandIn store_{ loop_ };
   sycamoreward::standin::CloudStandIn cloud_{ loop_ };
+  // Where rows are put, and the store that the instances call: store_ at first.
+  std::function<void(const std::string& aTable,
+                     const std::string& aKey,
+                     const std::string& aValue)>
+    put_;
+  sycamoreward::Address storeAddress_;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<std::unique_ptr<Edge>> edges_;
 
