Keep rows that were deleted and written again before the copy saw it

What callers saw: after an outage of the store of 3.9 s, requests of one service got 503 (no_server) until the process started again, although its servers were alive and their entries were back in the store.

Cause: the copy of a table noted a deletion under the version of the whole reply, so the entry that followed it in the same reply counted as earlier and was dropped. The version up to which the copy has been read and the version of a row were one kind of number. Relayed deletions hid the entry on other instances too.

Change: rows and deletions keep the version of their own change; replies and relayed rows are applied in order from the version of the copy on. A deletion without a version gets that of the next change. Related: rows of early pages that were deleted during a full read stayed if more deletions followed than are kept; the table is then read again.

--- a/src/edge/TableWatch.cpp
+++ b/src/edge/TableWatch.cpp
@@ -18,6 +18,21 @@
 // Maximum number of deleted rows that are kept for other instances.
 constexpr std::size_t kMaxDeletedRows = 512;
 
+// Gives each change of a reply that names no version the one of the next change
+// that does, or else that of the reply. The table doesn't change between them,
+// as a reply has all changes in order.
+void
+FillVersions(std::vector<StoreRow>& aRows, std::uint64_t aReplyVersion)
+{
+  std::uint64_t next = aReplyVersion;
+  for (auto row = aRows.rbegin(); row != aRows.rend(); ++row) {
+    if (row->version_ == 0) {
+      row->version_ = next;
+    }
+    next = row->version_;
+  }
+}
+
 } // namespace
 
 TableWatch::TableWatch(EventLoop& aLoop,
@@ -104,6 +119,11 @@
   }
   const bool isRestored = hasSnapshot_ && pagesEra_ > era_;
   if (hasSnapshot_ && !isRestored) {
+    if (pagesVersion_ < deletedSince_) {
+      // Rows of these pages may have been deleted, and it isn't known which.
+      ReadPage("");
+      return;
+    }
     KeepLaterChanges();
   }
   rows_ = std::move(pages_);
@@ -138,13 +158,19 @@
 void
 TableWatch::KeepLaterChanges()
 {
+  // The last pages can be later than the first one, and later than the copy.
+  const auto isLater = [this](const StoreRow& aRow) {
+    const auto page = pages_.find(aRow.key_);
+    return aRow.version_ > pagesVersion_ &&
+           (page == pages_.end() || aRow.version_ > page->second.version_);
+  };
   for (const auto& [key, row] : rows_) {
-    if (row.version_ > pagesVersion_) {
+    if (isLater(row)) {
       pages_[key] = row;
     }
   }
   for (const auto& [key, row] : deleted_) {
-    if (row.version_ > pagesVersion_) {
+    if (isLater(row)) {
       pages_.erase(key);
     }
   }
@@ -154,10 +180,6 @@
 bool
 TableWatch::HasLaterRow(const StoreRow& aRow) const
 {
-  if (aRow.version_ == 0) {
-    // A deletion whose version the store does not name.
-    return false;
-  }
   for (const auto* rows : { &rows_, &deleted_ }) {
     const auto known = rows->find(aRow.key_);
     if (known != rows->end() && known->second.version_ > aRow.version_) {
@@ -168,12 +190,22 @@
 }
 
 void
-TableWatch::ApplyRow(const StoreRow& aRow)
+TableWatch::ApplyChanges(const std::vector<StoreRow>& aRows,
+                         std::uint64_t aVersion)
 {
-  // Replies of the store and relayed rows may overtake each other.
-  if (HasLaterRow(aRow)) {
-    return;
+  const std::uint64_t known = std::exchange(version_, aVersion);
+  for (const StoreRow& row : aRows) {
+    // Replies of the store and relayed rows may overtake each other, so some of
+    // the changes can already be part of the copy.
+    if (row.version_ > known && !HasLaterRow(row)) {
+      ApplyRow(row);
+    }
   }
+}
+
+void
+TableWatch::ApplyRow(const StoreRow& aRow)
+{
   latestChange_ = std::max(latestChange_, aRow.version_);
   if (!aRow.isDeleted_) {
     rows_[aRow.key_] = aRow;
@@ -181,9 +213,7 @@
     return;
   }
   rows_.erase(aRow.key_);
-  StoreRow& deleted = deleted_[aRow.key_];
-  deleted = aRow;
-  deleted.version_ = std::max(aRow.version_, version_);
+  deleted_[aRow.key_] = aRow;
   if (deleted_.size() > kMaxDeletedRows) {
     deletedSince_ = version_;
     deleted_.clear();
@@ -215,10 +245,7 @@
       aVersion.number_ < version_) {
     return;
   }
-  version_ = aVersion.number_;
-  for (const StoreRow& row : aRows) {
-    ApplyRow(row);
-  }
+  ApplyChanges(aRows, aVersion.number_);
   if (!aRows.empty()) {
     callbacks_.onChange_();
   }
@@ -278,10 +305,9 @@
   if (CheckEra(aReply.era_)) {
     return;
   }
-  version_ = std::max(version_, aReply.version_);
-  for (const StoreRow& row : aReply.rows_) {
-    ApplyRow(row);
-  }
+  std::vector<StoreRow> rows = aReply.rows_;
+  FillVersions(rows, aReply.version_);
+  ApplyChanges(rows, std::max(version_, aReply.version_));
   const std::uint64_t generation = generation_;
   if (!aReply.rows_.empty()) {
     callbacks_.onChange_();
--- a/src/edge/TableWatch.h
+++ b/src/edge/TableWatch.h
@@ -105,6 +105,10 @@
   // Handles a change of the era between the copy and aEra: reads the table
   // again. Returns whether there was one.
   bool CheckEra(StoreEra aEra);
+  // Applies changes in their order and advances the copy to aVersion, which is
+  // not before version_. Leaves out changes that the copy already has: those up
+  // to version_, and those of rows that it has in a later version.
+  void ApplyChanges(const std::vector<StoreRow>& aRows, std::uint64_t aVersion);
   void ApplyRow(const StoreRow& aRow);
   // Returns whether the copy has a later row or deletion under the key of aRow.
   bool HasLaterRow(const StoreRow& aRow) const;
@@ -124,6 +128,9 @@
   std::uint64_t pagesVersion_ = 0;
   StoreEra pagesEra_;
   StoreEra era_;
+  // Version of the store up to which the copy has all changes. Each row and
+  // each deletion keeps the version of its own change, which tells which one is
+  // later.
   std::uint64_t version_ = 0;
   std::uint64_t latestChange_ = 0;
   std::uint64_t restoredVersion_ = 0;
--- a/test/correctness/TableWatchTest.cpp
+++ b/test/correctness/TableWatchTest.cpp
@@ -8,8 +8,8 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
-#include <array>
 #include <random>
+#include <vector>
 
 using namespace sycamoreward;
 using namespace sycamoreward::edge;
@@ -147,7 +147,8 @@
 // or read the store as well.
 struct WatchedCopies
 {
-  WatchedCopies()
+  explicit WatchedCopies(std::size_t aCount = 3)
+    : watches_(aCount)
   {
     clock_.Advance(std::chrono::hours(1));
     for (auto& watch : watches_) {
@@ -186,7 +187,7 @@
   DecisionLogOptions logOptions_{ -1 };
   DecisionLog log_{ loop_, logOptions_ };
   SilentStore store_{ loop_ };
-  std::array<std::unique_ptr<TableWatch>, 3> watches_;
+  std::vector<std::unique_ptr<TableWatch>> watches_;
 };
 
 // Guards against a change that is never seen because the store gave its version
@@ -235,6 +236,76 @@
   cr_expect(table.Values(2) == table.store_.Values());
 }
 
+// Guards against servers that stay unlisted after an outage: a row that was
+// deleted and written again before the store answered was taken for older than
+// its deletion, and dropped.
+Test(TableWatch, KeepsARowThatWasDeletedAndWrittenAgainInOneReply)
+{
+  for (const bool isNaming : { true, false }) {
+    WatchedCopies table;
+    table.store_.SetNamesDeletions(isNaming);
+    table.store_.Put("back", "first");
+    table.store_.Put("gone", "first");
+    table.RunFor(std::chrono::seconds(1));
+    // This copy gets the rows from the first one.
+    table.watches_[2]->SetPaused(true);
+    table.store_.SetSilent(true);
+    table.RunFor(std::chrono::seconds(3));
+    table.store_.Remove("back");
+    table.store_.Remove("gone");
+    table.store_.Put("back", "second");
+    table.store_.Put("other", "first");
+    table.store_.SetSilent(false);
+    table.RunFor(kContactTime);
+    table.Relay(0, 2);
+    for (std::size_t index = 0; index < table.watches_.size(); ++index) {
+      cr_expect(table.Values(index) == table.store_.Values(),
+                "copy %zu, versions of deletions named: %d",
+                index,
+                int(isNaming));
+    }
+  }
+}
+
+// Guards against rows that stay although they were deleted during a read of the
+// table, because the copy keeps only the latest deletions.
+Test(TableWatch, ReadsAgainWhenTooManyRowsAreDeletedDuringARead)
+{
+  constexpr int kDeletedRows = 300;
+  constexpr int kLastRows = 100;
+  const auto keyOf = [](const char* aPrefix, int aNumber) {
+    return aPrefix + std::to_string(aNumber);
+  };
+  WatchedCopies table(2);
+  for (int row = 0; row < kDeletedRows; ++row) {
+    table.store_.Put(keyOf("early-", row), "first");
+    table.store_.Put(keyOf("first-", row), "first");
+  }
+  for (int row = 0; row < kLastRows; ++row) {
+    table.store_.Put(keyOf("last-", row), "first");
+  }
+  table.RunFor(std::chrono::seconds(1));
+  for (int row = 0; row < kDeletedRows; ++row) {
+    table.store_.Remove(keyOf("early-", row));
+  }
+  table.RunFor(std::chrono::seconds(1));
+  // The second copy no longer knows of these deletions.
+  table.watches_[1]->Reload(Duration(0));
+  table.RunFor(std::chrono::seconds(1));
+  table.store_.SetPageSize(1);
+  table.watches_[0]->Reload(Duration(0));
+  while (table.store_.LastRead() < "last-") {
+    table.RunFor(std::chrono::milliseconds(10));
+  }
+  for (int row = 0; row < kDeletedRows; ++row) {
+    table.store_.Remove(keyOf("first-", row));
+  }
+  table.RunFor(std::chrono::milliseconds(200));
+  table.Relay(1, 0);
+  table.RunFor(kContactTime);
+  cr_expect_eq(table.Values(0).size(), std::size_t(kLastRows));
+}
+
 // Guards against copies that stay different from the store, whatever happens to
 // it.
 Test(TableWatch, CopiesFollowAStoreThatReturnsFromCopies)
@@ -242,38 +313,53 @@
   const bool isKept = rc::check("copies follow", [] {
     std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
     const auto below = [&](std::uint64_t aBound) { return random() % aBound; };
-    WatchedCopies table;
+    const std::size_t count = below(10) == 0 ? 60 : 3 + below(6);
+    WatchedCopies table(count);
+    table.store_.SetNamesDeletions(below(2) == 0);
+    table.store_.SetPageSize(1 + below(6));
     table.RunFor(std::chrono::milliseconds(100));
-    // The third copy only gets relayed rows.
-    table.watches_[2]->SetPaused(true);
+    // All but two copies only get relayed rows.
+    for (std::size_t index = 2; index < count; ++index) {
+      table.watches_[index]->SetPaused(true);
+    }
     for (int step = 0; step < 60; ++step) {
       const std::string key(1, char('a' + below(6)));
-      switch (below(8)) {
+      switch (below(10)) {
         case 0:
+        case 1:
           table.store_.Remove(key);
           break;
-        case 1:
+        case 2:
           table.store_.SetSilent(below(2) == 0);
           break;
-        case 2: {
+        case 3: {
           const std::uint64_t version = table.store_.Version();
           table.store_.Restore(version -
                                below(std::min<std::uint64_t>(version, 8)));
           break;
         }
-        case 3:
-          table.Relay(below(3), below(3));
+        case 4:
+        case 5:
+          table.Relay(below(count), below(count));
+          break;
+        case 6:
+          table.watches_[below(count)]->Reload(Duration(0));
           break;
         default:
           table.store_.Put(key, std::to_string(step));
       }
-      table.RunFor(std::chrono::milliseconds(below(500)));
+      // Several changes often reach a copy in one reply.
+      if (below(2) == 0) {
+        table.RunFor(std::chrono::milliseconds(below(500)));
+      }
     }
     table.store_.SetSilent(false);
     table.RunFor(kContactTime);
-    table.Relay(0, 2);
+    for (std::size_t index = 2; index < count; ++index) {
+      table.Relay(0, index);
+    }
     table.RunFor(std::chrono::milliseconds(500));
-    for (std::size_t index = 0; index < table.watches_.size(); ++index) {
+    for (std::size_t index = 0; index < count; ++index) {
       RC_ASSERT(table.Values(index) == table.store_.Values());
     }
   });
--- a/test/support/SilentStore.h
+++ b/test/support/SilentStore.h
@@ -2,7 +2,8 @@
 
 // A store of one table that can stop answering, as when it is down or
 // partitioned, and that can return from an older copy. Calls made while it is
-// silent are never answered and time out like those of StoreClient.
+// silent are never answered and time out like those of StoreClient. A watch
+// gets every change in order, also several of one row.
 
 #include "edge/RowStore.h"
 #include "runtime/EventLoop.h"
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace sycamoreward {
 
@@ -47,12 +49,25 @@
 
   std::uint64_t Version() const { return version_; }
 
+  // Maximum number of rows in the answer to a read.
+  void SetPageSize(std::size_t aRows) { pageSize_ = aRows; }
+  // The key after which the last page began that was read.
+  const std::string& LastRead() const { return lastRead_; }
+  // Sets whether answers to watches name the versions of deletions.
+  void SetNamesDeletions(bool aIsNaming) { isNamingDeletions_ = aIsNaming; }
+
   // Returns to the copy of version aVersion, in a new era. Waiting calls are
   // not answered.
   void Restore(std::uint64_t aVersion)
   {
     rows_ = copies_[aVersion];
     copies_.erase(copies_.upper_bound(aVersion), copies_.end());
+    history_.erase(std::remove_if(history_.begin(),
+                                  history_.end(),
+                                  [&](const edge::StoreRow& aRow) {
+                                    return aRow.version_ > aVersion;
+                                  }),
+                   history_.end());
     version_ = aVersion;
     era_ = StoreEra(era_.Value() + 1);
     waiting_.clear();
@@ -71,19 +86,25 @@
   }
 
   void Read(const std::string& /*aTable*/,
-            const std::string& /*aAfter*/,
+            const std::string& aAfter,
             OnReply aOnReply) override
   {
-    Begin(kReadTimeout, std::move(aOnReply), [this](const Answer& aAnswer) {
-      edge::StoreReply reply = Changes(0);
-      reply.rows_.erase(std::remove_if(reply.rows_.begin(),
-                                       reply.rows_.end(),
-                                       [](const edge::StoreRow& aRow) {
-                                         return aRow.isDeleted_;
-                                       }),
-                        reply.rows_.end());
-      aAnswer(reply);
-    });
+    lastRead_ = aAfter;
+    Begin(
+      kReadTimeout, std::move(aOnReply), [this, aAfter](const Answer& aAnswer) {
+        edge::StoreReply reply = EmptyReply();
+        for (auto row = rows_.upper_bound(aAfter); row != rows_.end(); ++row) {
+          if (row->second.isDeleted_) {
+            continue;
+          }
+          if (reply.rows_.size() == pageSize_) {
+            reply.hasMore_ = true;
+            break;
+          }
+          reply.rows_.push_back(row->second);
+        }
+        aAnswer(reply);
+      });
   }
 
   void Watch(const std::string& /*aTable*/,
@@ -133,12 +154,20 @@
   static constexpr Duration kWatchMargin = std::chrono::milliseconds(600);
   static constexpr Duration kDelay = std::chrono::milliseconds(5);
 
+  edge::StoreReply EmptyReply() const
+  {
+    return { edge::StoreStatus::Ok, {}, version_, false, era_ };
+  }
+
   edge::StoreReply Changes(std::uint64_t aSince) const
   {
-    edge::StoreReply reply{ edge::StoreStatus::Ok, {}, version_, false, era_ };
-    for (const auto& [key, row] : rows_) {
+    edge::StoreReply reply = EmptyReply();
+    for (const edge::StoreRow& row : history_) {
       if (row.version_ > aSince) {
         reply.rows_.push_back(row);
+        if (row.isDeleted_ && !isNamingDeletions_) {
+          reply.rows_.back().version_ = 0;
+        }
       }
     }
     return reply;
@@ -149,6 +178,7 @@
     aRow.version_ = ++version_;
     rows_[aRow.key_] = aRow;
     copies_[version_] = rows_;
+    history_.push_back(aRow);
     if (isSilent_) {
       return;
     }
@@ -182,6 +212,10 @@
   std::map<std::uint64_t, std::map<std::string, edge::StoreRow>> copies_{
     { 1, {} }
   };
+  std::vector<edge::StoreRow> history_;
+  std::size_t pageSize_ = 500;
+  std::string lastRead_;
+  bool isNamingDeletions_ = true;
   StoreEra era_ = StoreEra(1);
   std::list<std::pair<std::uint64_t, Answer>> waiting_;
   std::uint64_t version_ = 1;
