Pass on a promise of no run only if the server denies the run

What callers saw: a server began to run a request that may run once and answered 503; the caller got this 503, which promises that the request has not run, asked again, and it ran twice.

Cause: the status of a server's answer went on to the caller whether or not the server had denied the run. The instance's own answers kept to the promise, those of servers did not pass the same check.

Change: one function tells which status a caller gets for a request that may have run: 502 in place of 408, 421, 429 and 503, without the server's proof and Retry-After. All paths that end a request use it, sycamorewardd's too. A 421 is a denial only if it says so or names another server. request_end has the server's status.

A test of sycamorewardd expected 503 after a server had begun to run the request and broke off. That is the false promise; it now expects 502 and that the body says "ran".

Measured: FaultyAnswer/AStatusThatPromisesNoRunNeedsTheServersDenial and RequestOnce/ AStatusThatPromisesNoRunNeedsTheServersDenial failed before and pass.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -53,8 +53,14 @@
   if (!answer.isOtherServer_) {
     RecordAnsweredLeaving(answer);
   }
-  isNotRun_ = answer.isNotRun_ || answer.isOtherServer_;
-  const bool isServerError = aHead.status_ >= 500;
+  const bool isOtherServer = answer.isOtherServer_ &&
+                             !answer.server_.Value().empty() &&
+                             answer.server_ != placement_.server_;
+  isNotRun_ = answer.isNotRun_ || isOtherServer;
+  // A promise that the request has not run is the server's to make only if it
+  // denies the run.
+  const bool isPromise = http::PromisesNoRun(aHead.status_) && !isNotRun_;
+  const bool isServerError = isPromise || aHead.status_ >= 500;
   if (view != nullptr && route_->kind_ != RouteKind::Stream && !isNotRun_ &&
       !isServerError) {
     RecordServiceTime(state_.pools_[service_], *view, now - sent_, now);
@@ -87,7 +93,7 @@
     isEventStream_ && answerHead_.Find("content-type") != nullptr;
   const bool isRetried =
     isNotRun_ || (isServerError && IsRepeatable() && CanRetry());
-  if (isRetried) {
+  if (isRetried || isPromise) {
     answerState_ = AnswerState::Discarded;
     discardedBytes_ = 0;
     return;
@@ -274,7 +280,8 @@
   }
   const MonotonicTime now = state_.loop_.GetClock().Now();
   BackendView* view = FindAttemptServer();
-  const bool isFailure = isNotRun_ || answerHead_.status_ >= 500;
+  const bool isFailure = isNotRun_ || answerHead_.status_ >= 500 ||
+                         http::PromisesNoRun(answerHead_.status_);
   if (view != nullptr) {
     RecordResult(*view, isFailure, now);
   }
--- a/src/edge/RequestEnd.cpp
+++ b/src/edge/RequestEnd.cpp
@@ -47,8 +47,9 @@
     AbortAnswer(aReason);
     return;
   }
-  if (possibleRuns_ > 0) {
-    Fail(kBadGateway, aReason);
+  const int status = http::StatusForCaller(aStatus, possibleRuns_ > 0);
+  if (status != aStatus) {
+    Fail(status, aReason);
     return;
   }
   if (isQuotaTaken_) {
@@ -138,6 +139,7 @@
     .Add("sends", std::uint64_t(attempts_))
     .Add("runs", std::uint64_t(possibleRuns_))
     .Add("expectedMs", placement_.waitMs_)
+    .Add("serverStatus", answerHead_.status_)
     .Add("firstByteMs", Milliseconds(wait))
     .Add("longestPauseMs", Milliseconds(longestPause_))
     .Add("framing",
--- a/src/edge/RequestStatus.h
+++ b/src/edge/RequestStatus.h
@@ -3,6 +3,7 @@
 // HTTP status codes and delays shared by the parts of RequestRun.
 
 #include "base/Clock.h"
+#include "http/RunPromise.h"
 
 namespace sycamoreward::edge {
 
@@ -10,7 +11,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
+using http::kBadGateway;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
--- a/src/edge/WireCodec.h
+++ b/src/edge/WireCodec.h
@@ -57,7 +57,9 @@
   RequestId id_;
   // The server states that it has not run the request.
   bool isNotRun_ = false;
-  // The address now belongs to a server other than the expected one.
+  // The server that answered; empty if it does not say so.
+  ServerId server_;
+  // The answer is one to a request that expects another server.
   bool isOtherServer_ = false;
   std::optional<ReportedLoad> load_;
   // The rate of requests that the server takes from all instances together.
--- a/src/requests/RequestStream.cpp
+++ b/src/requests/RequestStream.cpp
@@ -1,5 +1,6 @@
 // RequestTask, middle steps: streaming the answer and handling failed attempts.
 
+#include "http/RunPromise.h"
 #include "requests/BackendCall.h"
 #include "requests/RequestTask.h"
 #include "requests/TaskErrors.h"
@@ -134,7 +135,12 @@
   if (isAnswer && !request_.model_) {
     const std::string server = found->second.server_.id_.Value();
     CloseAttempt(aAttempt, AttemptEnd::Completed, "complete");
-    CompletePlain(aReply, "reply of " + server);
+    if (http::PromisesNoRun(aReply.status_)) {
+      // The server did not deny the run, so its status is not passed on.
+      GiveUp(AttemptError(aReply, server, Ran::Ran), "reply of " + server);
+    } else {
+      CompletePlain(aReply, "reply of " + server);
+    }
     return;
   }
   AttemptReply reply = aReply;
--- a/src/requests/TaskErrors.cpp
+++ b/src/requests/TaskErrors.cpp
@@ -1,5 +1,7 @@
 #include "requests/TaskErrors.h"
 
+#include "http/RunPromise.h"
+
 namespace sycamoreward {
 
 namespace {
@@ -85,6 +87,7 @@
                         "The request would miss its deadline in the queue.");
       break;
   }
+  error.status_ = http::StatusForCaller(error.status_, aRan != Ran::NotRun);
   error.retryAfter_ = aGrant.retryAfter_;
   return error;
 }
@@ -118,7 +121,8 @@
   // A request that no server ran can be sent again later.
   const int otherStatus = aRan == Ran::NotRun ? 503 : 502;
   CallerError error = MakeError(
-    isCallersFault ? aReply.status_ : otherStatus,
+    isCallersFault ? http::StatusForCaller(aReply.status_, aRan != Ran::NotRun)
+                   : otherStatus,
     aReply.end_ == HttpEnd::Complete ? "server_error" : "server_unreachable",
     "stream",
     aRan,
@@ -156,7 +160,7 @@
 CallerGoneError(Ran aRan)
 {
   return MakeError(
-    503,
+    http::StatusForCaller(503, aRan != Ran::NotRun),
     "caller_gone",
     "stream",
     aRan,
--- a/test/failure/FaultyAnswerTest.cpp
+++ b/test/failure/FaultyAnswerTest.cpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace sycamoreward;
@@ -296,3 +297,139 @@
     }
   }
 }
+
+namespace {
+
+// How a server ends the body of its answer.
+struct AnswerBody
+{
+  const char* name_;
+  std::string fields_;
+  std::string bytes_;
+  bool isClosing_ = false;
+};
+
+std::vector<AnswerBody>
+BodiesOfAllFramings()
+{
+  const std::string text = "the register is locked";
+  const std::string longText(100 * 1024, 'x');
+  const auto lengthOf = [](const std::string& aBody) {
+    return "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  };
+  return { { "length", lengthOf(text), text },
+           { "long", lengthOf(longText), longText },
+           { "chunked",
+             "Transfer-Encoding: chunked\r\n",
+             "16\r\n" + text + "\r\n0\r\n\r\n" },
+           { "close", "", text, true },
+           { "none", "Content-Length: 0\r\n", "" } };
+}
+
+bool
+IsPromise(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+} // namespace
+
+// Guards against a server's status that promises the caller that its request
+// has not run, although the server that began to run it did not say so.
+Test(FaultyAnswer, AStatusThatPromisesNoRunNeedsTheServersDenial)
+{
+  ScriptedWorld world;
+  std::string head;
+  AnswerBody body;
+  const auto script = [&](auto& aConnection, const auto& aHead) {
+    aConnection.channel_->Write(
+      head + "X-Request-Id: " + ScriptedServer::Field(aHead, "X-Request-Id") +
+      "\r\nX-Response-Signature: sig\r\nRetry-After: 1\r\n" + body.fields_ +
+      "\r\n" + body.bytes_);
+    if (body.isClosing_) {
+      aConnection.channel_->CloseAfterFlush();
+    }
+  };
+  world.Add("engine", script);
+  world.Add("desk", script);
+  world.Add("desk", script);
+  world.WaitReady();
+  int number = 0;
+  for (const int status : { 503, 429, 408, 421 }) {
+    for (const bool isDenied : { false, true }) {
+      for (const AnswerBody& current : BodiesOfAllFramings()) {
+        head = "HTTP/1.1 " + std::to_string(status) + " Locked\r\n" +
+               (isDenied ? "X-Not-Executed: 1\r\n" : "");
+        body = current;
+        for (const char* path : { PlatformFixture::kOnce,
+                                  PlatformFixture::kRepeatable,
+                                  PlatformFixture::kResumable,
+                                  PlatformFixture::kStream }) {
+          const auto run = world.Ask(path, "r" + std::to_string(++number));
+          cr_expect_eq(IsPromise(run->status_),
+                       isDenied,
+                       "%d, denied %d, %s, %s: %d %s",
+                       status,
+                       int(isDenied),
+                       body.name_,
+                       path,
+                       run->status_,
+                       run->body_.substr(0, 80).c_str());
+          const char* ran = isDenied ? "\"not_run\"" : "\"unknown\"";
+          cr_expect_neq(run->body_.find(ran),
+                        std::string::npos,
+                        "%d, %s, %s: %s",
+                        status,
+                        body.name_,
+                        path,
+                        run->body_.substr(0, 80).c_str());
+          cr_expect_eq(run->signature_, "");
+          cr_expect_eq(run->retryAfter_.empty(), !isDenied);
+        }
+      }
+    }
+  }
+}
+
+// Guards against the denial of the last server being passed on for one before
+// it that may have run the request.
+Test(FaultyAnswer, TheDenialOfOneServerDoesNotCountForAnother)
+{
+  ScriptedWorld world;
+  bool isFirst = true;
+  const auto script = [&](auto& aConnection, const auto& aHead) {
+    if (std::exchange(isFirst, false)) {
+      aConnection.channel_->Reset();
+      return;
+    }
+    aConnection.channel_->Write(
+      Refusal(ScriptedServer::Field(aHead, "X-Request-Id")));
+  };
+  world.Add("desk", script);
+  world.Add("desk", script);
+  world.WaitReady();
+  for (const char* path :
+       { PlatformFixture::kOnce, PlatformFixture::kRepeatable }) {
+    isFirst = true;
+    const auto run = world.Ask(path, std::string(path).substr(1, 4));
+    cr_expect_not(IsPromise(run->status_), "%s: %d", path, run->status_);
+  }
+}
+
+// A server that has got the address of another one did not run the request,
+// and says so with its own name.
+Test(FaultyAnswer, AnotherServerAtTheAddressHasNotRunTheRequest)
+{
+  ScriptedWorld world;
+  world.Add("desk", [](auto& aConnection, const auto& aHead) {
+    aConnection.channel_->Write(
+      "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: other\r\n"
+      "X-Request-Id: " +
+      ScriptedServer::Field(aHead, "X-Request-Id") +
+      "\r\nContent-Length: 0\r\n\r\n");
+  });
+  world.WaitReady();
+  const auto run = world.Ask(PlatformFixture::kOnce, "misdirected");
+  cr_expect_eq(run->status_, 503);
+  cr_expect_neq(run->body_.find("\"not_run\""), std::string::npos);
+}
--- a/test/failure/RequestOnceTest.cpp
+++ b/test/failure/RequestOnceTest.cpp
@@ -18,10 +18,13 @@
     Reply,
     Disconnect,
     Silent,
-    Refuse
+    Refuse,
+    // Runs the request and answers with failStatus_.
+    Fail
   };
 
   Mode mode_ = Mode::Reply;
+  int failStatus_ = 500;
   // Reply to status queries; 404 when null.
   nlohmann::json status_;
   unsigned calls_ = 0;
@@ -55,6 +58,9 @@
         case Mode::Refuse:
           aExchange->Reply(503, { { "Sycamoreward-Ran", "not_run" } }, "");
           return;
+        case Mode::Fail:
+          aExchange->Reply(failStatus_, {}, "locked");
+          return;
       }
     };
   }
@@ -161,6 +167,25 @@
   test.Check(OutcomeKind::NotRun, 1, 1);
 }
 
+// Guards against a status that promises no run, passed on from a server that
+// ran the request and did not deny it.
+Test(RequestOnce, AStatusThatPromisesNoRunNeedsTheServersDenial)
+{
+  for (const char* service : { "bare", "look" }) {
+    for (const int status : { 503, 421, 408 }) {
+      Case test;
+      test.Build();
+      test.first_.mode_ = ScriptedServer::Mode::Fail;
+      test.first_.failStatus_ = status;
+      const auto reply = test.Issue(service);
+      cr_expect_eq(reply.status_, 502, "%s %d", service, status);
+      cr_expect_eq(RanOf(reply), "ran", "%s %d", service, status);
+      cr_expect(FindHeader(reply.headers_, "Retry-After").empty());
+      test.Check(OutcomeKind::Failed, 1, 0);
+    }
+  }
+}
+
 Test(RequestOnce, ReturnsStoredReplyOfBrokenCallThatRan)
 {
   Case test;
--- a/test/failure/RequestStreamTest.cpp
+++ b/test/failure/RequestStreamTest.cpp
@@ -188,7 +188,9 @@
   test.first_.fault_ = Engine::Fault::Disconnect;
   test.Build(false);
   const auto reply = test.RequestCompletion(false);
-  cr_assert_eq(reply.status_, 503);
+  // The engine began to run it, so no status may promise that it has not run.
+  cr_assert_eq(reply.status_, 502);
+  cr_assert_neq(reply.body_.find("\"ran\":\"ran\""), std::string::npos);
   cr_assert_eq(reply.body_.find("t0"), std::string::npos);
   test.CheckSlots(OutcomeKind::Failed);
 }
