Test apart the prompt parts that were together on crashed servers

What callers saw: after three servers had crashed under requests with one deadly part, all requests with the first part of these prompts got 503 for two minutes, sound ones of the same tenant included.

Cause: the record of crashes can't tell apart two parts that were at the same crashes, so both were refused, and nothing could clear the sound one while it was refused. Besides, a block that was decided before an answer was known came back from other instances, as it counted as later than the answer.

Change: a request with only some of these parts is sent during the block, by one instance at first and by twice as many after each settle time. An answer lifts the block, crashes end the tests. A block names the last crash that led to it, and an answer after that lifts it; an instance that reports a lifted block is told of the answer again. Reports carry one new field; without it the decision of the block counts, as before.

--- a/src/edge/BlockRows.cpp
+++ b/src/edge/BlockRows.cpp
@@ -31,9 +31,11 @@
 EncodeBlock(const Block& aBlock, MonotonicTime aNow, WallTime aWall)
 {
   const auto left = std::int64_t(Milliseconds(aBlock.until_ - aNow));
+  const auto crashAge = std::int64_t(Milliseconds(aNow - aBlock.lastCrash_));
   return nlohmann::json{
     { "until_ms", WallMs(aWall) + left },
-    { "length_ms", std::int64_t(Milliseconds(aBlock.length_)) }
+    { "length_ms", std::int64_t(Milliseconds(aBlock.length_)) },
+    { "last_crash_ms", WallMs(aWall) - crashAge }
   }.dump();
 }
 
@@ -55,6 +57,12 @@
   block.until_ = aNow + std::chrono::milliseconds(until - wall);
   block.length_ = std::chrono::milliseconds(
     std::clamp<std::int64_t>(json["length_ms"].get<std::int64_t>(), 0, kMaxMs));
+  block.lastCrash_ = block.until_ - block.length_;
+  const auto crash = json.find("last_crash_ms");
+  if (crash != json.end() && crash->is_number_integer()) {
+    const auto at = std::clamp(crash->get<std::int64_t>(), wall - kMaxMs, wall);
+    block.lastCrash_ = aNow - std::chrono::milliseconds(wall - at);
+  }
   return block;
 }
 
--- a/src/edge/CrashDetector.cpp
+++ b/src/edge/CrashDetector.cpp
@@ -49,7 +49,7 @@
                       std::uint64_t aRun,
                       const std::vector<Fingerprint>& aFingerprints)
 {
-  RecordTry(record_, aFingerprints);
+  RecordTry(record_, aFingerprints, loop_.GetClock().Now());
   runs_[aRun] = { aServer.id_,
                   aServer.incarnation_,
                   aServer.address_,
--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -25,6 +25,12 @@
 constexpr Duration kTimeError = std::chrono::milliseconds(50);
 // Wait of callers until the evidence has settled.
 constexpr Duration kUnsettledWait = std::chrono::milliseconds(600);
+// Time between two requests of this instance that show which one of several
+// blocked fingerprints crashes servers.
+constexpr Duration kTestInterval = std::chrono::seconds(1);
+// Number of such requests with different parts that crashed servers after which
+// no more are sent.
+constexpr std::size_t kMaxFailedTests = 2;
 
 // Number of crashes with aFingerprint, cleared or not.
 std::uint32_t
@@ -67,6 +73,18 @@
                                              : answered->second.at_;
 }
 
+MonotonicTime
+LastCrashWith(const CrashRecord& aRecord, Fingerprint aFingerprint)
+{
+  MonotonicTime last;
+  for (const Crash& crash : aRecord.crashes_) {
+    if (crash.sent_.count(aFingerprint) != 0) {
+      last = std::max(last, crash.at_);
+    }
+  }
+  return last;
+}
+
 // Calls aOnCrash for the crashes with aFingerprint since its last answer until
 // aEnd that count.
 template<typename F>
@@ -154,6 +172,93 @@
          !IsExplained(aRecord, aFingerprint);
 }
 
+// Returns what can have crashed a server other than aFingerprint: the blocked
+// fingerprints and the parts of prompts that a request with aRequest lacks.
+std::set<Fingerprint>
+Alternatives(const CrashRecord& aRecord,
+             const Crash& aCrash,
+             Fingerprint aFingerprint,
+             const std::vector<Fingerprint>& aRequest)
+{
+  std::set<Fingerprint> alternatives;
+  for (const auto& [other, sent] : aCrash.sent_) {
+    const bool isSuspect =
+      aRecord.blocks_.count(other) != 0 || !IsRequest(other);
+    if (isSuspect && other != aFingerprint &&
+        AnsweredAt(aRecord, other) < aCrash.at_ &&
+        std::find(aRequest.begin(), aRequest.end(), other) == aRequest.end()) {
+      alternatives.insert(other);
+    }
+  }
+  return alternatives;
+}
+
+// Whether a request with aRequest shows if aFingerprint, which aBlock refuses,
+// crashes servers: each of its crashes can be due to something that the request
+// lacks. Requests that were sent when all instances knew of the block are such
+// tests themselves; if some of them crashed servers, each with other parts, it
+// is aFingerprint that does.
+bool
+IsDiscriminating(const CrashRecord& aRecord,
+                 Fingerprint aFingerprint,
+                 const Block& aBlock,
+                 const std::vector<Fingerprint>& aRequest)
+{
+  const MonotonicTime known =
+    aBlock.until_ - aBlock.length_ + aRecord.settleTime_;
+  const MonotonicTime answered = AnsweredAt(aRecord, aFingerprint);
+  const auto isBlocked = [&aRecord](Fingerprint aOther) {
+    return aRecord.blocks_.count(aOther) != 0;
+  };
+  std::size_t crashes = 0;
+  std::size_t failedTests = 0;
+  std::set<Fingerprint> testedBeside;
+  for (const Crash& crash : aRecord.crashes_) {
+    const auto sent = crash.sent_.find(aFingerprint);
+    if (crash.at_ <= answered || sent == crash.sent_.end()) {
+      continue;
+    }
+    ++crashes;
+    const auto others = Alternatives(aRecord, crash, aFingerprint, aRequest);
+    if (others.empty()) {
+      return false;
+    }
+    const bool isTest = sent->second > known &&
+                        std::none_of(others.begin(), others.end(), isBlocked);
+    if (isTest) {
+      const std::size_t before = testedBeside.size();
+      testedBeside.insert(others.begin(), others.end());
+      failedTests += testedBeside.size() == before + others.size() ? 1 : 0;
+    }
+  }
+  return crashes > 0 && failedTests < kMaxFailedTests;
+}
+
+// Returns how long a request with aFingerprints has to wait because
+// aFingerprint is blocked until a time that has not come.
+Duration
+WaitDuringBlock(const CrashRecord& aRecord,
+                Fingerprint aFingerprint,
+                const Block& aBlock,
+                const std::vector<Fingerprint>& aFingerprints,
+                const TryRules& aRules,
+                MonotonicTime aNow)
+{
+  if (!IsDiscriminating(aRecord, aFingerprint, aBlock, aFingerprints)) {
+    return aBlock.until_ - aNow;
+  }
+  const auto blocked = std::count_if(
+    aFingerprints.begin(), aFingerprints.end(), [&](Fingerprint aOther) {
+      return aRecord.blocks_.count(aOther) != 0;
+    });
+  const Duration sinceDecision = aNow - (aBlock.until_ - aBlock.length_);
+  const bool isDue = aBlock.testedAt_ == MonotonicTime() ||
+                     aNow - aBlock.testedAt_ >= kTestInterval;
+  const bool mayTest =
+    isDue && aRules.mayTest_(aFingerprint, sinceDecision, std::size_t(blocked));
+  return mayTest ? Duration(0) : kTestInterval;
+}
+
 // Drops old crashes, and the answers that no crash refers to any more.
 void
 DropOld(CrashRecord& aRecord, MonotonicTime aNow)
@@ -244,17 +349,20 @@
 {
   const MonotonicTime last = AnsweredAt(aRecord, aFingerprint);
   bool isCleared = false;
-  bool isLatest = true;
+  const auto block = aRecord.blocks_.find(aFingerprint);
+  bool isLatest =
+    block == aRecord.blocks_.end() || block->second.lastCrash_ < aAnswer.at_;
   if (CrashesWith(aRecord, aFingerprint) > 0) {
     for (const Crash& crash : aRecord.crashes_) {
       if (crash.sent_.count(aFingerprint) != 0) {
         isCleared |= crash.at_ > last && crash.at_ <= aAnswer.at_;
-        isLatest = crash.at_ <= aAnswer.at_;
+        isLatest = isLatest && crash.at_ <= aAnswer.at_;
       }
     }
   }
-  const bool isLifted = isLatest && aRecord.blocks_.erase(aFingerprint) != 0;
+  const bool isLifted = isLatest && block != aRecord.blocks_.end();
   if (isLifted) {
+    aRecord.blocks_.erase(block);
     aRecord.lifted_.insert(aFingerprint);
   }
   if (isCleared || isLifted) {
@@ -269,14 +377,20 @@
   return AddAnswer(aRecord, aFingerprint, LastAnswer{ aTime, aTime, false });
 }
 
+bool
+IsLifted(const CrashRecord& aRecord,
+         Fingerprint aFingerprint,
+         const Block& aBlock)
+{
+  return AnsweredAt(aRecord, aFingerprint) > aBlock.lastCrash_;
+}
+
 void
 AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock)
 {
-  const bool isLifted =
-    AnsweredAt(aRecord, aFingerprint) > aBlock.until_ - aBlock.length_;
   const bool isFull = aRecord.blocks_.count(aFingerprint) == 0 &&
                       aRecord.blocks_.size() >= kMaxBlocks;
-  if (isLifted || isFull) {
+  if (isFull || IsLifted(aRecord, aFingerprint, aBlock)) {
     return;
   }
   Block& block = aRecord.blocks_[aFingerprint];
@@ -338,7 +452,7 @@
         if (hasFailed) {
           const Duration length =
             std::min<Duration>(block->second.length_ * 2, kMaxBlock);
-          block->second = { aNow + length, length, false };
+          block->second = { aNow + length, length, crash.at_ };
           blocked.push_back(fingerprint);
         }
         continue;
@@ -347,7 +461,7 @@
           ShouldBlock(aRecord, fingerprint, settled)) {
         aRecord.blocks_[fingerprint] = { aNow + kFirstBlock,
                                          kFirstBlock,
-                                         false };
+                                         LastCrashWith(aRecord, fingerprint) };
         blocked.push_back(fingerprint);
       }
     }
@@ -358,35 +472,46 @@
 std::optional<Duration>
 BlockedFor(const CrashRecord& aRecord,
            const std::vector<Fingerprint>& aFingerprints,
-           const std::function<bool(Fingerprint)>& aMayTry,
+           const TryRules& aRules,
            MonotonicTime aNow)
 {
-  std::optional<Duration> wait;
-  const auto atLeast = [&wait](Duration aWait) {
-    wait = std::max(wait.value_or(Duration(0)), aWait);
-  };
+  Duration wait{ 0 };
   for (const Fingerprint& fingerprint : aFingerprints) {
-    const auto block = aRecord.blocks_.find(fingerprint);
-    if (block == aRecord.blocks_.end()) {
+    const auto found = aRecord.blocks_.find(fingerprint);
+    if (found == aRecord.blocks_.end()) {
       if (ShouldBlock(aRecord, fingerprint, aNow)) {
-        atLeast(kUnsettledWait);
+        wait = std::max(wait, kUnsettledWait);
       }
-    } else if (aNow < block->second.until_) {
-      atLeast(block->second.until_ - aNow);
-    } else if (!aMayTry(fingerprint) || block->second.isTried_) {
-      atLeast(block->second.until_ + kTryTime - aNow);
+      continue;
+    }
+    const Block& block = found->second;
+    if (aNow < block.until_) {
+      wait =
+        std::max(wait,
+                 WaitDuringBlock(
+                   aRecord, fingerprint, block, aFingerprints, aRules, aNow));
+    } else if (!aRules.mayTry_(fingerprint) || block.isTried_) {
+      wait = std::max<Duration>(wait, block.until_ + kTryTime - aNow);
     }
   }
-  return wait;
+  return wait > Duration(0) ? std::optional<Duration>(wait) : std::nullopt;
 }
 
 void
-RecordTry(CrashRecord& aRecord, const std::vector<Fingerprint>& aFingerprints)
+RecordTry(CrashRecord& aRecord,
+          const std::vector<Fingerprint>& aFingerprints,
+          MonotonicTime aNow)
 {
   for (const Fingerprint& fingerprint : aFingerprints) {
-    const auto block = aRecord.blocks_.find(fingerprint);
-    if (block != aRecord.blocks_.end()) {
-      block->second.isTried_ = true;
+    const auto found = aRecord.blocks_.find(fingerprint);
+    if (found == aRecord.blocks_.end()) {
+      continue;
+    }
+    Block& block = found->second;
+    if (aNow < block.until_) {
+      block.testedAt_ = aNow;
+    } else {
+      block.isTried_ = true;
     }
   }
 }
--- a/src/edge/CrashRecord.h
+++ b/src/edge/CrashRecord.h
@@ -49,8 +49,25 @@
   // The end of the block, after which one request is tried.
   MonotonicTime until_;
   Duration length_{ 0 };
+  // The last crash that led to the block. A later answer lifts it.
+  MonotonicTime lastCrash_;
   // Whether this instance has sent that request.
   bool isTried_ = false;
+  // When this instance last sent a request during the block to find out which
+  // of several fingerprints crashes servers; unset if it never did.
+  MonotonicTime testedAt_{};
+};
+
+// Which requests with a blocked fingerprint this instance may send.
+struct TryRules
+{
+  // Whether it is the instance that tries a fingerprint after its block.
+  std::function<bool(Fingerprint)> mayTry_;
+  // Whether it may send a request during the block, aTime after its decision,
+  // to find out which fingerprint crashes servers. aBlocked is the number of
+  // blocked fingerprints that the request has.
+  std::function<bool(Fingerprint, Duration aTime, std::size_t aBlocked)>
+    mayTest_;
 };
 
 struct CrashRecord
@@ -100,8 +117,15 @@
 bool
 AddAnswer(CrashRecord& aRecord, Fingerprint aFingerprint, MonotonicTime aTime);
 
+// Whether a request with aFingerprint was answered since the last crash that
+// led to aBlock.
+bool
+IsLifted(const CrashRecord& aRecord,
+         Fingerprint aFingerprint,
+         const Block& aBlock);
+
 // Adds a block that another instance has decided, or prolongs one. Has no
-// effect if the fingerprint was answered since the decision.
+// effect if the block is lifted.
 void
 AddBlock(CrashRecord& aRecord, Fingerprint aFingerprint, const Block& aBlock);
 
@@ -134,16 +158,19 @@
 UpdateBlocks(CrashRecord& aRecord, MonotonicTime aNow);
 
 // Returns how long a request with aFingerprints has to wait; nullopt if it may
-// be sent. aMayTry tells whether this instance is the one that tries a
-// fingerprint after its block.
+// be sent. Fingerprints that were always together on crashed servers are all
+// blocked. A request that has only some of them shows which one crashes
+// servers, so it may be sent during the block if aRules permit it.
 std::optional<Duration>
 BlockedFor(const CrashRecord& aRecord,
            const std::vector<Fingerprint>& aFingerprints,
-           const std::function<bool(Fingerprint)>& aMayTry,
+           const TryRules& aRules,
            MonotonicTime aNow);
 
-// Records that a request with aFingerprints is sent.
+// Records that a request with aFingerprints is sent at aNow.
 void
-RecordTry(CrashRecord& aRecord, const std::vector<Fingerprint>& aFingerprints);
+RecordTry(CrashRecord& aRecord,
+          const std::vector<Fingerprint>& aFingerprints,
+          MonotonicTime aNow);
 
 } // namespace sycamoreward::edge
--- a/src/edge/CrashReports.cpp
+++ b/src/edge/CrashReports.cpp
@@ -6,6 +6,7 @@
 #include "runtime/EventLoop.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace sycamoreward::edge {
@@ -15,6 +16,8 @@
 // Time for which a crash or an answer stays in digests. Each instance gets
 // several digests in it.
 constexpr Duration kDigestTime = std::chrono::seconds(4);
+// Number of doublings after which all instances of any deployment may test.
+constexpr std::int64_t kMaxDoublings = 32;
 // Bound of times in messages.
 constexpr std::uint64_t kMaxAgeMs = 24 * 60 * 60 * 1000;
 
@@ -69,6 +72,7 @@
     status.fingerprint_ = fingerprint.Value();
     status.blockedMs_ = AgeMs(block.until_, aNow);
     status.blockLengthMs_ = ToCount(Milliseconds(block.length_));
+    status.blockCrashAgeMs_ = AgeMs(aNow, block.lastCrash_);
     if (status.blockedMs_ > 0) {
       aFingerprints.push_back(status);
     }
@@ -173,6 +177,15 @@
         now + std::chrono::milliseconds(std::min(status.blockedMs_, kMaxAgeMs));
       block.length_ =
         std::chrono::milliseconds(std::min(status.blockLengthMs_, kMaxAgeMs));
+      block.lastCrash_ = status.blockCrashAgeMs_ > 0
+                           ? TimeBefore(now, status.blockCrashAgeMs_)
+                           : block.until_ - block.length_;
+      const auto answer = record.answered_.find(fingerprint);
+      if (answer != record.answered_.end() &&
+          IsLifted(record, fingerprint, block)) {
+        // The sender does not know of the answer, so it is told again.
+        answer->second.learnedAt_ = now;
+      }
       AddBlock(record, fingerprint, block);
     }
   }
@@ -214,4 +227,42 @@
                      });
 }
 
+bool
+MayTest(const EdgeState& aState,
+        Fingerprint aFingerprint,
+        Duration aTime,
+        std::size_t aBlocked)
+{
+  const std::int64_t doublings =
+    aTime / aState.crashes_.record_.settleTime_ - std::int64_t(aBlocked);
+  if (doublings < 0) {
+    return false;
+  }
+  const std::uint64_t score =
+    RendezvousScore(aState.self_.Value(), aFingerprint.Value());
+  const double rank = std::ldexp(double(score), -64);
+  const auto instances = double(aState.limitSharers_.size() + 1);
+  return MayTry(aState, aFingerprint) ||
+         rank * instances <
+           std::exp2(double(std::min(doublings, kMaxDoublings)));
+}
+
+std::optional<Duration>
+BlockedFor(const EdgeState& aState,
+           const std::vector<Fingerprint>& aFingerprints)
+{
+  TryRules rules;
+  rules.mayTry_ = [&aState](Fingerprint aFingerprint) {
+    return MayTry(aState, aFingerprint);
+  };
+  rules.mayTest_ =
+    [&aState](Fingerprint aFingerprint, Duration aTime, std::size_t aBlocked) {
+      return MayTest(aState, aFingerprint, aTime, aBlocked);
+    };
+  return BlockedFor(aState.crashes_.record_,
+                    aFingerprints,
+                    rules,
+                    aState.loop_.GetClock().Now());
+}
+
 } // namespace sycamoreward::edge
--- a/src/edge/CrashReports.h
+++ b/src/edge/CrashReports.h
@@ -6,6 +6,7 @@
 #include "edge/EdgeState.h"
 #include "peer/Messages.h"
 
+#include <optional>
 #include <vector>
 
 namespace sycamoreward::edge {
@@ -42,4 +43,21 @@
 bool
 MayTry(const EdgeState& aState, Fingerprint aFingerprint);
 
+// Returns whether this instance may send a request with aFingerprint, aTime
+// after the decision to block it, to find out which one of several blocked
+// fingerprints crashes servers. One instance may once all know of the block,
+// and twice as many each time that the result of a test has reached the others.
+// Requests with more blocked fingerprints, aBlocked of them, come later.
+bool
+MayTest(const EdgeState& aState,
+        Fingerprint aFingerprint,
+        Duration aTime,
+        std::size_t aBlocked);
+
+// Returns how long a request with aFingerprints that comes to this instance has
+// to wait; nullopt if it may be sent.
+std::optional<Duration>
+BlockedFor(const EdgeState& aState,
+           const std::vector<Fingerprint>& aFingerprints);
+
 } // namespace sycamoreward::edge
--- a/src/edge/RequestChoice.cpp
+++ b/src/edge/RequestChoice.cpp
@@ -25,11 +25,7 @@
 bool
 RequestRun::RefuseIfBlocked()
 {
-  const auto wait = BlockedFor(
-    state_.crashes_.record_,
-    fingerprints_,
-    [this](Fingerprint aFingerprint) { return MayTry(state_, aFingerprint); },
-    state_.loop_.GetClock().Now());
+  const auto wait = BlockedFor(state_, fingerprints_);
   if (!wait.has_value()) {
     return false;
   }
--- a/src/peer/MessageFields.h
+++ b/src/peer/MessageFields.h
@@ -303,6 +303,7 @@
   aArchive("answerAge", aValue.answerAgeMs_);
   aArchive("blocked", aValue.blockedMs_);
   aArchive("blockLength", aValue.blockLengthMs_);
+  aArchive("blockCrashAge", aValue.blockCrashAgeMs_);
 }
 
 template<typename A>
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -235,6 +235,9 @@
   // which it is refused; 0 when it is not refused.
   std::uint64_t blockedMs_ = 0;
   std::uint64_t blockLengthMs_ = 0;
+  // Time since the last crash that led to the refusal; 0 from an instance of an
+  // earlier build.
+  std::uint64_t blockCrashAgeMs_ = 0;
 };
 
 // Number of requests that started in a window of wall time, by workspace.
--- a/test/correctness/CrashRecordTest.cpp
+++ b/test/correctness/CrashRecordTest.cpp
@@ -41,14 +41,20 @@
   return crash;
 }
 
+// The rules of the instance that tries fingerprints after their block.
+TryRules
+RulesOfTrier()
+{
+  TryRules rules;
+  rules.mayTry_ = [](Fingerprint) { return true; };
+  rules.mayTest_ = [](Fingerprint, Duration, std::size_t) { return false; };
+  return rules;
+}
+
 bool
 IsBlocked(const CrashRecord& aRecord, Fingerprint aFingerprint, double aTime)
 {
-  return BlockedFor(
-           aRecord,
-           { aFingerprint },
-           [](Fingerprint) { return true; },
-           At(aTime))
+  return BlockedFor(aRecord, { aFingerprint }, RulesOfTrier(), At(aTime))
     .has_value();
 }
 
@@ -123,6 +129,41 @@
   cr_expect_eq(next[0], kCrashing);
 }
 
+// Guards against sound requests that are refused for as long as deadly ones,
+// because they share a part with them.
+Test(CrashRecord, ARequestThatTellsTwoBlockedPartsApartIsTested)
+{
+  CrashRecord record;
+  for (const int server : { 1, 2, 3 }) {
+    AddCrash(
+      record, CrashOf(server, server, { kCrashing, kShared }), At(server));
+  }
+  cr_assert_eq(UpdateBlocks(record, At(4)).size(), 2);
+  TryRules rules = RulesOfTrier();
+  rules.mayTest_ = [](Fingerprint, Duration, std::size_t) { return true; };
+  const auto waitFor = [&](const std::vector<Fingerprint>& aFingerprints,
+                           double aTime) {
+    return BlockedFor(record, aFingerprints, rules, At(aTime))
+      .value_or(Duration(0));
+  };
+  // The request with both parts shows nothing.
+  cr_expect_gt(waitFor({ kCrashing, kShared }, 5), 60 * kSecond);
+  cr_expect_eq(waitFor({ kShared }, 5), Duration(0));
+  RecordTry(record, { kShared }, At(5));
+  // The next one soon, unless the result is known by then.
+  cr_expect_gt(waitFor({ kShared }, 5.5), Duration(0));
+  cr_expect_leq(waitFor({ kShared }, 5.5), kSecond);
+  cr_expect_eq(waitFor({ kShared }, 6.5), Duration(0));
+  CrashRecord deadly = record;
+  cr_expect(AddAnswer(record, kShared, At(7)));
+  cr_expect_eq(waitFor({ kShared }, 7), Duration(0));
+  cr_expect_gt(waitFor({ kCrashing, kShared }, 7), 60 * kSecond);
+  // A crash with this part alone shows that it is the deadly one.
+  AddCrash(deadly, CrashOf(4, 7, { kShared }), At(7));
+  cr_expect_gt(BlockedFor(deadly, { kShared }, rules, At(9)).value(),
+               60 * kSecond);
+}
+
 Test(CrashRecord, AnAnswerToARequestThatWasInProgressLiftsABlock)
 {
   CrashRecord record = BlockedRecord();
@@ -163,11 +204,10 @@
   const double end = 4 + std::chrono::duration<double>(block.length_).count();
   cr_expect(IsBlocked(record, kCrashing, end - 1));
   cr_expect_not(IsBlocked(record, kCrashing, end + 1));
-  cr_expect(
-    BlockedFor(
-      record, { kCrashing }, [](Fingerprint) { return false; }, At(end + 1))
-      .has_value());
-  RecordTry(record, { kCrashing });
+  TryRules rules = RulesOfTrier();
+  rules.mayTry_ = [](Fingerprint) { return false; };
+  cr_expect(BlockedFor(record, { kCrashing }, rules, At(end + 1)).has_value());
+  RecordTry(record, { kCrashing }, At(end + 1));
   cr_expect(IsBlocked(record, kCrashing, end + 1));
   CrashRecord answered = record;
   AddCrash(record, CrashOf(9, end + 2, { kCrashing }), At(end + 2));
@@ -207,7 +247,7 @@
     cr_expect_leq(crash.sent_.size(), 128);
   }
   for (std::uint64_t index = 0; index < 1000; ++index) {
-    AddBlock(record, Fingerprint(index), { At(1000), kSecond, false });
+    AddBlock(record, Fingerprint(index), { At(1000), kSecond, At(998) });
   }
   cr_expect_leq(record.blocks_.size(), 64);
 }
@@ -215,12 +255,13 @@
 Test(CrashRecord, ABlockSurvivesInARowOfTheStore)
 {
   const WallTime wall{ std::chrono::hours(400000) };
-  const Block block{ At(90), 60 * kSecond, false };
+  const Block block{ At(90), 60 * kSecond, At(8) };
   const std::string row = EncodeBlock(block, At(10), wall);
   const auto read = DecodeBlock(row, At(500), wall + 20 * kSecond);
   cr_assert(read.has_value());
   cr_expect_eq(read->until_, At(560));
   cr_expect_eq(read->length_, block.length_);
+  cr_expect_eq(read->lastCrash_, At(478));
   cr_expect_not(DecodeBlock(row, At(500), wall + 81 * kSecond).has_value());
   for (const char* odd : { "",
                            "[]",
