Refuse answers with an invalid status in sycamorewardd

What callers saw: an answer whose status is no status of HTTP, such as 099 or 999, counted as an answer of the server, as a success if it was below 400.

Cause: the HTTP library reads the status leniently and refuses 0 only; nothing checked it after that. It also ends a call at an interim answer other than 100.

Change: a call takes a status from 200 to 599, and is broken off otherwise. The edge refused all forms already; a test guards that, on a resumed stream too.

Measured: HttpClientAnswer/AnAnswerWithAnInvalidStatusIsBroken failed for 11 of 16 forms before and passes. FaultyAnswer/AnAnswerWithAnInvalidStatusIsNoAnswer passes before and after: 502 for 14 forms on 4 kinds of route.

--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -46,6 +46,14 @@
   return headers;
 }
 
+// Whether aStatus is the status of a final reply. evhttp takes any number other
+// than 0, and ends a reply at an interim status other than 100.
+bool
+IsFinalStatus(int aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
 } // namespace
 
 void
@@ -154,11 +162,18 @@
 void
 ClientCall::HandleHead(evhttp_request* aRequest)
 {
+  if (isDone_) {
+    return;
+  }
   MarkConnected();
   hasHead_ = true;
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (!IsFinalStatus(status)) {
+    Finish(HttpEnd::Broken, false);
+    return;
+  }
   if (callbacks_.onHead_) {
-    callbacks_.onHead_(evhttp_request_get_response_code(aRequest),
-                       ReadHeaders(aRequest));
+    callbacks_.onHead_(status, ReadHeaders(aRequest));
   }
 }
 
@@ -191,8 +206,8 @@
     return;
   }
   const int status = evhttp_request_get_response_code(aRequest);
-  if (status == 0) {
-    // evhttp reports a refused connection as a reply without a status.
+  if (!IsFinalStatus(status)) {
+    // evhttp reports a refused connection as a reply without a status, 0.
     Finish(wasConnected_ ? HttpEnd::Broken : HttpEnd::NotConnected, false);
     return;
   }
--- a/test/error/HttpClientAnswerTest.cpp
+++ b/test/error/HttpClientAnswerTest.cpp
@@ -181,3 +181,32 @@
     cr_expect_leq(result.sent_, kMostKept, "%s", framing);
   }
 }
+
+// Guards against an answer whose status is no status of HTTP and that counts as
+// one.
+Test(HttpClientAnswer, AnAnswerWithAnInvalidStatusIsBroken)
+{
+  for (const char* status : { "000",
+                              "0",
+                              "00",
+                              "099",
+                              "99",
+                              "600",
+                              "999",
+                              "1000",
+                              "2000",
+                              "abc",
+                              "-20",
+                              "+20",
+                              " 200",
+                              "20\t0",
+                              "101",
+                              "103" }) {
+    Fixture fixture([&](auto& aConnection, const auto&) {
+      aConnection.channel_->Write(std::string("HTTP/1.1 ") + status +
+                                  " OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    const HttpClientReply reply = fixture.Fetch(std::chrono::seconds(1));
+    cr_expect_neq(reply.end_, HttpEnd::Complete, "'%s'", status);
+  }
+}
--- a/test/failure/FaultyAnswerTest.cpp
+++ b/test/failure/FaultyAnswerTest.cpp
@@ -6,8 +6,6 @@
 
 #include <criterion/criterion.h>
 
-#include <nlohmann/json.hpp>
-
 #include <memory>
 #include <string>
 #include <utility>
@@ -43,19 +41,7 @@
     servers_.push_back(
       std::make_unique<ScriptedServer>(fixture_.loop_, std::move(aScript)));
     const std::string id = "scripted-" + std::to_string(servers_.size());
-    fixture_.store_.Put(
-      "servers",
-      id,
-      nlohmann::json{ { "service", aService },
-                      { "address", ToString(servers_.back()->BoundAddress()) },
-                      { "zone", "north" },
-                      { "version", "v1" },
-                      { "slots", 16 },
-                      { "state", "ready" },
-                      { "cold-remaining-ms", 0 },
-                      { "born", 1000 },
-                      { "sequence", 1 } }
-        .dump());
+    fixture_.ListServer(id, aService, servers_.back()->BoundAddress());
   }
 
   void WaitReady()
@@ -213,6 +199,8 @@
     "HTTP/1.1 206 Part\r\n" + stream + length,
     "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + length,
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 Error\r\n" + length,
+    "HTTP/1.1 000 Error\r\n" + stream + length,
+    "HTTP/1.1 999 Error\r\n" + stream + length,
   };
   for (const char* path :
        { PlatformFixture::kResumable, PlatformFixture::kStream }) {
@@ -433,3 +421,46 @@
   cr_expect_eq(run->status_, 503);
   cr_expect_neq(run->body_.find("\"not_run\""), std::string::npos);
 }
+
+// Guards against an answer whose status is no status of HTTP and that reaches
+// callers as one.
+Test(FaultyAnswer, AnAnswerWithAnInvalidStatusIsNoAnswer)
+{
+  ScriptedWorld world;
+  std::string status;
+  const auto script = [&status](auto& aConnection, const auto& aHead) {
+    aConnection.channel_->Write(
+      "HTTP/1.1 " + status +
+      " Odd\r\nX-Request-Id: " + ScriptedServer::Field(aHead, "X-Request-Id") +
+      "\r\nX-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok");
+    aConnection.channel_->CloseAfterFlush();
+  };
+  world.Add("engine", script);
+  world.Add("desk", script);
+  world.WaitReady();
+  int number = 0;
+  for (const char* odd : { "000",
+                           "0",
+                           "00",
+                           "099",
+                           "600",
+                           "999",
+                           "1000",
+                           "2000",
+                           "abc",
+                           "-20",
+                           "+20",
+                           " 200",
+                           "20\t0",
+                           "101" }) {
+    for (const char* path : { PlatformFixture::kOnce,
+                              PlatformFixture::kRepeatable,
+                              PlatformFixture::kResumable,
+                              PlatformFixture::kStream }) {
+      status = odd;
+      const auto run = world.Ask(path, "odd-" + std::to_string(++number));
+      cr_expect_eq(run->status_, 502, "'%s' %s: %d", odd, path, run->status_);
+      cr_expect_eq(run->signature_, "", "'%s' %s", odd, path);
+    }
+  }
+}
--- a/test/support/PlatformFixture.cpp
+++ b/test/support/PlatformFixture.cpp
@@ -409,6 +409,25 @@
   return count;
 }
 
+void
+PlatformFixture::ListServer(const std::string& aId,
+                            const char* aService,
+                            const Address& aAddress)
+{
+  store_.Put("servers",
+             aId,
+             nlohmann::json{ { "service", aService },
+                             { "address", ToString(aAddress) },
+                             { "zone", "north" },
+                             { "version", "v1" },
+                             { "slots", 16 },
+                             { "state", "ready" },
+                             { "cold-remaining-ms", 0 },
+                             { "born", 1000 },
+                             { "sequence", 1 } }
+               .dump());
+}
+
 std::vector<standin::BackendRun>
 PlatformFixture::RunsOf(const std::string& aRequest) const
 {
--- a/test/support/PlatformFixture.h
+++ b/test/support/PlatformFixture.h
@@ -96,6 +96,10 @@
   void PutDeployment(std::uint64_t aVersion,
                      const std::vector<std::string>& aExtraRoutes = {});
   void ListBackend(const standin::BackendStandIn& aBackend, const char* aState);
+  // Lists a server that is no BackendStandIn.
+  void ListServer(const std::string& aId,
+                  const char* aService,
+                  const Address& aAddress);
   // Returns the executions of a request at all servers.
   std::vector<standin::BackendRun> RunsOf(const std::string& aRequest) const;
 
