Take an answer that ends with its connection as whole only if it was not reset

What callers saw: a server answered an upload early with a 200 without a length, sent part of its body, ended its side and then reset the connection, as most of the request was unread. The caller got the part as a complete answer with the server's proof.

Cause: the end of the server's side counted as the end of the body, and the connection was dropped before the reset could be seen. After an end, the system reports a reset only as a pending error of the socket.

Failures are passed on at once. sycamorewardd does the same, by wrapping the callbacks that its HTTP library has for the connection.

--- a/src/http/BackendChannel.cpp
+++ b/src/http/BackendChannel.cpp
@@ -17,6 +17,7 @@
 // An idle connection is no longer reused this long before the server closes
 // it, so that a request is not sent while the server is closing.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+constexpr int kFirstFailureStatus = 400;
 // Idle timeout assumed for a server that does not announce one.
 constexpr Duration kDefaultIdleTimeout = std::chrono::milliseconds(2500);
 
@@ -64,6 +65,11 @@
 {
 }
 
+BackendChannel::~BackendChannel()
+{
+  loop_.CancelTimer(closingTimer_);
+}
+
 void
 BackendChannel::SetUp()
 {
@@ -92,6 +98,8 @@
   method_ = std::move(aMethod);
   state_ = State::Head;
   foreignBytes_ = 0;
+  closing_ = {};
+  closing_.requestBytes_ = aBody.size();
   isReusable_ = false;
   if (aBody.size() < kReadStep) {
     // A single write sends a small request in one packet.
@@ -121,6 +129,8 @@
 BackendChannel::Cut()
 {
   state_ = State::Ended;
+  loop_.CancelTimer(closingTimer_);
+  closingTimer_ = 0;
   callbacks_.reset();
   onIdleEnd_ = nullptr;
   channel_->Reset();
@@ -146,6 +156,7 @@
         HandleClosed(true);
         hasProgress = false;
         break;
+      case State::Closing:
       case State::Ended:
         hasProgress = false;
         break;
@@ -262,7 +273,8 @@
       return;
     case State::Body:
       if (framing_.end_ == BodyEnd::Close && !aWasReset) {
-        End();
+        state_ = State::Closing;
+        CheckClosing();
       } else {
         Fail(ChannelFailure::TruncatedAnswer);
       }
@@ -275,11 +287,42 @@
       }
       return;
     }
+    case State::Closing:
     case State::Ended:
       return;
   }
 }
 
+void
+BackendChannel::CheckClosing()
+{
+  if (head_.status_ >= kFirstFailureStatus) {
+    // A failure can come before the request is read, and is of use even if its
+    // text is cut.
+    End();
+    return;
+  }
+  closing_.hasFailed_ = channel_->HasFailed();
+  closing_.unacknowledgedBytes_ = channel_->Unacknowledged();
+  switch (sycamoreward::CheckClosing(closing_, loop_.GetClock().Now())) {
+    case ClosingResult::Complete:
+      End();
+      return;
+    case ClosingResult::Truncated:
+      Fail(ChannelFailure::TruncatedAnswer);
+      return;
+    case ClosingResult::Pending:
+      break;
+  }
+  closingTimer_ =
+    loop_.CallAfter(kClosingCheckInterval, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->closingTimer_ = 0;
+        self->CheckClosing();
+      }
+    });
+}
+
 void
 BackendChannel::Fail(ChannelFailure aFailure)
 {
--- a/src/http/BackendChannel.h
+++ b/src/http/BackendChannel.h
@@ -6,6 +6,7 @@
 #include "http/BodyDecoder.h"
 #include "http/Channel.h"
 #include "http/Head.h"
+#include "runtime/ClosingCheck.h"
 
 #include <functional>
 #include <memory>
@@ -46,7 +47,9 @@
     std::function<void(ResponseHead aHead, const Framing& aFraming)> onHead_;
     std::function<void(std::string_view aBytes)> onBody_;
     // The answer is complete. The channel can take another request if
-    // CanReuse() returns true.
+    // CanReuse() returns true. An answer that ends with its connection is not
+    // complete if the server resets the connection before it has received the
+    // whole request.
     std::function<void()> onEnd_;
     std::function<void(ChannelFailure aFailure)> onFailed_;
   };
@@ -57,6 +60,8 @@
   // object is owned by a shared_ptr and before Send.
   void SetUp();
 
+  ~BackendChannel();
+
   // Sends a request. aMethod determines whether the answer has a body.
   void Send(std::string aMethod,
             std::string aHead,
@@ -90,6 +95,9 @@
     Body,
     // Discards the body of an answer to another request.
     SkippedBody,
+    // The server has closed its side, which ends the answer unless it turns out
+    // that the server has reset the connection.
+    Closing,
     Ended
   };
 
@@ -100,6 +108,9 @@
   // request and returns false.
   bool CountForeign(std::size_t aBytes);
   void HandleClosed(bool aWasReset);
+  // Decides in State::Closing whether the answer is complete, or looks again
+  // later.
+  void CheckClosing();
   void Fail(ChannelFailure aFailure);
   void End();
 
@@ -112,6 +123,8 @@
   ResponseHead head_;
   Framing framing_;
   BodyDecoder body_;
+  ClosingState closing_;
+  std::uint64_t closingTimer_ = 0;
   // Bytes of interim answers and of answers to other requests since Send.
   std::size_t foreignBytes_ = 0;
   bool isReusable_ = true;
--- a/src/http/Channel.cpp
+++ b/src/http/Channel.cpp
@@ -2,6 +2,7 @@
 
 #include "peer/SocketAddress.h"
 #include "runtime/EventLoop.h"
+#include "runtime/SocketState.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -152,6 +153,7 @@
     }
     return;
   }
+  hasFailed_ = hasFailed_ || (aWhat & BEV_EVENT_EOF) == 0;
   if (isLingering_) {
     isLingering_ = false;
     Release();
@@ -212,6 +214,22 @@
            : evbuffer_get_length(bufferevent_get_output(event_));
 }
 
+std::size_t
+Channel::Unacknowledged() const
+{
+  return event_ == nullptr
+           ? 0
+           : Unsent() + UnacknowledgedBytes(bufferevent_getfd(event_));
+}
+
+bool
+Channel::HasFailed()
+{
+  hasFailed_ = hasFailed_ || (event_ != nullptr &&
+                              TakeSocketError(bufferevent_getfd(event_)));
+  return hasFailed_;
+}
+
 void
 Channel::PauseReading()
 {
--- a/src/http/Channel.h
+++ b/src/http/Channel.h
@@ -59,6 +59,12 @@
   void Write(std::string_view aBytes);
   // Written bytes that were not handed to the operating system yet.
   std::size_t Unsent() const;
+  // Written bytes that the peer's system has not acknowledged, including unsent
+  // ones.
+  std::size_t Unacknowledged() const;
+  // Whether the connection has failed or was reset. After the peer has closed
+  // its side, a reset is reported here only.
+  bool HasFailed();
 
   // While reading is paused, neither data nor the close of the connection is
   // reported.
@@ -87,6 +93,7 @@
   std::shared_ptr<const Callbacks> callbacks_;
   bool isConnected_ = false;
   bool isClosed_ = false;
+  bool hasFailed_ = false;
   bool isLingering_ = false;
 };
 
--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -1,5 +1,7 @@
 #include "runtime/ClientCall.h"
 
+#include "runtime/SocketState.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -54,6 +56,16 @@
   return aStatus >= 200 && aStatus <= 599;
 }
 
+// Whether a reply that was not finished in time is of use: one that reports a
+// failure, even if its text is cut.
+bool
+IsFailure(int aStatus)
+{
+  return aStatus >= 400;
+}
+
+constexpr short kPeerClosed = BEV_EVENT_READING | BEV_EVENT_EOF;
+
 } // namespace
 
 void
@@ -132,6 +144,9 @@
 ClientCall::Detach()
 {
   isDone_ = true;
+  if (const auto state = state_.lock()) {
+    CancelTimers(state->loop_);
+  }
   evhttp_connection* connection = connection_;
   connection_ = nullptr;
   return connection;
@@ -172,11 +187,85 @@
     Finish(HttpEnd::Broken, false);
     return;
   }
+  const HttpHeaders headers = ReadHeaders(aRequest);
+  const bool endsWithConnection =
+    FindHeader(headers, "Content-Length").empty() &&
+    FindHeader(headers, "Transfer-Encoding").empty();
+  if (endsWithConnection && !IsFailure(status)) {
+    WatchClosing();
+  }
   if (callbacks_.onHead_) {
-    callbacks_.onHead_(status, ReadHeaders(aRequest));
+    callbacks_.onHead_(status, headers);
   }
 }
 
+void
+ClientCall::WatchClosing()
+{
+  bufferevent* transport = evhttp_connection_get_bufferevent(connection_);
+  bufferevent_getcb(transport,
+                    &evhttpOnRead_,
+                    &evhttpOnWrite_,
+                    &evhttpOnEvent_,
+                    &evhttpArgument_);
+  bufferevent_setcb(
+    transport,
+    [](bufferevent* aTransport, void* aSelf) {
+      const auto* self = static_cast<ClientCall*>(aSelf);
+      self->evhttpOnRead_(aTransport, self->evhttpArgument_);
+    },
+    [](bufferevent* aTransport, void* aSelf) {
+      const auto* self = static_cast<ClientCall*>(aSelf);
+      self->evhttpOnWrite_(aTransport, self->evhttpArgument_);
+    },
+    [](bufferevent* aTransport, short aWhat, void* aSelf) {
+      auto* self = static_cast<ClientCall*>(aSelf);
+      if (aWhat == kPeerClosed && !self->isDone_) {
+        self->CheckClosing();
+      } else {
+        self->evhttpOnEvent_(aTransport, aWhat, self->evhttpArgument_);
+      }
+    },
+    this);
+}
+
+void
+ClientCall::CheckClosing()
+{
+  const auto state = state_.lock();
+  if (state == nullptr || isDone_) {
+    return;
+  }
+  bufferevent* transport = evhttp_connection_get_bufferevent(connection_);
+  const int socket = bufferevent_getfd(transport);
+  closing_.requestBytes_ = request_.body_.size();
+  closing_.hasFailed_ = closing_.hasFailed_ || TakeSocketError(socket);
+  closing_.unacknowledgedBytes_ =
+    evbuffer_get_length(bufferevent_get_output(transport)) +
+    UnacknowledgedBytes(socket);
+  switch (sycamoreward::CheckClosing(closing_, state->loop_.GetClock().Now())) {
+    case ClosingResult::Complete:
+      evhttpOnEvent_(transport, kPeerClosed, evhttpArgument_);
+      return;
+    case ClosingResult::Truncated:
+      Finish(HttpEnd::Broken, false);
+      return;
+    case ClosingResult::Pending:
+      break;
+  }
+  closingTimer_ = state->loop_.CallAfter(kClosingCheckInterval, [this] {
+    closingTimer_ = 0;
+    CheckClosing();
+  });
+}
+
+void
+ClientCall::CancelTimers(EventLoop& aLoop)
+{
+  aLoop.CancelTimer(silenceTimer_);
+  aLoop.CancelTimer(closingTimer_);
+}
+
 void
 ClientCall::HandleData(evhttp_request* aRequest)
 {
@@ -268,7 +357,7 @@
   if (state == nullptr) {
     return;
   }
-  state->loop_.CancelTimer(silenceTimer_);
+  CancelTimers(state->loop_);
   const auto keepAlive = state->running_.find(this);
   const std::shared_ptr<ClientCall> self =
     keepAlive != state->running_.end() ? keepAlive->second : nullptr;
--- a/src/runtime/ClientCall.h
+++ b/src/runtime/ClientCall.h
@@ -2,9 +2,12 @@
 
 // Implements a call of HttpClient by one evhttp request.
 
+#include "runtime/ClosingCheck.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpClientState.h"
 
+#include <event2/bufferevent.h>
+
 #include <memory>
 #include <utility>
 
@@ -42,6 +45,12 @@
   void ArmSilenceTimer(Duration aDelay);
   void CheckSilence();
   void Finish(HttpEnd aEnd, bool aIsReusable);
+  // Takes the end of the connection from evhttp, which ends the reply at once.
+  void WatchClosing();
+  // Decides whether a reply that ended with its connection is complete, or
+  // looks again later.
+  void CheckClosing();
+  void CancelTimers(EventLoop& aLoop);
   bool IsConnected() const;
 
   std::weak_ptr<HttpClient::State> state_;
@@ -49,6 +58,13 @@
   HttpCallbacks callbacks_;
   evhttp_connection* connection_ = nullptr;
   EventLoop::TimerId silenceTimer_ = 0;
+  EventLoop::TimerId closingTimer_ = 0;
+  ClosingState closing_;
+  // The callbacks of evhttp for the connection, and their argument.
+  bufferevent_data_cb evhttpOnRead_ = nullptr;
+  bufferevent_data_cb evhttpOnWrite_ = nullptr;
+  bufferevent_event_cb evhttpOnEvent_ = nullptr;
+  void* evhttpArgument_ = nullptr;
   MonotonicTime lastByte_{};
   bool wasConnected_ = false;
   bool hasHead_ = false;
--- a/test/error/HttpClientAnswerTest.cpp
+++ b/test/error/HttpClientAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
+#include "support/AbruptServer.h"
 #include "support/ScriptedServer.h"
 
 #include <criterion/criterion.h>
@@ -210,3 +211,75 @@
     cr_expect_neq(reply.end_, HttpEnd::Complete, "'%s'", status);
   }
 }
+
+namespace {
+
+struct EarlyFixture
+{
+  HttpClientReply Fetch(std::size_t aUpload)
+  {
+    HttpClientRequest request;
+    request.address_ = server_.BoundAddress();
+    request.method_ = HttpMethod::Post;
+    request.body_ = std::string(aUpload, 'u');
+    request.silenceTimeout_ = std::chrono::seconds(3);
+    std::optional<HttpClientReply> reply;
+    client_.Fetch(request,
+                  [&](HttpClientReply aReply) { reply = std::move(aReply); });
+    loop_.RunUntil([&] { return reply.has_value(); }, kTimeout);
+    cr_assert(reply.has_value());
+    return *reply;
+  }
+
+  SystemClock clock_;
+  EventLoop loop_{ clock_ };
+  HttpClient client_{ loop_ };
+  std::string answer_ = "HTTP/1.1 200 Early\r\n\r\n" + std::string(2000, 'a');
+  AbruptServer server_{ loop_,
+                        [this](const http::RequestHead&) { return answer_; } };
+};
+
+} // namespace
+
+// Guards against a part of an answer without a length that counts as the whole
+// answer, although its server reset the connection before it had read the
+// request.
+Test(HttpClientAnswer, AResetDuringAnUploadTruncatesAnAnswerWithoutLength)
+{
+  constexpr std::size_t kLongUpload = 3500 * 1000;
+  constexpr std::size_t kShortUpload = 200 * 1000;
+  for (const std::size_t upload : { kLongUpload, kShortUpload }) {
+    for (const bool endsSide : { true, false }) {
+      for (const int delay : { 0, 30 }) {
+        for (int run = 0; run < 6; ++run) {
+          EarlyFixture fixture;
+          fixture.server_.ending_.endsSide_ = endsSide;
+          fixture.server_.ending_.resetDelay_ =
+            std::chrono::milliseconds(delay);
+          const HttpClientReply reply = fixture.Fetch(upload);
+          cr_expect_neq(reply.end_,
+                        HttpEnd::Complete,
+                        "upload %zu, ends its side %d, reset after %d ms, "
+                        "run %d",
+                        upload,
+                        int(endsSide),
+                        delay,
+                        run);
+        }
+      }
+    }
+  }
+}
+
+// The same answer is complete from a server that has read the request.
+Test(HttpClientAnswer, AnAnswerWithoutLengthToARequestThatWasReadIsComplete)
+{
+  for (const std::size_t upload : { 300, 200 * 1000, 3500 * 1000 }) {
+    EarlyFixture fixture;
+    fixture.server_.ending_.readsBody_ = true;
+    fixture.server_.ending_.endsSide_ = true;
+    const HttpClientReply reply = fixture.Fetch(upload);
+    cr_expect_eq(reply.end_, HttpEnd::Complete, "%zu", upload);
+    cr_expect_eq(reply.body_.size(), 2000, "%zu", upload);
+  }
+}
