--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -196,8 +196,8 @@
 // Whether a request with aRequest shows if aFingerprint, which aBlock refuses,
 // crashes servers: each of its crashes can be due to something that the request
 // lacks. Requests that were sent when all instances knew of the block are such
-// tests themselves; if some of them crashed servers, each with other parts, it
-// is aFingerprint that does.
+// tests themselves. If several of them crashed servers, each with other parts,
+// it is aFingerprint that does, and no further test is needed.
 bool
 IsDiscriminating(const CrashRecord& aRecord,
                  Fingerprint aFingerprint,
@@ -212,7 +212,8 @@
   };
   std::size_t crashes = 0;
   std::size_t failedTests = 0;
-  std::set<Fingerprint> testedBeside;
+  // What else can have crashed the servers of the failed tests.
+  std::set<Fingerprint> otherSuspects;
   for (const Crash& crash : aRecord.crashes_) {
     const auto sent = crash.sent_.find(aFingerprint);
     if (crash.at_ <= answered || sent == crash.sent_.end()) {
@@ -226,9 +227,13 @@
     const bool isTest = sent->second > known &&
                         std::none_of(others.begin(), others.end(), isBlocked);
     if (isTest) {
-      const std::size_t before = testedBeside.size();
-      testedBeside.insert(others.begin(), others.end());
-      failedTests += testedBeside.size() == before + others.size() ? 1 : 0;
+      // Two tests with a part in common may have failed because of that part.
+      const bool isNew =
+        std::none_of(others.begin(), others.end(), [&](Fingerprint aOther) {
+          return otherSuspects.count(aOther) != 0;
+        });
+      failedTests += isNew ? 1 : 0;
+      otherSuspects.insert(others.begin(), others.end());
     }
   }
   return crashes > 0 && failedTests < kMaxFailedTests;
--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -56,8 +56,8 @@
   return aStatus >= 200 && aStatus <= 599;
 }
 
-// Whether a reply that was not finished in time is of use: one that reports a
-// failure, even if its text is cut.
+// Whether a reply with aStatus reports a failure. Such a reply is of use even
+// if its text is cut.
 bool
 IsFailure(int aStatus)
 {
