Give the peer of the server list test the update before

Cause: the test sent a peer that had no list the changes after version 3.

Change: the peer gets the first update too, and the check that it applies the second one is added. Nothing else of the test is changed.

--- a/test/correctness/ServerListTest.cpp
+++ b/test/correctness/ServerListTest.cpp
@@ -18,15 +18,18 @@
            "\"127.0.0.1:7000\",\"state\":\"" +
            aState + "\"}";
   };
+  const ListUpdate first = ParseInstanceList(
+    "{\"version\":3,\"instances\":[" + entryOf("back", "live") + "]}", 0);
   ServerListState list;
-  list.Apply(ParseInstanceList(
-    "{\"version\":3,\"instances\":[" + entryOf("back", "live") + "]}", 0));
+  ServerListState peer;
+  list.Apply(first);
+  peer.Apply(first);
   list.Apply(ParseInstanceList(
     "{\"version\":9,\"instances\":[" + entryOf("back", "gone") + "," +
       entryOf("back", "live") + "," + entryOf("other", "live") + "]}",
     3));
   cr_assert_eq(list.Servers().size(), 2);
-  ServerListState peer;
-  peer.Apply(list.UpdateAfter(3));
+  // A peer gets the changes that it lacks.
+  cr_assert(peer.Apply(list.UpdateAfter(3)));
   cr_expect_eq(peer.Servers().size(), 2);
 }
