Give a connection back to the HTTP library before its call ends

Cause: sycamorewardd takes the callbacks of a connection from its HTTP library for replies without a length. A reply without a body, such as 204, has none either, and its connection stays open: an event of the idle connection would have reached a call that had ended.

Change: a call that ends gives the callbacks back.

HttpClientAnswer/AConnectionOutlivesTheCallWhoseReplyHadNoLength passes; it was not shown to fail before, which needs the address sanitizer.

--- a/src/runtime/ClientCall.cpp
+++ b/src/runtime/ClientCall.cpp
@@ -147,6 +147,7 @@
   if (const auto state = state_.lock()) {
     CancelTimers(state->loop_);
   }
+  StopWatchingClosing();
   evhttp_connection* connection = connection_;
   connection_ = nullptr;
   return connection;
@@ -229,6 +230,25 @@
     this);
 }
 
+void
+ClientCall::StopWatchingClosing()
+{
+  if (evhttpOnEvent_ == nullptr || connection_ == nullptr) {
+    return;
+  }
+  bufferevent* transport = evhttp_connection_get_bufferevent(connection_);
+  void* argument = nullptr;
+  bufferevent_getcb(transport, nullptr, nullptr, nullptr, &argument);
+  // evhttp sets its callbacks again by itself when it begins a request.
+  if (argument == this) {
+    bufferevent_setcb(transport,
+                      evhttpOnRead_,
+                      evhttpOnWrite_,
+                      evhttpOnEvent_,
+                      evhttpArgument_);
+  }
+}
+
 void
 ClientCall::CheckClosing()
 {
@@ -362,6 +382,7 @@
   const std::shared_ptr<ClientCall> self =
     keepAlive != state->running_.end() ? keepAlive->second : nullptr;
   state->running_.erase(this);
+  StopWatchingClosing();
   evhttp_connection* connection = connection_;
   connection_ = nullptr;
   if (aIsReusable && !isPaused_) {
--- a/src/runtime/ClientCall.h
+++ b/src/runtime/ClientCall.h
@@ -47,6 +47,8 @@
   void Finish(HttpEnd aEnd, bool aIsReusable);
   // Takes the end of the connection from evhttp, which ends the reply at once.
   void WatchClosing();
+  // Gives the connection back to evhttp, before this object ends.
+  void StopWatchingClosing();
   // Decides whether a reply that ended with its connection is complete, or
   // looks again later.
   void CheckClosing();
--- a/test/error/HttpClientAnswerTest.cpp
+++ b/test/error/HttpClientAnswerTest.cpp
@@ -271,6 +271,24 @@
   }
 }
 
+// Guards against callbacks of a call that has ended: a reply without a body has
+// no length either, and its connection stays open.
+Test(HttpClientAnswer, AConnectionOutlivesTheCallWhoseReplyHadNoLength)
+{
+  std::shared_ptr<http::Channel> channel;
+  Fixture fixture([&](auto& aConnection, const auto&) {
+    channel = aConnection.channel_;
+    channel->Write("HTTP/1.1 204 No Content\r\n\r\n");
+  });
+  for (int call = 0; call < 3; ++call) {
+    cr_expect_eq(fixture.Fetch().status_, 204);
+    // The server closes the idle connection.
+    channel->CloseAfterFlush();
+    fixture.loop_.RunUntil([] { return false; },
+                           std::chrono::milliseconds(100));
+  }
+}
+
 // The same answer is complete from a server that has read the request.
 Test(HttpClientAnswer, AnAnswerWithoutLengthToARequestThatWasReadIsComplete)
 {
