Don't send a deadly request as a test because others ran on the crashed servers

Cause: any part of any prompt on a crashed server counted as something else that can have crashed it. On a busy server there is almost always one, so the deadly requests themselves were taken for tests.

Change: of the parts that aren't blocked only those of the same prompt count; fingerprints of one request were sent at the same time.

Measured: CrashRecord/OtherRequestsOnCrashedServersDoNotMakeADeadlyOneATest failed before and passes.

--- a/src/edge/CrashRecord.cpp
+++ b/src/edge/CrashRecord.cpp
@@ -172,18 +172,22 @@
          !IsExplained(aRecord, aFingerprint);
 }
 
-// Returns what can have crashed a server other than aFingerprint: the blocked
-// fingerprints and the parts of prompts that a request with aRequest lacks.
+// Returns what a request with aRequest lacks and what can have crashed a server
+// in place of aFingerprint: the blocked fingerprints, and the parts of the same
+// prompt. The parts of other prompts that the server read do not count, as
+// there are some on almost every server.
 std::set<Fingerprint>
 Alternatives(const CrashRecord& aRecord,
              const Crash& aCrash,
              Fingerprint aFingerprint,
              const std::vector<Fingerprint>& aRequest)
 {
+  const MonotonicTime sent = aCrash.sent_.at(aFingerprint);
   std::set<Fingerprint> alternatives;
-  for (const auto& [other, sent] : aCrash.sent_) {
-    const bool isSuspect =
-      aRecord.blocks_.count(other) != 0 || !IsRequest(other);
+  for (const auto& [other, otherSent] : aCrash.sent_) {
+    // Fingerprints of one request were sent at the same time.
+    const bool isSamePrompt = otherSent == sent && !IsRequest(other);
+    const bool isSuspect = isSamePrompt || aRecord.blocks_.count(other) != 0;
     if (isSuspect && other != aFingerprint &&
         AnsweredAt(aRecord, other) < aCrash.at_ &&
         std::find(aRequest.begin(), aRequest.end(), other) == aRequest.end()) {
--- a/test/correctness/CrashRecordTest.cpp
+++ b/test/correctness/CrashRecordTest.cpp
@@ -164,6 +164,29 @@
                60 * kSecond);
 }
 
+// Guards against deadly requests that are sent as tests because other requests
+// ran on the servers that they crashed.
+Test(CrashRecord, OtherRequestsOnCrashedServersDoNotMakeADeadlyOneATest)
+{
+  CrashRecord record;
+  for (const int server : { 1, 2, 3 }) {
+    Crash crash = CrashOf(server, server, { kCrashing, kShared });
+    for (const std::uint64_t other : { 0x100, 0x200 }) {
+      crash.sent_[Fingerprint(other + std::uint64_t(server))] =
+        At(server - 0.3);
+    }
+    AddCrash(record, crash, At(server));
+  }
+  cr_assert_eq(UpdateBlocks(record, At(4)).size(), 2);
+  TryRules rules = RulesOfTrier();
+  rules.mayTest_ = [](Fingerprint, Duration, std::size_t) { return true; };
+  const auto wait = BlockedFor(
+    record, { kCrashing, kShared, Fingerprint(0x300) }, rules, At(5));
+  cr_assert(wait.has_value());
+  cr_expect_gt(*wait, 60 * kSecond);
+  cr_expect_not(BlockedFor(record, { kShared }, rules, At(5)).has_value());
+}
+
 Test(CrashRecord, AnAnswerToARequestThatWasInProgressLiftsABlock)
 {
   CrashRecord record = BlockedRecord();
