Search each byte of a head once

What callers saw: nothing yet; a client that sends its head byte by byte keeps an instance busy for others.

Cause: with each read, the end of the head and bare line feeds were searched from its first byte, so that a head of N bytes in N pieces costs N * N / 2.

Change: the search goes on where it stopped, three bytes earlier for an end that arrives in two pieces.

Measured: a first version refused an LF that came alone as bare; `HttpFraming/ReadsAHeadThatArrivesByteByByte` failed on it and passes now. The work is not measured in time.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -17,6 +17,8 @@
 // The next request is not read while more of the earlier answers is unsent.
 constexpr std::size_t kMaxUnsentAnswers = 64 * 1024;
 constexpr std::size_t kMinBodyBuffer = 1024;
+// The end of a head can begin this many bytes before the last one.
+constexpr std::size_t kHeadEndOverlap = 3;
 // A length above this is compared with what all callers hold before any of the
 // body is read.
 constexpr std::size_t kLargeBody = 64 * 1024;
@@ -198,11 +200,19 @@
     state_ = State::Head;
     stateStart_ = loop_.GetClock().Now();
     limits_ = server_->Limits();
+    searchedBytes_ = 0;
   }
   const std::string_view bytes = channel_->Peek(limits_.headerBytes_);
-  const std::size_t end = FindHeadEnd(bytes);
+  // A head that arrives in many pieces is searched once.
+  const std::size_t start =
+    searchedBytes_ - std::min(searchedBytes_, kHeadEndOverlap);
+  const std::string_view rest = bytes.substr(start);
+  std::size_t end = FindHeadEnd(rest);
   if (end == std::string_view::npos) {
-    if (HasBareLineFeed(bytes)) {
+    searchedBytes_ = bytes.size();
+    // The first byte was checked before; if it is an LF, its CR precedes it.
+    const bool isChecked = start > 0 && rest.front() == '\n';
+    if (HasBareLineFeed(isChecked ? rest.substr(1) : rest)) {
       Refuse(400, "A line of the head ends without CR.");
       return false;
     }
@@ -211,6 +221,7 @@
     }
     return false;
   }
+  end += start;
   try {
     auto exchange = std::make_shared<CallerExchange>();
     exchange->head_ = ParseRequestHead(bytes.substr(0, end));
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -87,6 +87,8 @@
   BodyDecoder body_;
   Framing framing_;
   CallerLimits limits_;
+  // Bytes at the start of an incomplete head that have no end of it.
+  std::size_t searchedBytes_ = 0;
   bool hasAnswered_ = false;
   bool closesAfterAnswer_ = false;
   bool isReading_ = false;
--- a/test/error/HttpFramingTest.cpp
+++ b/test/error/HttpFramingTest.cpp
@@ -233,6 +233,29 @@
                0);
 }
 
+// Guards against a head that is searched from its start with each byte, and
+// against an end that is missed because it arrives in two pieces.
+Test(HttpFraming, ReadsAHeadThatArrivesByteByByte)
+{
+  EchoServer server;
+  const auto channel =
+    Channel::Connect(server.loop_, server.server_.BoundAddress());
+  const std::string request = Post("Content-Length: 4\r\n", "body");
+  for (const char byte : request) {
+    channel->Write(std::string_view(&byte, 1));
+    server.loop_.RunUntil([&] { return channel->Unsent() == 0; }, kTimeout);
+    server.loop_.RunReady();
+  }
+  server.loop_.RunUntil([&] { return !server.bodies_.empty(); }, kTimeout);
+  cr_assert_eq(server.bodies_.size(), 1);
+  cr_expect_eq(server.bodies_[0], "body");
+  channel->Reset();
+  EchoServer other;
+  cr_expect_eq(other.Send("POST /a HTTP/1.1\r\nHost: h\r\nX-A: b\nX-B: c")
+                 .rfind("HTTP/1.1 400", 0),
+               0);
+}
+
 // Guards against bytes behind a request in progress, or behind answers that are
 // not read, that add up without a bound.
 Test(HttpFraming, BytesThatWaitBehindARequestAreBounded)
