Bound the connections of callers and keep descriptors for the rest

What callers saw: with as many silent connections as an instance had descriptors, nobody else was answered until they left, and the loop was busy with an accept that failed.

Cause: nothing counted connections. A refused connection lingers for a second without being counted. The listener had no error callback, so that a failed accept was tried again at once. Idle connections to servers had no bound for all servers.

Change: all ports share a bound that follows from descriptors and memory. When it is reached, connections that are about to end yield first, then those without a complete request for longest, then idle ones; a request in progress never. If all are in progress, the new one gets 503 with Retry-After. Some connections are left to refusals and to the ports that answer questions about the instance. A failed accept pauses the listener for 50 ms and is counted. The receive buffer of accepted connections is 64 KiB, which bounds what the system holds for each; idle connections to servers are at most half of those of callers.

--- a/src/edge/ChannelPool.cpp
+++ b/src/edge/ChannelPool.cpp
@@ -76,6 +76,25 @@
                      channels.end());
     });
   idle_[aServer].push_back({ aChannel, loop_.GetClock().Now(), aRequest });
+  if (IdleCount() > maxIdle_) {
+    CloseOldest();
+  }
+}
+
+void
+ChannelPool::CloseOldest()
+{
+  std::vector<Idle>* oldest = nullptr;
+  for (auto& [server, channels] : idle_) {
+    const bool isOlder =
+      !channels.empty() &&
+      (oldest == nullptr || channels.front().since_ < oldest->front().since_);
+    oldest = isOlder ? &channels : oldest;
+  }
+  if (oldest != nullptr) {
+    oldest->front().channel_->Cut();
+    oldest->erase(oldest->begin());
+  }
 }
 
 void
--- a/src/edge/ChannelPool.h
+++ b/src/edge/ChannelPool.h
@@ -8,6 +8,7 @@
 #include "base/Ids.h"
 #include "http/BackendChannel.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <vector>
@@ -51,6 +52,10 @@
   // Closes the idle connections to a server that is no longer listed.
   void Drop(const ServerId& aServer);
 
+  // Sets the maximum number of idle connections to all servers. Above it, those
+  // that are idle for longest are closed.
+  void SetMaxIdle(std::size_t aCount) { maxIdle_ = aCount; }
+
   std::uint64_t Opened() const { return opened_; }
   std::size_t IdleCount() const;
   bool HasIdle(const ServerId& aServer) const;
@@ -64,8 +69,10 @@
   };
 
   void Sweep();
+  void CloseOldest();
 
   EventLoop& loop_;
+  std::size_t maxIdle_ = std::numeric_limits<std::size_t>::max();
   // Most recently used last.
   std::map<ServerId, std::vector<Idle>> idle_;
   std::uint64_t opened_ = 0;
--- a/src/edge/Edge.cpp
+++ b/src/edge/Edge.cpp
@@ -101,6 +101,7 @@
 {
   state_.domain_ = aOptions.self_.failureDomain_;
   state_.streamedBytes_ = clients_->Bounds().streamedBytes_;
+  state_.channels_.SetMaxIdle(clients_->Bounds().idleServerConnections_);
   clients_->OnLimit([this](ClientLimit aLimit, std::uint64_t aCount) {
     LogLine line("client_limit");
     line.Add("limit", ToText(aLimit))
--- a/src/http/Acceptor.cpp
+++ b/src/http/Acceptor.cpp
@@ -5,6 +5,7 @@
 #include "runtime/EventLoop.h"
 
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 namespace sycamoreward::http {
 
@@ -13,14 +14,23 @@
 // Maximum number of connections that wait to be accepted. A full queue delays
 // callers by seconds, so this is as large as the system allows.
 constexpr int kBacklog = 4096;
+// Receive buffer of accepted connections, in bytes. Without it, the system
+// would hold megabytes for each client that sends faster than it is read.
+constexpr int kReceiveBuffer = 64 * 1024;
+// Pause after a failure to accept. The listening socket stays readable, so that
+// the loop would do nothing else.
+constexpr Duration kFailurePause = std::chrono::milliseconds(50);
 
 } // namespace
 
 Acceptor::Acceptor(EventLoop& aLoop,
                    const Address& aAddress,
-                   std::function<void(int aSocket)> aOnSocket)
-  : address_(aAddress)
+                   std::function<void(int aSocket)> aOnSocket,
+                   std::function<void()> aOnFailure)
+  : loop_(aLoop)
+  , address_(aAddress)
   , onSocket_(std::move(aOnSocket))
+  , onFailure_(std::move(aOnFailure))
 {
   sockaddr_storage storage{};
   const socklen_t length = FillSocketAddress(aAddress, storage);
@@ -39,12 +49,31 @@
                         ToString(aAddress),
                         "Can't listen on " + ToString(aAddress) + ".");
   }
-  address_.port_ = BoundPort(evconnlistener_get_fd(listener_));
+  evconnlistener_set_error_cb(listener_, [](evconnlistener*, void* aSelf) {
+    static_cast<Acceptor*>(aSelf)->PauseAfterFailure();
+  });
+  const int descriptor = evconnlistener_get_fd(listener_);
+  // Accepted sockets inherit this option.
+  (void)setsockopt(
+    descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
+  address_.port_ = BoundPort(descriptor);
 }
 
 Acceptor::~Acceptor()
 {
+  loop_.CancelTimer(timer_);
   evconnlistener_free(listener_);
 }
 
+void
+Acceptor::PauseAfterFailure()
+{
+  evconnlistener_disable(listener_);
+  timer_ = loop_.CallAfter(kFailurePause,
+                           [this] { evconnlistener_enable(listener_); });
+  if (onFailure_) {
+    onFailure_();
+  }
+}
+
 } // namespace sycamoreward::http
--- a/src/http/Acceptor.h
+++ b/src/http/Acceptor.h
@@ -4,6 +4,7 @@
 
 #include "base/Address.h"
 
+#include <cstdint>
 #include <functional>
 
 struct evconnlistener;
@@ -18,11 +19,13 @@
 {
 public:
   // Starts listening on aAddress. aOnSocket runs on aLoop for each accepted
-  // socket and takes ownership of it. Throws InternalError when the address
-  // can't be bound.
+  // socket and takes ownership of it. aOnFailure runs when the system has no
+  // descriptors or no memory for a connection; accepting pauses for a moment
+  // then. Throws InternalError when the address can't be bound.
   Acceptor(EventLoop& aLoop,
            const Address& aAddress,
-           std::function<void(int aSocket)> aOnSocket);
+           std::function<void(int aSocket)> aOnSocket,
+           std::function<void()> aOnFailure = nullptr);
   ~Acceptor();
   Acceptor(const Acceptor&) = delete;
   Acceptor& operator=(const Acceptor&) = delete;
@@ -31,9 +34,14 @@
   const Address& BoundAddress() const { return address_; }
 
 private:
+  void PauseAfterFailure();
+
+  EventLoop& loop_;
   Address address_;
   std::function<void(int)> onSocket_;
+  std::function<void()> onFailure_;
   evconnlistener* listener_;
+  std::uint64_t timer_ = 0;
 };
 
 } // namespace sycamoreward::http
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -39,7 +39,8 @@
   , acceptor_(std::make_unique<Acceptor>(
       aLoop,
       aAddress,
-      [this](int aSocket) { Accept(aSocket); }))
+      [this](int aSocket) { Accept(aSocket); },
+      [this] { accounts_->Count(ClientLimit::Accept); }))
 {
   CheckConnectionTimeouts();
 }
@@ -54,13 +55,27 @@
   }
 }
 
+std::size_t
+CallerServer::ConnectionReserve() const
+{
+  const std::size_t reserve = accounts_->Bounds().refusalReserve_;
+  return use_ == PortUse::Requests ? 2 * reserve : reserve;
+}
+
 void
 CallerServer::Accept(int aSocket)
 {
+  const bool isRoom = accounts_->MakeConnectionRoom(ConnectionReserve());
+  const bool canRefuse = accounts_->HasRefusalRoom();
   const auto connection =
     std::make_shared<CallerConnection>(*this, loop_, aSocket);
   connections_.insert(connection);
   connection->Start();
+  if (!isRoom && canRefuse) {
+    connection->RefuseOverload();
+  } else if (!isRoom) {
+    connection->Yield(ClientLimit::Connections);
+  }
 }
 
 void
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -144,6 +144,8 @@
   friend class CallerConnection;
   void Accept(int aSocket);
   void CheckConnectionTimeouts();
+  // Connections that must stay free when this port accepts one.
+  std::size_t ConnectionReserve() const;
 
   EventLoop& loop_;
   Handler handler_;
--- a/test/crowd/EdgeCrowdTest.cpp
+++ b/test/crowd/EdgeCrowdTest.cpp
@@ -295,3 +295,46 @@
                       { "", "GET /none HTTP/1.1\r\nHost: h\r\n\r\n", 30'000 },
                       Crowd::Reading::Never);
 }
+
+// Each port in turn gets far more connections than the machine has descriptors.
+Test(EdgeCrowd, SilentConnections)
+{
+  PlatformFixtureOptions options = SmallMachine();
+  options.maxDescriptors_ = 300;
+  PlatformFixture world(options);
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  const auto& ports = world.Ports()[0];
+  for (const std::uint16_t port :
+       { ports.callers_, ports.addresses_, ports.readiness_, ports.metrics_ }) {
+    Crowd crowd(Local(port), 600, { "G", "", 0 });
+    const std::size_t descriptors = Run(world, crowd);
+    cr_expect_gt(descriptors, 0, "the instance has ended");
+    cr_expect_leq(descriptors, std::size_t(options.maxDescriptors_));
+    cr_expect_eq(AskLikeACaller(world, "ordinary-"), 200);
+    cr_expect(world.IsReady(0));
+    cr_expect_leq(OpenDescriptors(world.edges_[0]->Pid()),
+                  std::size_t(options.maxDescriptors_));
+  }
+}
+
+// Connections that are refused, one after the other, leave no descriptors
+// behind, although their clients keep them open.
+Test(EdgeCrowd, ConnectionsAfterConnections)
+{
+  PlatformFixtureOptions options = SmallMachine();
+  options.maxDescriptors_ = 300;
+  PlatformFixture world(options);
+  cr_assert(world.WaitReady(kStartTimeoutSeconds));
+  std::vector<std::unique_ptr<Crowd>> crowds;
+  constexpr int kRounds = 20;
+  for (int round = 0; round < kRounds; ++round) {
+    crowds.push_back(
+      std::make_unique<Crowd>(world.CallerAddress(0),
+                              100,
+                              CrowdScript{ "GET / HTTP/9.9\r\n\r\n", "", 0 }));
+    const std::size_t descriptors = Run(world, *crowds.back());
+    cr_expect_gt(descriptors, 0, "the instance has ended");
+    cr_expect_leq(descriptors, std::size_t(options.maxDescriptors_));
+  }
+  cr_expect_eq(AskLikeACaller(world, "ordinary-"), 200);
+}
