Serve the ports of sycamorewardd with the project's own HTTP server

What callers saw: an instance grew without a bound under the same crowds, and took any number of connections, although `limits.maxConnections` and `limits.maxRequests` are settings.

Cause: the HTTP library behind `HttpServer` bounds single messages only. A chunk, and the line that announces one, wait in its buffers until they are complete; it tells nothing about connections without a request; a body was copied about five times. The two settings were read and used by nothing.

Change: `HttpServer` is now a thin layer over `http::CallerServer`, so that both programs have one server and one account of what clients hold. Requests are charged with the four copies of their bodies that handling makes, as long as the request runs, also after its caller has left. `limits.maxConnections` and `limits.maxRequests` hold; `limits.memoryBytes` names the memory, which is otherwise the least of physical memory, control group and resource limit. Freed memory goes back to the system as in sycamoreward-edge. A workspace that holds too much is refused with 503 `workspace_memory`.

--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -28,12 +28,53 @@
   return std::mt19937_64(seed);
 }
 
+// Copies of the body of a caller's request: in the exchange, the accepted
+// request, the call to a server and its send buffer.
+constexpr std::size_t kCallerBodyCopies = 4;
+
+Machine
+MachineOf(const LimitSettings& aLimits)
+{
+  Machine machine = ReadMachine();
+  if (aLimits.memory_.Value() > 0) {
+    machine.memory_ = aLimits.memory_;
+  }
+  return machine;
+}
+
+ClientBounds
+BoundsOf(const LimitSettings& aLimits)
+{
+  return DeriveClientBounds(MachineOf(aLimits), aLimits.maxConnections_);
+}
+
+RequestTableBounds
+TableBoundsOf(const LimitSettings& aLimits)
+{
+  RequestTableBounds bounds;
+  bounds.running_ = aLimits.maxRequests_;
+  bounds.finishedBytes_ = std::min<std::uint64_t>(
+    bounds.finishedBytes_, BoundsOf(aLimits).streamedBytes_);
+  return bounds;
+}
+
 HttpServerOptions
-ServerOptions(const Address& aListen, const LimitSettings& aLimits)
+CallerOptions(const Settings& aSettings)
 {
   HttpServerOptions options;
-  options.listen_ = aListen;
-  options.maxBodySize_ = aLimits.maxBody_;
+  options.listen_ = aSettings.listen_.callers_;
+  options.maxBodySize_ = aSettings.limits_.maxBody_;
+  options.bodyCopies_ = kCallerBodyCopies;
+  return options;
+}
+
+HttpServerOptions
+OperatorOptions(const Settings& aSettings)
+{
+  HttpServerOptions options;
+  options.listen_ = aSettings.listen_.operators_;
+  options.maxBodySize_ = aSettings.limits_.maxBody_;
+  options.use_ = http::PortUse::Questions;
   return options;
 }
 
@@ -106,17 +147,22 @@
   , client_(aLoop)
   , controlClient_(aLoop)
   , storeClient_(aLoop)
-  , callerServer_(aLoop,
-                  ServerOptions(aSettings.listen_.callers_, aSettings.limits_),
-                  [this](std::shared_ptr<HttpExchange> aExchange) {
-                    HandleCaller(aExchange);
-                  })
+  , clients_(std::make_shared<ClientAccounts>(aLoop.GetClock(),
+                                              BoundsOf(aSettings.limits_)))
+  , callerServer_(
+      aLoop,
+      CallerOptions(aSettings),
+      [this](std::shared_ptr<HttpExchange> aExchange) {
+        HandleCaller(aExchange);
+      },
+      clients_)
   , operatorServer_(
       aLoop,
-      ServerOptions(aSettings.listen_.operators_, aSettings.limits_),
+      OperatorOptions(aSettings),
       [this](std::shared_ptr<HttpExchange> aExchange) {
         HandleOperator(aExchange);
-      })
+      },
+      clients_)
   , network_(aLoop, NetworkOptions(aSettings.listen_), MakeIdentity())
   , membership_(aLoop, network_, network_.Self())
   , table_(storeClient_,
@@ -163,7 +209,7 @@
       &registrar_,
       [this] { return random_(); },
       LedgerOptions(objects_))
-  , callerApi_(context_)
+  , callerApi_(context_, TableBoundsOf(aSettings.limits_))
   , resourceApi_(aLoop,
                  configuration_,
                  configurationStore_,
@@ -236,6 +282,14 @@
 void
 EntryInstance::State::ConnectComponents()
 {
+  clients_->OnLimit([this](ClientLimit aLimit, std::uint64_t aCount) {
+    log_->warn("The limit of {} has affected {} clients since the start; {} "
+               "connections hold {} bytes.",
+               ToText(aLimit),
+               aCount,
+               clients_->Connections(),
+               clients_->HeldBytes());
+  });
   network_.OnIdentityMismatch(
     [this](const PeerIdentity& aExpected, const PeerIdentity& aActual) {
       membership_.HandleIdentityMismatch(aExpected, aActual);
@@ -326,6 +380,7 @@
 std::string
 EntryInstance::State::MetricsText()
 {
+  metrics_.SetClients(*clients_);
   const PeerNetworkStatistics statistics = network_.Statistics();
   metrics_.SetPeerTraffic(
     "sent", statistics.traffic_.bytesSent_, statistics.traffic_.framesSent_);
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -15,6 +15,7 @@
 #include "ledger/Journal.h"
 #include "ledger/LedgerClient.h"
 #include "ledger/Registrar.h"
+#include "limits/ClientAccounts.h"
 #include "membership/MembershipTask.h"
 #include "operators/ResourceApi.h"
 #include "peer/WebSocketPeerNetwork.h"
@@ -72,6 +73,7 @@
   HttpClient controlClient_;
   // For the table and the object store.
   HttpClient storeClient_;
+  std::shared_ptr<ClientAccounts> clients_;
   HttpServer callerServer_;
   HttpServer operatorServer_;
   WebSocketPeerNetwork network_;
--- a/src/requests/AcceptedRequest.cpp
+++ b/src/requests/AcceptedRequest.cpp
@@ -80,6 +80,7 @@
   request.target_ = std::move(aInput.target_);
   request.contentType_ = std::move(aInput.contentType_);
   request.body_ = std::move(aInput.body_);
+  request.charge_ = std::move(aInput.charge_);
   return request;
 }
 
--- a/src/requests/AcceptedRequest.h
+++ b/src/requests/AcceptedRequest.h
@@ -47,6 +47,8 @@
   WallTime accepted_{};
   MonotonicTime deadline_{};
   TraceParent trace_;
+  // Accounts for the memory of the request. Null if it was handed over.
+  std::shared_ptr<const void> charge_;
 
   ServiceName Name() const { return ServiceName(service_.metadata_.name_); }
 };
@@ -63,6 +65,8 @@
   std::string idempotencyKey_;
   std::string traceParent_;
   std::string body_;
+  // See HttpExchange::Charge.
+  std::shared_ptr<const void> charge_;
 };
 
 // Validates a request and assigns its id. Throws RequestRefused when the
--- a/src/requests/CallerApi.cpp
+++ b/src/requests/CallerApi.cpp
@@ -125,9 +125,9 @@
 
 } // namespace
 
-CallerApi::CallerApi(RequestContext aContext)
+CallerApi::CallerApi(RequestContext aContext, const RequestTableBounds& aBounds)
   : context_(std::move(aContext))
-  , table_(context_)
+  , table_(context_, aBounds)
   , handovers_(context_, table_)
 {
 }
@@ -226,7 +226,7 @@
            "Too many outcomes are waiting to be recorded; new requests are "
            "rejected.");
   }
-  if (table_.Size() >= RequestTable::kMaxRunning) {
+  if (table_.IsFull()) {
     Refuse(503,
            "overloaded",
            "This instance has reached its limit of running requests.");
@@ -237,8 +237,16 @@
 CallerApi::HandleRequest(const std::shared_ptr<HttpExchange>& aExchange)
 {
   const HttpServerRequest& received = aExchange->Request();
+  const WorkspaceId workspace = Authenticate(*aExchange);
+  if (!aExchange->MayRunFor(workspace)) {
+    Refuse(503,
+           "workspace_memory",
+           "The requests of this workspace hold too much memory of this "
+           "instance.");
+  }
   RequestInput input = MakeRequestInput(received);
-  input.workspace_ = Authenticate(*aExchange);
+  input.workspace_ = workspace;
+  input.charge_ = aExchange->Charge();
   if (IsModelPath(received.path_) && received.method_ != HttpMethod::Post) {
     Refuse(
       405, "method_not_allowed", "Completions must be requested with POST.");
--- a/src/requests/CallerApi.h
+++ b/src/requests/CallerApi.h
@@ -21,7 +21,8 @@
   static constexpr std::chrono::seconds kAddressLifetime{ 30 };
   static constexpr std::size_t kMaxAddresses = 6;
 
-  explicit CallerApi(RequestContext aContext);
+  explicit CallerApi(RequestContext aContext,
+                     const RequestTableBounds& aBounds = {});
   CallerApi(const CallerApi&) = delete;
   CallerApi& operator=(const CallerApi&) = delete;
 
--- a/src/requests/HandoverCoordinator.cpp
+++ b/src/requests/HandoverCoordinator.cpp
@@ -174,7 +174,7 @@
     reply.reason_ = "This instance is leaving.";
     return reply;
   }
-  if (table_.Size() >= RequestTable::kMaxRunning) {
+  if (table_.IsFull()) {
     reply.reason_ = "This instance runs as many requests as it can.";
     return reply;
   }
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -4,8 +4,10 @@
 
 namespace sycamoreward {
 
-RequestTable::RequestTable(RequestContext& aContext)
+RequestTable::RequestTable(RequestContext& aContext,
+                           const RequestTableBounds& aBounds)
   : context_(aContext)
+  , bounds_(aBounds)
   , follower_(aContext,
               [this](const RequestId& aRequest) { return FindLog(aRequest); })
 {
@@ -193,7 +195,7 @@
   finishedByKey_[request.keyDigest_] = entry;
   finished_.push_back(std::move(entry));
   while (finished_.size() > kMaxFinished ||
-         finishedBytes_ > kMaxFinishedBytes) {
+         finishedBytes_ > bounds_.finishedBytes_) {
     const Finished& oldest = finished_.front();
     finishedBytes_ -= oldest.log_->Size().Value();
     finishedById_.erase(oldest.request_);
--- a/src/requests/RequestTable.h
+++ b/src/requests/RequestTable.h
@@ -20,17 +20,22 @@
 
 namespace sycamoreward {
 
+struct RequestTableBounds
+{
+  // Number of running requests at which new ones are rejected.
+  std::size_t running_ = 4096;
+  // Maximum size of the finished answers in the cache.
+  std::uint64_t finishedBytes_ = 64 * 1024 * 1024;
+};
+
 // Owns the request tasks of an instance.
 class RequestTable
 {
 public:
-  // Bounds of the cache of finished answers.
+  // Maximum number of finished answers in the cache.
   static constexpr std::size_t kMaxFinished = 4096;
-  static constexpr std::uint64_t kMaxFinishedBytes = 64 * 1024 * 1024;
-  // Number of running requests at which new ones are rejected.
-  static constexpr std::size_t kMaxRunning = 4096;
 
-  explicit RequestTable(RequestContext& aContext);
+  RequestTable(RequestContext& aContext, const RequestTableBounds& aBounds);
 
   // The running or finished answer for a key.
   struct KeyMatch
@@ -56,6 +61,8 @@
 
   std::vector<std::shared_ptr<RequestTask>> Running() const;
   std::size_t Size() const { return running_.size(); }
+  // Whether no further request may be started.
+  bool IsFull() const { return running_.size() >= bounds_.running_; }
 
   // Sets the callback that runs each time the last running request has ended.
   void OnIdle(std::function<void()> aCallback)
@@ -88,6 +95,7 @@
   std::deque<Finished> finished_;
   std::map<std::string, Finished> finishedByKey_;
   std::map<RequestId, std::shared_ptr<AnswerLog>> finishedById_;
+  RequestTableBounds bounds_;
   std::uint64_t finishedBytes_ = 0;
   std::function<void()> onIdle_;
   Follower follower_;
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -2,21 +2,14 @@
 
 #include "base/Error.h"
 #include "runtime/HttpServerState.h"
-#include "runtime/Listener.h"
 #include "runtime/ServerExchange.h"
 
-#include <event2/event.h>
-#include <event2/http.h>
 #include <nlohmann/json.hpp>
 
 namespace sycamoreward {
 
 namespace {
 
-constexpr ev_uint16_t kAllowedMethods =
-  EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-  EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
-
 std::string
 ErrorBody(const char* aCode, const std::string& aMessage)
 {
@@ -29,15 +22,32 @@
   }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+http::CallerLimits
+LimitsOf(const HttpServerOptions& aOptions)
+{
+  http::CallerLimits limits;
+  limits.headerBytes_ = aOptions.maxHeaderSize_.Value();
+  limits.bodyBytes_ = aOptions.maxBodySize_.Value();
+  limits.bodyCopies_ = aOptions.bodyCopies_;
+  limits.requestTimeout_ = aOptions.maxReceiveTime_;
+  limits.idleTimeout_ = aOptions.idleTimeout_;
+  return limits;
+}
+
 void
-HandleRequest(evhttp_request* aRequest, void* aState)
+HandleRequest(const std::shared_ptr<HttpServer::State>& aState,
+              std::shared_ptr<http::CallerExchange> aExchange)
 {
-  auto* state = static_cast<HttpServer::State*>(aState);
-  state->receiveTimeout_->OnRequestReceived(aRequest);
-  auto exchange =
-    std::make_shared<ServerExchange>(state->shared_from_this(), aRequest);
+  std::shared_ptr<ServerExchange> exchange;
+  try {
+    exchange = std::make_shared<ServerExchange>(aState, aExchange);
+  } catch (const UserError& error) {
+    ReplyInvalidRequest(*aExchange, ErrorBody("invalid_request", error.what()));
+    return;
+  }
+  exchange->Start();
   try {
-    state->handler_(exchange);
+    aState->handler_(exchange);
   } catch (const UserError& error) {
     exchange->Reply(400,
                     { { "Content-Type", "application/json" } },
@@ -53,26 +63,25 @@
 
 HttpServer::HttpServer(EventLoop& aLoop,
                        HttpServerOptions aOptions,
-                       Handler aHandler)
+                       Handler aHandler,
+                       std::shared_ptr<ClientAccounts> aClients)
   : state_(std::make_shared<State>(aLoop))
 {
   state_->options_ = std::move(aOptions);
   state_->handler_ = std::move(aHandler);
-  const HttpServerOptions& options = state_->options_;
-  const int fd = BindListener(options.listen_);
-  state_->bound_ = Address{ options.listen_.ip_, PortOf(fd) };
-  state_->http_ = evhttp_new(aLoop.Base());
-  evhttp_set_max_headers_size(state_->http_,
-                              ssize_t(options.maxHeaderSize_.Value()));
-  evhttp_set_max_body_size(state_->http_,
-                           ssize_t(options.maxBodySize_.Value()));
-  evhttp_set_timeout(state_->http_, int(options.idleTimeout_.count()));
-  evhttp_set_allowed_methods(state_->http_, kAllowedMethods);
-  state_->receiveTimeout_ =
-    std::make_unique<ReceiveTimeout>(aLoop.GetClock(), options.maxReceiveTime_);
-  state_->receiveTimeout_->Watch(state_->http_);
-  evhttp_set_gencb(state_->http_, &HandleRequest, state_.get());
-  state_->listener_ = evhttp_accept_socket_with_handle(state_->http_, fd);
+  const std::weak_ptr<State> weak = state_;
+  state_->server_ = std::make_unique<http::CallerServer>(
+    aLoop,
+    state_->options_.listen_,
+    [weak](std::shared_ptr<http::CallerExchange> aExchange) {
+      if (const auto state = weak.lock()) {
+        HandleRequest(state, std::move(aExchange));
+      }
+    },
+    std::move(aClients),
+    state_->options_.use_);
+  state_->server_->SetLimits(LimitsOf(state_->options_));
+  state_->bound_ = state_->server_->BoundAddress();
 }
 
 HttpServer::~HttpServer()
@@ -81,8 +90,7 @@
   for (ServerExchange* exchange : open) {
     exchange->Abort();
   }
-  // Also frees the connections that Abort queued for release.
-  evhttp_free(state_->http_);
+  state_->server_.reset();
 }
 
 const Address&
@@ -100,17 +108,14 @@
 std::size_t
 HttpServer::UnsentReplies() const
 {
-  return state_->unsent_.size();
+  return state_->server_->UnsentAnswers();
 }
 
 void
 HttpServer::StopAccepting()
 {
-  if (!state_->isAccepting_) {
-    return;
-  }
-  state_->isAccepting_ = false;
-  evhttp_del_accept_socket(state_->http_, state_->listener_);
+  state_->server_->StopListening();
+  state_->server_->StartDrain();
 }
 
 } // namespace sycamoreward
--- a/src/runtime/HttpServer.h
+++ b/src/runtime/HttpServer.h
@@ -1,10 +1,13 @@
 #pragma once
 
-// HTTP server based on evhttp that runs on one event loop.
+// HTTP server for callers and operators, on one event loop. It adds parsed
+// targets and shared exchanges to http::CallerServer.
 
 #include "base/Address.h"
 #include "base/Clock.h"
+#include "base/Ids.h"
 #include "base/Units.h"
+#include "http/CallerServer.h"
 #include "runtime/Http.h"
 
 #include <functional>
@@ -23,15 +26,16 @@
   Address listen_{ "127.0.0.1", 0 };
   Bytes maxHeaderSize_{ 64 * 1024 };
   Bytes maxBodySize_{ 8 * 1024 * 1024 };
-  // Maximum time without progress in reading a request or writing a reply.
+  // Copies of the body that handling a request makes.
+  std::size_t bodyCopies_ = 1;
+  // Maximum time between two requests of a connection.
   std::chrono::seconds idleTimeout_{ 60 };
-  // Maximum time from the first to the last byte of a request. Without it, a
-  // caller that sends one byte within each idle timeout could hold its
-  // connection forever.
+  // Maximum time from the first to the last byte of a request.
   std::chrono::seconds maxReceiveTime_{ 120 };
   // An exchange is aborted when more bytes than this wait to be sent; see
   // HttpExchange::BufferedBytes.
   Bytes maxReplyBuffer_{ 4 * 1024 * 1024 };
+  http::PortUse use_ = http::PortUse::Requests;
 };
 
 struct HttpServerRequest
@@ -45,7 +49,6 @@
   std::map<std::string, std::string> query_;
   HttpHeaders headers_;
   std::string body_;
-  Address peer_;
 };
 
 // One request and its reply. The handler holds it until it has replied. If the
@@ -84,6 +87,14 @@
   virtual void OnCallerGone(std::function<void()> aCallback) = 0;
 
   virtual bool IsCallerGone() const = 0;
+
+  // Counts the request for aWorkspace. Returns false if the workspace holds too
+  // much already; the request should be refused then.
+  virtual bool MayRunFor(const WorkspaceId& /*aWorkspace*/) { return true; }
+
+  // Accounts for the request as long as the returned object is kept. Needed if
+  // the request goes on after its caller has left. May be null.
+  virtual std::shared_ptr<const void> Charge() const { return nullptr; }
 };
 
 class HttpServer
@@ -91,9 +102,14 @@
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-  // Throws InternalError when the address can't be bound. An exception thrown
-  // by aHandler is answered with status 400 (UserError) or 500 (others).
-  HttpServer(EventLoop& aLoop, HttpServerOptions aOptions, Handler aHandler);
+  // aClients is shared by all ports of the process; without it, nothing bounds
+  // what all callers hold together. Throws InternalError when the address can't
+  // be bound. An exception thrown by aHandler is answered with status 400
+  // (UserError) or 500 (others).
+  HttpServer(EventLoop& aLoop,
+             HttpServerOptions aOptions,
+             Handler aHandler,
+             std::shared_ptr<ClientAccounts> aClients = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/runtime/ServerExchange.h
+++ b/src/runtime/ServerExchange.h
@@ -1,25 +1,31 @@
 #pragma once
 
-// Implements an exchange of HttpServer by one evhttp request.
+// Implements an exchange of HttpServer by one exchange of http::CallerServer.
 
 #include "runtime/HttpServer.h"
 #include "runtime/HttpServerState.h"
 
 #include <functional>
 #include <memory>
-#include <optional>
-
-struct event;
-struct evhttp_request;
 
 namespace sycamoreward {
 
-class ServerExchange final : public HttpExchange
+class ServerExchange final
+  : public HttpExchange
+  , public std::enable_shared_from_this<ServerExchange>
 {
 public:
+  // Takes the body out of aExchange. Throws UserError if the target or the
+  // method can't be used.
   ServerExchange(const std::shared_ptr<HttpServer::State>& aState,
-                 evhttp_request* aRequest);
+                 std::shared_ptr<http::CallerExchange> aExchange);
   ~ServerExchange() override;
+  ServerExchange(const ServerExchange&) = delete;
+  ServerExchange& operator=(const ServerExchange&) = delete;
+
+  // Observes the connection. Must be called once, after the object is owned by
+  // a shared_ptr.
+  void Start();
 
   const HttpServerRequest& Request() const override { return parsed_; }
   void Reply(int aStatus,
@@ -39,32 +45,28 @@
     onCallerGone_ = std::move(aCallback);
   }
   bool IsCallerGone() const override { return isGone_; }
-
-  // Gives up the request, because it belongs to evhttp again or its connection
-  // is being closed.
-  void Detach();
+  bool MayRunFor(const WorkspaceId& aWorkspace) override;
+  std::shared_ptr<const void> Charge() const override;
 
 private:
-  void AddHeaders(const HttpHeaders& aHeaders);
-  void Finish();
-  bool MayWriteDirectly(MonotonicTime aNow) const;
-  bool WriteDirectly(std::string_view aData);
-  void FinishWithReply();
-  static void OnConnectionClosed(evhttp_connection* aConnection, void* aSelf);
+  // Gives up the connection, because the reply is complete or the connection
+  // has ended.
+  void Detach();
 
   // Empty if the exchange outlives the server.
   std::weak_ptr<HttpServer::State> state_;
   // Null once the reply is complete or the connection has ended.
-  evhttp_request* request_;
-  event* closedEvent_ = nullptr;
+  std::shared_ptr<http::CallerExchange> exchange_;
+  std::shared_ptr<const ClientCharge> charge_;
   HttpServerRequest parsed_;
-  bool isStarted_ = false;
   bool isGone_ = false;
-  // When the last chunk was sent through evhttp, which registers the drain
-  // callback.
-  std::optional<MonotonicTime> lastEvhttpChunk_;
   std::function<void()> onDrained_;
   std::function<void()> onCallerGone_;
 };
 
+// Replies to a request that has no exchange, because its target or method can't
+// be used.
+void
+ReplyInvalidRequest(http::CallerExchange& aExchange, const std::string& aBody);
+
 } // namespace sycamoreward
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -95,7 +95,8 @@
   const Json& limits = aDocument.at("limits");
   settings.limits_ = { limits.at("maxConnections").get<unsigned>(),
                        limits.at("maxRequests").get<unsigned>(),
-                       Bytes(limits.at("maxBodyBytes").get<std::uint64_t>()) };
+                       Bytes(limits.at("maxBodyBytes").get<std::uint64_t>()),
+                       Bytes(limits.at("memoryBytes").get<std::uint64_t>()) };
   const Json& drain = aDocument.at("drain");
   settings.drain_ = { ReadMs(drain, "idleConnectionMs"),
                       ReadMs(drain, "handOverReserveMs") };
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -71,6 +71,8 @@
   unsigned maxConnections_ = 0;
   unsigned maxRequests_ = 0;
   Bytes maxBody_;
+  // Memory of the process; 0 if it is that of the machine.
+  Bytes memory_;
 };
 
 struct DrainSettings
--- a/src/settings/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -179,6 +179,15 @@
                                67'108'864,
                                "bytes",
                                "Maximum size of the body of a request."));
+  aTable.push_back(RangedField("limits.memoryBytes",
+                               integer,
+                               0,
+                               0,
+                               1'000'000'000'000,
+                               "bytes",
+                               "Memory of this process, of which callers' "
+                               "requests may hold a part. 0 takes the memory "
+                               "that the system allows the process."));
   aTable.push_back(OptionalField(
     "drain", kObject, empty, "Draining after SIGTERM or a reclaim notice."));
   aTable.push_back(RangedField("drain.idleConnectionMs",
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -97,6 +97,17 @@
   , residentBytes_(
       MakeGauge(registry_, "process_resident_memory_bytes", "Resident memory.")
         .Add({}))
+  , clientConnections_(MakeGauge(registry_,
+                                 "sycamoreward_client_connections",
+                                 "Connections of clients on all ports.")
+                         .Add({}))
+  , clientBytes_(MakeGauge(registry_,
+                           "sycamoreward_client_bytes",
+                           "Bytes of requests and unread answers held.")
+                   .Add({}))
+  , clientLimits_(MakeGauge(registry_,
+                            "sycamoreward_client_limit_total",
+                            "Clients that a limit for all of them affected."))
 {
 }
 
@@ -204,6 +215,18 @@
   residentBytes_.Set(static_cast<double>(aBytes));
 }
 
+void
+Metrics::SetClients(const ClientAccounts& aClients)
+{
+  clientConnections_.Set(double(aClients.Connections()));
+  clientBytes_.Set(double(aClients.HeldBytes()));
+  for (std::size_t index = 0; index < kClientLimits; ++index) {
+    const auto limit = ClientLimit(index);
+    clientLimits_.Add({ { "limit", ToText(limit) } })
+      .Set(double(aClients.Affected(limit)));
+  }
+}
+
 std::string
 Metrics::Text() const
 {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -7,6 +7,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "ledger/Outcome.h"
+#include "limits/ClientAccounts.h"
 #include "runtime/HttpClient.h"
 
 #include <prometheus/counter.h>
@@ -66,6 +67,10 @@
   // Resident memory of the process, in bytes.
   void SetResidentBytes(std::uint64_t aBytes);
 
+  // Sets the connections and bytes that clients hold, and the number of clients
+  // that each limit has affected.
+  void SetClients(const ClientAccounts& aClients);
+
   // All metrics in the Prometheus text exposition format.
   std::string Text() const;
 
@@ -86,6 +91,9 @@
   prometheus::Gauge& runningRequests_;
   prometheus::Gauge& processorSeconds_;
   prometheus::Gauge& residentBytes_;
+  prometheus::Gauge& clientConnections_;
+  prometheus::Gauge& clientBytes_;
+  prometheus::Family<prometheus::Gauge>& clientLimits_;
 };
 
 } // namespace sycamoreward
--- a/tools/sycamorewardd/Main.cpp
+++ b/tools/sycamorewardd/Main.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 using namespace sycamoreward;
 
@@ -61,6 +62,10 @@
 int
 main(int aCount, char** aArguments)
 {
+  // Memory is bounded by what callers hold, so malloc uses one arena and
+  // returns freed memory early.
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, 256 * 1024);
   return RunProgram({ "sycamorewardd",
                       "Entry instance of sycamoreward.",
                       "Settings file in YAML",
