Don't refuse small requests of a workspace for its large ones

What callers saw: nothing; found by reading. Small requests of a workspace whose large bodies fill its share would be refused until one of these ends.

Cause: the bound of a workspace counts all its requests alike, and at equilibrium leaves no room for another one of any size.

Change: requests up to 1/512 of all bytes are exempt.

--- a/src/limits/ClientAccounts.cpp
+++ b/src/limits/ClientAccounts.cpp
@@ -122,7 +122,7 @@
   const auto found = workspaceBytes_.find(aWorkspace);
   const std::size_t own =
     aBytes + (found == workspaceBytes_.end() ? 0 : found->second);
-  if (FitsWorkspace(own, bytes_, bounds_)) {
+  if (FitsWorkspace(aBytes, own, bytes_, bounds_)) {
     return true;
   }
   Count(ClientLimit::WorkspaceBytes);
--- a/src/limits/ClientBounds.cpp
+++ b/src/limits/ClientBounds.cpp
@@ -34,6 +34,8 @@
 constexpr double kConnectionBytes = 4096;
 // What a workspace may hold, in multiples of what it leaves free.
 constexpr std::size_t kWorkspaceShare = 2;
+// Part of all bytes up to which a request counts as small.
+constexpr std::size_t kSmallRequestDivisor = 512;
 
 std::uint64_t
 ResourceLimit(int aResource)
@@ -117,10 +119,14 @@
 }
 
 bool
-FitsWorkspace(std::size_t aOwn, std::size_t aAll, const ClientBounds& aBounds)
+FitsWorkspace(std::size_t aBytes,
+              std::size_t aOwn,
+              std::size_t aAll,
+              const ClientBounds& aBounds)
 {
-  return aAll <= aBounds.bytes_ &&
-         aOwn <= kWorkspaceShare * (aBounds.bytes_ - aAll);
+  return aBytes <= aBounds.bytes_ / kSmallRequestDivisor ||
+         (aAll <= aBounds.bytes_ &&
+          aOwn <= kWorkspaceShare * (aBounds.bytes_ - aAll));
 }
 
 } // namespace sycamoreward
--- a/src/limits/ClientBounds.h
+++ b/src/limits/ClientBounds.h
@@ -85,10 +85,14 @@
 bool
 FitsBytes(std::size_t aOwn, std::size_t aAll, const ClientBounds& aBounds);
 
-// Whether a workspace may hold aOwn bytes of requests in progress when all
-// clients hold aAll bytes, these included. A workspace with many large requests
-// leaves room for the others.
+// Whether a workspace may hold another request of aBytes when all clients hold
+// aAll bytes and the workspace aOwn, both with this request. A workspace with
+// many large requests leaves room for the others. Its small requests are not
+// refused for the large ones.
 bool
-FitsWorkspace(std::size_t aOwn, std::size_t aAll, const ClientBounds& aBounds);
+FitsWorkspace(std::size_t aBytes,
+              std::size_t aOwn,
+              std::size_t aAll,
+              const ClientBounds& aBounds);
 
 } // namespace sycamoreward
--- a/test/crowd/EdgeCrowdTest.cpp
+++ b/test/crowd/EdgeCrowdTest.cpp
@@ -249,6 +249,7 @@
       bytes / 1000 });
   Run(world, crowd);
   ExpectMemoryWithinMachine(world, options);
+  cr_expect_eq(AskLikeACaller(world, "beside-"), 200);
   world.RunUntil(
     [&] {
       crowd.Advance();
