Account for answers that are kept until they are complete

What callers saw: nothing yet.

Cause: the account of what clients hold counted requests and unread answers.

Change: the log of an answer, buffered answers and partial events are charged while they are kept, so that new requests are refused before the sum exceeds its bound.

Measured: `RequestReply/AnswersAreAccountedForAsLongAsTheyAreKept` passes; it can't run on the code before. No crowd test holds many answers of a server.

--- a/src/edge/RequestAnswer.cpp
+++ b/src/edge/RequestAnswer.cpp
@@ -209,6 +209,7 @@
         exchange_->Send(bufferedBody_);
         bufferedBody_.clear();
       }
+      exchange_->HoldAnswer(bufferedBody_.size());
       return;
     case AnswerState::Forwarded:
       ForwardBody(aBytes);
@@ -234,6 +235,7 @@
   lastForwarded_ = now;
   if (isEventStream_ && route_->isResumable_) {
     exchange_->Send(events_.Append(aBytes));
+    exchange_->HoldAnswer(events_.Position().partialBytes_);
     if (events_.Position().partialBytes_ > kMaxEventBytes) {
       OnFailed(http::ChannelFailure::MalformedAnswer);
       return;
@@ -367,6 +369,7 @@
   }
   answerState_ = AnswerState::None;
   bufferedBody_.clear();
+  exchange_->HoldAnswer(0);
   if (CanRetry()) {
     Retry(http::ToText(aFailure));
   } else if (possibleRuns_ == 0) {
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -258,7 +258,7 @@
     loop_,       client_,        scheduler_,
     ledger_,     configuration_, servers_,
     membership_, network_,       [this] { return random_(); },
-    &metrics_
+    &metrics_,   clients_
   };
 }
 
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -599,6 +599,15 @@
   return true;
 }
 
+void
+CallerExchange::HoldAnswer(std::size_t aBytes)
+{
+  if (charge_ != nullptr && aBytes != heldAnswer_) {
+    charge_->Set(charge_->Held() - heldAnswer_ + aBytes);
+    heldAnswer_ = aBytes;
+  }
+}
+
 std::size_t
 CallerExchange::Unsent() const
 {
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -88,6 +88,8 @@
   // Counts the request for aWorkspace. Returns false if the workspace holds too
   // much already; the request should be refused then.
   bool MayRunFor(const WorkspaceId& aWorkspace);
+  // Counts bytes of the answer that are held until more of it arrives.
+  void HoldAnswer(std::size_t aBytes);
   // Accounts for the request as long as the returned object is kept. Needed if
   // parts of the request outlive this object.
   std::shared_ptr<const ClientCharge> Charge() const { return charge_; }
@@ -97,6 +99,7 @@
   std::weak_ptr<CallerConnection> connection_;
   std::shared_ptr<ClientAccounts> accounts_;
   std::shared_ptr<ClientCharge> charge_;
+  std::size_t heldAnswer_ = 0;
   Callbacks callbacks_;
   Framing framing_;
   bool isStarted_ = false;
--- a/src/requests/AnswerLog.cpp
+++ b/src/requests/AnswerLog.cpp
@@ -19,6 +19,7 @@
   }
   size_ += aPart.size();
   parts_.push_back(std::move(aPart));
+  charge_.Set(size_ + parts_.capacity() * sizeof(std::string));
 }
 
 void
--- a/src/requests/AnswerLog.h
+++ b/src/requests/AnswerLog.h
@@ -6,6 +6,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "limits/ClientAccounts.h"
 #include "requests/CallerError.h"
 
 #include <cstdint>
@@ -35,8 +36,11 @@
   };
   using ObserverId = std::uint64_t;
 
-  explicit AnswerLog(RequestId aRequest)
+  // aClients accounts for the parts as long as they are kept; may be null.
+  explicit AnswerLog(RequestId aRequest,
+                     std::shared_ptr<ClientAccounts> aClients = nullptr)
     : request_(std::move(aRequest))
+    , charge_(std::move(aClients))
   {
   }
 
@@ -94,6 +98,7 @@
   void UpdateFlow();
 
   RequestId request_;
+  ClientCharge charge_;
   State state_ = State::Open;
   int status_ = 200;
   std::string contentType_;
--- a/src/requests/RequestContext.h
+++ b/src/requests/RequestContext.h
@@ -5,6 +5,7 @@
 
 #include "configuration/ConfigurationSource.h"
 #include "ledger/Ledger.h"
+#include "limits/ClientAccounts.h"
 #include "membership/Membership.h"
 #include "peer/PeerNetwork.h"
 #include "routing/Scheduler.h"
@@ -29,6 +30,8 @@
   std::function<std::uint64_t()> random_;
   // Optional; no metrics are recorded when null.
   Metrics* metrics_ = nullptr;
+  // Optional; answers are not accounted for when null.
+  std::shared_ptr<ClientAccounts> clients_ = nullptr;
 };
 
 } // namespace sycamoreward
--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -78,10 +78,11 @@
   hooks.onClaimConflict_ = [this, id](const RegisterReply& aReply) {
     HandleClaimConflict(id, aReply);
   };
-  auto task = std::make_shared<RequestTask>(context_,
-                                            std::move(aRequest),
-                                            std::make_shared<AnswerLog>(id),
-                                            std::move(hooks));
+  auto task = std::make_shared<RequestTask>(
+    context_,
+    std::move(aRequest),
+    std::make_shared<AnswerLog>(id, context_.clients_),
+    std::move(hooks));
   running_[id] = task;
   runningByKey_[key] = id;
   return task;
--- a/test/correctness/RequestReplyTest.cpp
+++ b/test/correctness/RequestReplyTest.cpp
@@ -55,6 +55,23 @@
 
 } // namespace
 
+// Guards against answers in progress that add up without a bound.
+Test(RequestReply, AnswersAreAccountedForAsLongAsTheyAreKept)
+{
+  SystemClock clock;
+  const auto accounts = std::make_shared<ClientAccounts>(clock, ClientBounds());
+  auto log = std::make_shared<AnswerLog>(RequestId("r"), accounts);
+  constexpr std::size_t kParts = 1000;
+  for (std::size_t part = 0; part < kParts; ++part) {
+    log->Append("token");
+  }
+  cr_expect_geq(accounts->HeldBytes(), kParts * sizeof(std::string));
+  log->End("stop");
+  cr_expect_gt(accounts->HeldBytes(), 0);
+  log.reset();
+  cr_expect_eq(accounts->HeldBytes(), 0);
+}
+
 Test(RequestReply, BlocksSourceOnlyWhileAllCallersLag)
 {
   const auto log = std::make_shared<AnswerLog>(RequestId("r"));
