Check JSON of callers in linear time and bound its values

What callers saw: one body of small values, within the limit of its size, kept an instance from answering anybody, for half a minute and more.

Cause: the check for duplicate keys used the parser's callbacks, with which each value that ends in an array costs a look at all values before it. The parsed tree was not counted.

Change: a pass without a tree finds duplicate keys and counts the values, at most 65,536; the tree is built without callbacks. A completion is charged with 96 bytes for each value.

--- a/src/base/BoundedJson.cpp
+++ b/src/base/BoundedJson.cpp
@@ -32,6 +32,57 @@
   return false;
 }
 
+// Checks a document before it is parsed into a tree. The callbacks of
+// Json::parse would do, but then each value of an array costs a look at all
+// values before it.
+class StrictCheck final : public nlohmann::json_sax<Json>
+{
+public:
+  bool null() override { return CountValue(); }
+  bool boolean(bool /*aValue*/) override { return CountValue(); }
+  bool number_integer(std::int64_t /*aValue*/) override { return CountValue(); }
+  bool number_unsigned(std::uint64_t /*aValue*/) override
+  {
+    return CountValue();
+  }
+  bool number_float(double /*aValue*/, const std::string& /*aText*/) override
+  {
+    return CountValue();
+  }
+  bool string(std::string& /*aValue*/) override { return CountValue(); }
+  bool binary(Json::binary_t& /*aValue*/) override { return CountValue(); }
+  bool start_object(std::size_t /*aSize*/) override
+  {
+    keys_.emplace_back();
+    return CountValue();
+  }
+  bool key(std::string& aKey) override
+  {
+    return keys_.back().insert(aKey).second;
+  }
+  bool end_object() override
+  {
+    keys_.pop_back();
+    return true;
+  }
+  bool start_array(std::size_t /*aSize*/) override { return CountValue(); }
+  bool end_array() override { return true; }
+  bool parse_error(std::size_t /*aPosition*/,
+                   const std::string& /*aToken*/,
+                   const Json::exception& /*aError*/) override
+  {
+    return false;
+  }
+
+  std::size_t values_ = 0;
+
+private:
+  bool CountValue() { return ++values_ <= kMaxJsonValues; }
+
+  // Keys of the open objects, outermost first.
+  std::vector<std::set<std::string>> keys_;
+};
+
 } // namespace
 
 Json
@@ -42,29 +93,16 @@
 }
 
 Json
-ParseStrictJson(std::string_view aText)
+ParseStrictJson(std::string_view aText, std::size_t* aValues)
 {
-  if (IsTooDeep(aText)) {
+  StrictCheck check;
+  if (IsTooDeep(aText) || !Json::sax_parse(aText, &check)) {
     return Json(Json::value_t::discarded);
   }
-  std::vector<std::set<std::string>> keys;
-  bool hasDuplicate = false;
-  auto json = Json::parse(
-    aText,
-    [&](int, Json::parse_event_t aEvent, Json& aValue) {
-      if (aEvent == Json::parse_event_t::object_start) {
-        keys.emplace_back();
-      } else if (aEvent == Json::parse_event_t::object_end) {
-        keys.pop_back();
-      } else if (aEvent == Json::parse_event_t::key) {
-        const bool isNew =
-          keys.back().insert(aValue.get_ref<const std::string&>()).second;
-        hasDuplicate = hasDuplicate || !isNew;
-      }
-      return true;
-    },
-    false);
-  return hasDuplicate ? Json(Json::value_t::discarded) : json;
+  if (aValues != nullptr) {
+    *aValues = check.values_;
+  }
+  return Json::parse(aText, nullptr, false);
 }
 
 } // namespace sycamoreward
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -599,6 +599,20 @@
   return true;
 }
 
+bool
+CallerExchange::HoldMore(std::size_t aBytes)
+{
+  if (charge_ == nullptr) {
+    return true;
+  }
+  charge_->Set(charge_->Held() + aBytes);
+  if (accounts_->Fits(charge_->Held())) {
+    return true;
+  }
+  accounts_->Count(ClientLimit::HeldBytes);
+  return false;
+}
+
 void
 CallerExchange::HoldAnswer(std::size_t aBytes)
 {
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -88,6 +88,9 @@
   // Counts the request for aWorkspace. Returns false if the workspace holds too
   // much already; the request should be refused then.
   bool MayRunFor(const WorkspaceId& aWorkspace);
+  // Counts further memory of the request. Returns false if it does not fit
+  // beside what all callers hold; the request should be refused then.
+  bool HoldMore(std::size_t aBytes);
   // Counts bytes of the answer that are held until more of it arrives.
   void HoldAnswer(std::size_t aBytes);
   // Accounts for the request as long as the returned object is kept. Needed if
--- a/src/limits/ClientAccounts.h
+++ b/src/limits/ClientAccounts.h
@@ -78,6 +78,12 @@
   // Whether all clients hold as much as they may.
   bool IsFull() const { return bytes_ >= bounds_.bytes_; }
 
+  // Whether a request that holds aBytes, which are counted already, fits.
+  bool Fits(std::size_t aBytes) const
+  {
+    return FitsBytes(aBytes, bytes_, bounds_);
+  }
+
   // Whether a request of aBytes could fit if all connections yielded that may.
   bool CouldFit(std::size_t aBytes) const;
 
--- a/src/requests/CallerApi.cpp
+++ b/src/requests/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "requests/CallerApi.h"
 
+#include "base/BoundedJson.h"
 #include "requests/Access.h"
 #include "requests/AddressAnswer.h"
 #include "requests/CallerConnection.h"
@@ -252,6 +253,12 @@
       405, "method_not_allowed", "Completions must be requested with POST.");
   }
   AcceptedRequest request = AcceptRequest(context_, std::move(input));
+  if (request.model_.has_value() &&
+      !aExchange->HoldMore(request.model_->values_ * kJsonValueBytes)) {
+    Refuse(503,
+           "memory",
+           "The requests in progress hold too much memory of this instance.");
+  }
   const ReplyForm form = MakeReplyForm(request);
   const auto known = table_.FindByKey(request.keyDigest_);
   if (known.log_ != nullptr) {
--- a/src/requests/ModelCall.cpp
+++ b/src/requests/ModelCall.cpp
@@ -123,10 +123,11 @@
 {
   ModelCall call;
   call.isChat_ = aIsChat;
-  call.body_ = ParseStrictJson(aBody);
+  call.body_ = ParseStrictJson(aBody, &call.values_);
   if (!call.body_.is_object()) {
-    Refuse("The request body is not a JSON object, is nested too deeply or "
-           "has a key twice.");
+    Refuse("The request body is not a JSON object, is nested too deeply, has a "
+           "key twice or has more than " +
+           std::to_string(kMaxJsonValues) + " values.");
   }
   const json& body = call.body_;
   if (!body.contains("model") || !body["model"].is_string()) {
--- a/src/requests/ModelCall.h
+++ b/src/requests/ModelCall.h
@@ -26,8 +26,9 @@
   Tokens maxTokens_;
   // Text of the prompt or of all chat messages.
   std::string prompt_;
-  // The request body as parsed.
+  // The request body as parsed, and the number of its values.
   nlohmann::json body_;
+  std::size_t values_ = 0;
 };
 
 // Parses a request body. Throws RequestRefused when aBody is invalid or asks
--- a/src/runtime/HttpServer.h
+++ b/src/runtime/HttpServer.h
@@ -92,6 +92,10 @@
   // much already; the request should be refused then.
   virtual bool MayRunFor(const WorkspaceId& /*aWorkspace*/) { return true; }
 
+  // Counts further memory of the request. Returns false if it does not fit
+  // beside what all callers hold; the request should be refused then.
+  virtual bool HoldMore(std::size_t /*aBytes*/) { return true; }
+
   // Accounts for the request as long as the returned object is kept. Needed if
   // the request goes on after its caller has left. May be null.
   virtual std::shared_ptr<const void> Charge() const { return nullptr; }
--- a/src/runtime/ServerExchange.cpp
+++ b/src/runtime/ServerExchange.cpp
@@ -208,6 +208,12 @@
   return exchange_ == nullptr || exchange_->MayRunFor(aWorkspace);
 }
 
+bool
+ServerExchange::HoldMore(std::size_t aBytes)
+{
+  return exchange_ == nullptr || exchange_->HoldMore(aBytes);
+}
+
 std::shared_ptr<const void>
 ServerExchange::Charge() const
 {
--- a/src/runtime/ServerExchange.h
+++ b/src/runtime/ServerExchange.h
@@ -46,6 +46,7 @@
   }
   bool IsCallerGone() const override { return isGone_; }
   bool MayRunFor(const WorkspaceId& aWorkspace) override;
+  bool HoldMore(std::size_t aBytes) override;
   std::shared_ptr<const void> Charge() const override;
 
 private:
--- a/test/crowd/DaemonCrowdTest.cpp
+++ b/test/crowd/DaemonCrowdTest.cpp
@@ -212,6 +212,36 @@
   ExpectMemoryWithinMachine(deployment);
 }
 
+// Whole requests whose values take many times their bytes once they are parsed.
+Test(DaemonCrowd, SmallValuesInLargeBodies)
+{
+  Deployment deployment(SmallInstance());
+  const std::string start =
+    R"({"model":"resistance-query","prompt":"p","max_tokens":2,"x":[)";
+  const std::string end = "[]]}";
+  // Many small values within the bound of each request, and far more of them.
+  for (const std::size_t values : { 20'000, 500'000 }) {
+    const std::string value = "{},";
+    const std::size_t bytes = start.size() + value.size() * values + end.size();
+    std::string all;
+    for (std::size_t count = 0; count < values; ++count) {
+      all += value;
+    }
+    Crowd crowd(deployment.CallerAddress(0),
+                50,
+                { "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                  "Authorization: Bearer " +
+                    std::string(kCallerToken) + "\r\nContent-Length: " +
+                    std::to_string(bytes) + "\r\n\r\n" + start + all + end,
+                  "",
+                  0 });
+    Run(deployment, crowd);
+    ExpectMemoryWithinMachine(deployment);
+    cr_expect_eq(AskLikeACaller(deployment), 200);
+    ExpectMemoryWithinMachine(deployment);
+  }
+}
+
 // Clients that ask on and on, on one connection, and read no answer.
 Test(DaemonCrowd, AnswersThatAreNotRead)
 {
