Read a crowd's answers also when sending has failed, and rename for readers

The test's clients dropped an answer that had arrived if sending the rest of the body failed before they read it, which other clients don't.

Change: the crowd reads what has arrived before it counts a connection as ended. The check stays: each client of the crowd gets 200 or 503. Names and comments that stopped a reader: `PortUse::Control`, `PauseWhileAnswersWait`, a comment on the buffer of a body.

--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -74,7 +74,7 @@
   HttpServerOptions options;
   options.listen_ = aSettings.listen_.operators_;
   options.maxBodySize_ = aSettings.limits_.maxBody_;
-  options.use_ = http::PortUse::Questions;
+  options.use_ = http::PortUse::Control;
   return options;
 }
 
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -22,8 +22,7 @@
 // A length above this is compared with what all callers hold before any of the
 // body is read.
 constexpr std::size_t kLargeBody = 64 * 1024;
-// Retry-After of a refused caller, in seconds. What the caller is refused for
-// is gone after the time that a request may take to arrive.
+// Retry-After of a refused caller, in seconds.
 constexpr const char* kOverloadRetryAfter = "1";
 
 constexpr const char* kMemoryReason =
@@ -178,13 +177,13 @@
 }
 
 bool
-CallerConnection::MayReadNext()
+CallerConnection::PauseWhileAnswersWait()
 {
-  if (channel_->Unsent() <= kMaxUnsentAnswers) {
-    return true;
+  const bool isPaused = channel_->Unsent() > kMaxUnsentAnswers;
+  if (isPaused) {
+    channel_->PauseReading();
   }
-  channel_->PauseReading();
-  return false;
+  return isPaused;
 }
 
 bool
@@ -194,7 +193,7 @@
     return false;
   }
   if (state_ == State::Idle) {
-    if (!MayReadNext()) {
+    if (PauseWhileAnswersWait()) {
       return false;
     }
     state_ = State::Head;
@@ -293,7 +292,6 @@
 CallerConnection::ReserveBody(std::size_t aBytes)
 {
   std::string& body = exchange_->body_;
-  // A body that arrived before the last bytes of a chunk need not grow.
   std::size_t needed = body.size() + aBytes;
   if (framing_.end_ == BodyEnd::Length) {
     needed = std::min(needed, std::size_t(framing_.length_));
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -59,8 +59,9 @@
   // These return whether they made progress.
   bool ReadHead();
   bool ReadBody();
-  // Whether the answers so far have been read far enough for another request.
-  bool MayReadNext();
+  // Pauses reading if the answers so far were not read far enough for another
+  // request. Returns whether it did.
+  bool PauseWhileAnswersWait();
   // Counts what the connection holds, and makes room for it if necessary.
   void Account();
   // Enlarges the buffer of the body for aBytes more, by less than doubling it.
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -39,12 +39,11 @@
 // What a port is for.
 enum class PortUse
 {
-  // Requests that take time.
+  // Callers' requests, which may be in progress for seconds.
   Requests,
-  // Questions about the instance itself, which are answered at once. Some
-  // connections are left to such ports when all others have requests in
-  // progress.
-  Questions
+  // Addresses, readiness, metrics and operators' calls. Some connections are
+  // left to such ports when all others have requests in progress.
+  Control
 };
 
 // One completely received request and its answer.
--- a/test/support/Crowd.cpp
+++ b/test/support/Crowd.cpp
@@ -105,10 +105,16 @@
       send(aClient.socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (count > 0) {
       aClient.sent_ += std::size_t(count);
-    } else {
-      aClient.isOpen_ = count < 0 && WouldWait();
-      return;
+      continue;
+    }
+    if (count == 0 || !WouldWait()) {
+      // The answer can arrive before the connection fails.
+      if (reading_ == Reading::Always) {
+        ReadAll(aClient);
+      }
+      aClient.isOpen_ = false;
     }
+    return;
   }
 }
 
