--- a/test/crowd/DaemonCrowdTest.cpp
+++ b/test/crowd/DaemonCrowdTest.cpp
@@ -223,18 +223,18 @@
   for (const std::size_t values : { 20'000, 500'000 }) {
     const std::string value = "{},";
     const std::size_t bytes = start.size() + value.size() * values + end.size();
-    std::string all;
+    std::string request = "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                          "Authorization: Bearer ";
+    request.append(kCallerToken)
+      .append("\r\nContent-Length: ")
+      .append(std::to_string(bytes))
+      .append("\r\n\r\n")
+      .append(start);
     for (std::size_t count = 0; count < values; ++count) {
-      all += value;
+      request += value;
     }
-    Crowd crowd(deployment.CallerAddress(0),
-                50,
-                { "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
-                  "Authorization: Bearer " +
-                    std::string(kCallerToken) + "\r\nContent-Length: " +
-                    std::to_string(bytes) + "\r\n\r\n" + start + all + end,
-                  "",
-                  0 });
+    request += end;
+    Crowd crowd(deployment.CallerAddress(0), 50, { request, "", 0 });
     Run(deployment, crowd);
     ExpectMemoryWithinMachine(deployment);
     cr_expect_eq(AskLikeACaller(deployment), 200);
--- a/test/error/HttpFramingTest.cpp
+++ b/test/error/HttpFramingTest.cpp
@@ -302,7 +302,8 @@
 {
   SystemClock clock;
   EventLoop loop(clock);
-  const std::string body(20'000'000, 'a');
+  std::string body;
+  body.resize(20'000'000, 'a');
   CallerServer server(loop,
                       Address{ "127.0.0.1", 0 },
                       [&](const std::shared_ptr<CallerExchange>& aExchange) {
