Say each rule of the bounds for all clients in one place

Cause: read again as a whole, the change had the size of the receive buffer in two files that only a comment tied, the bytes that a connection holds in four places with small variations, the bounds of sycamorewardd derived twice at its start, and a third pass over each JSON body for its depth.

Change: one constant, one function, one derivation, and the depth is counted in the pass that finds duplicate keys.

--- a/src/base/BoundedJson.cpp
+++ b/src/base/BoundedJson.cpp
@@ -54,7 +54,7 @@
   bool start_object(std::size_t /*aSize*/) override
   {
     keys_.emplace_back();
-    return CountValue();
+    return Descend();
   }
   bool key(std::string& aKey) override
   {
@@ -63,10 +63,15 @@
   bool end_object() override
   {
     keys_.pop_back();
+    --depth_;
+    return true;
+  }
+  bool start_array(std::size_t /*aSize*/) override { return Descend(); }
+  bool end_array() override
+  {
+    --depth_;
     return true;
   }
-  bool start_array(std::size_t /*aSize*/) override { return CountValue(); }
-  bool end_array() override { return true; }
   bool parse_error(std::size_t /*aPosition*/,
                    const std::string& /*aToken*/,
                    const Json::exception& /*aError*/) override
@@ -78,6 +83,9 @@
 
 private:
   bool CountValue() { return ++values_ <= kMaxJsonValues; }
+  bool Descend() { return ++depth_ <= kMaxJsonDepth && CountValue(); }
+
+  std::size_t depth_ = 0;
 
   // Keys of the open objects, outermost first.
   std::vector<std::set<std::string>> keys_;
@@ -96,7 +104,7 @@
 ParseStrictJson(std::string_view aText, std::size_t* aValues)
 {
   StrictCheck check;
-  if (IsTooDeep(aText) || !Json::sax_parse(aText, &check)) {
+  if (!Json::sax_parse(aText, &check)) {
     return Json(Json::value_t::discarded);
   }
   if (aValues != nullptr) {
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -49,12 +49,12 @@
 }
 
 RequestTableBounds
-TableBoundsOf(const LimitSettings& aLimits)
+TableBoundsOf(const LimitSettings& aLimits, const ClientBounds& aClients)
 {
   RequestTableBounds bounds;
   bounds.running_ = aLimits.maxRequests_;
-  bounds.finishedBytes_ = std::min<std::uint64_t>(
-    bounds.finishedBytes_, BoundsOf(aLimits).streamedBytes_);
+  bounds.finishedBytes_ =
+    std::min<std::uint64_t>(bounds.finishedBytes_, aClients.streamedBytes_);
   return bounds;
 }
 
@@ -209,7 +209,7 @@
       &registrar_,
       [this] { return random_(); },
       LedgerOptions(objects_))
-  , callerApi_(context_, TableBoundsOf(aSettings.limits_))
+  , callerApi_(context_, TableBoundsOf(aSettings.limits_, clients_->Bounds()))
   , resourceApi_(aLoop,
                  configuration_,
                  configurationStore_,
--- a/src/http/Acceptor.cpp
+++ b/src/http/Acceptor.cpp
@@ -1,6 +1,7 @@
 #include "http/Acceptor.h"
 
 #include "base/Error.h"
+#include "limits/ClientBounds.h"
 #include "peer/SocketAddress.h"
 #include "runtime/EventLoop.h"
 
@@ -14,9 +15,6 @@
 // Maximum number of connections that wait to be accepted. A full queue delays
 // callers by seconds, so this is as large as the system allows.
 constexpr int kBacklog = 4096;
-// Receive buffer of accepted connections, in bytes. Without it, the system
-// would hold megabytes for each client that sends faster than it is read.
-constexpr int kReceiveBuffer = 64 * 1024;
 // Pause after a failure to accept. The listening socket stays readable, so that
 // the loop would do nothing else.
 constexpr Duration kFailurePause = std::chrono::milliseconds(50);
@@ -54,8 +52,11 @@
   });
   const int descriptor = evconnlistener_get_fd(listener_);
   // Accepted sockets inherit this option.
-  (void)setsockopt(
-    descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
+  (void)setsockopt(descriptor,
+                   SOL_SOCKET,
+                   SO_RCVBUF,
+                   &kClientReceiveBuffer,
+                   sizeof kClientReceiveBuffer);
   address_.port_ = BoundPort(descriptor);
 }
 
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -158,20 +158,25 @@
 }
 
 void
-CallerConnection::Account()
+CallerConnection::UpdateCharge()
 {
-  if (state_ == State::Closing || state_ == State::Closed) {
-    charge_.Set(channel_->Unsent());
-    return;
-  }
+  // The sender of an answer in progress bounds its unsent bytes.
+  const bool isEnding = state_ == State::Closing || state_ == State::Closed;
   const bool isRunning = state_ == State::Handling;
-  charge_.Set(channel_->Unread() + (isRunning ? 0 : channel_->Unsent()));
-  if (exchange_ != nullptr && !isRunning) {
+  charge_.Set((isEnding ? 0 : channel_->Unread()) +
+              (isRunning ? 0 : channel_->Unsent()));
+}
+
+void
+CallerConnection::Account()
+{
+  UpdateCharge();
+  if (state_ == State::Body) {
     const std::size_t copies = body_.IsDone() ? limits_.bodyCopies_ : 1;
     exchange_->charge_->Set(HeadBytes(exchange_->head_) +
                             exchange_->body_.capacity() * copies);
   }
-  if (!isRunning) {
+  if (state_ == State::Idle || state_ == State::Head || state_ == State::Body) {
     accounts_->MakeByteRoom(*this);
   }
 }
@@ -311,7 +316,7 @@
 CallerConnection::Dispatch()
 {
   state_ = State::Handling;
-  charge_.Set(channel_->Unread());
+  UpdateCharge();
   exchange_->received_ = loop_.GetClock().Now();
   const auto exchange = exchange_;
   server_->handler_(exchange);
@@ -399,7 +404,7 @@
   state_ = State::Closing;
   stateStart_ = loop_.GetClock().Now();
   channel_->CloseAfterFlush();
-  charge_.Set(channel_->Unsent());
+  UpdateCharge();
   if (channel_->IsReleased()) {
     Drop();
   }
@@ -453,7 +458,7 @@
   }
   state_ = State::Idle;
   stateStart_ = loop_.GetClock().Now();
-  charge_.Set(channel_->Unread() + channel_->Unsent());
+  UpdateCharge();
   channel_->ResumeReading();
   // Posted, because the code that called Finish may still be using its state.
   if (channel_->Unread() > 0) {
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -62,7 +62,9 @@
   // Pauses reading if the answers so far were not read far enough for another
   // request. Returns whether it did.
   bool PauseWhileAnswersWait();
-  // Counts what the connection holds, and makes room for it if necessary.
+  // Counts the bytes that the connection holds beside its request.
+  void UpdateCharge();
+  // Counts all that the connection holds, and makes room for it if necessary.
   void Account();
   // Enlarges the buffer of the body for aBytes more, by less than doubling it.
   void ReserveBody(std::size_t aBytes);
--- a/src/limits/ClientBounds.cpp
+++ b/src/limits/ClientBounds.cpp
@@ -19,9 +19,6 @@
 // A connection of a client needs one socket and, while its request runs, one to
 // a backend server; half as many again may be idle.
 constexpr double kSocketsPerConnection = 2.5;
-// Bytes of a connection that the system receives before the process reads them.
-// Acceptor sets the receive buffer accordingly.
-constexpr std::size_t kReceiveBytes = 64 * 1024;
 // Smallest numbers that let a process work at all.
 constexpr std::size_t kMinSockets = 40;
 constexpr std::size_t kMinRefusals = 2;
@@ -82,7 +79,7 @@
   ClientBounds bounds;
   bounds.connections_ =
     std::min({ std::size_t(double(clientSockets) / kSocketsPerConnection),
-               std::max(memory / 8 * 3 / kReceiveBytes, kMinSockets),
+               std::max(memory / 8 * 3 / kClientReceiveBuffer, kMinSockets),
                aMaxConnections });
   bounds.refusalReserve_ =
     std::max(bounds.connections_ / kRefusalDivisor, kMinRefusals);
--- a/src/limits/ClientBounds.h
+++ b/src/limits/ClientBounds.h
@@ -12,6 +12,10 @@
 
 namespace sycamoreward {
 
+// Receive buffer of a client's connection, in bytes. Without it, the system
+// would hold megabytes for each client that sends faster than it is read.
+constexpr int kClientReceiveBuffer = 64 * 1024;
+
 // What a machine gives to one process.
 struct Machine
 {
