Run the crowds of both programs with one piece of code

Cause: the loop that runs a crowd, the wait for its answers and the check of the memory stood in both test files.

Change: they stand in `test/support/Crowd`. The checks and bounds are the same; that each client of a crowd of whole bodies gets an answer in time is now expected by itself, too.

--- a/test/crowd/DaemonCrowdTest.cpp
+++ b/test/crowd/DaemonCrowdTest.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-// Ends a crowd that an instance stops reading.
-constexpr int kCrowdTimeoutSeconds = 60;
-// An instance need not read all that a crowd sends.
-constexpr int kReadTimeoutSeconds = 15;
 constexpr std::size_t kMegabyte = 1000 * 1000;
 constexpr std::size_t kMemoryBytes = 64 * kMegabyte;
 constexpr std::size_t kMaxConnections = 64;
@@ -39,27 +35,10 @@
   return options;
 }
 
-// Runs the crowd until it has sent what it can, and returns the most
-// descriptors that the instance had open.
 std::size_t
 Run(Deployment& aDeployment, Crowd& aCrowd)
 {
-  const pid_t process = aDeployment.Entry(0).Pid();
-  std::size_t descriptors = 0;
-  std::size_t rounds = 0;
-  constexpr std::size_t kRoundsPerSample = 16;
-  const auto isDone = [&] {
-    aCrowd.Advance();
-    if (++rounds % kRoundsPerSample == 0) {
-      descriptors = std::max(descriptors, OpenDescriptors(process));
-    }
-    aDeployment.Loop().Post([] {});
-    return aCrowd.IsDone();
-  };
-  aDeployment.WaitFor(isDone, kCrowdTimeoutSeconds);
-  const auto isRead = [&] { return isDone() && aCrowd.UnreadByServer() == 0; };
-  aDeployment.WaitFor(isRead, kReadTimeoutSeconds);
-  return std::max(descriptors, OpenDescriptors(process));
+  return RunCrowd(aDeployment.Loop(), aCrowd, aDeployment.Entry(0).Pid());
 }
 
 // Asks like an ordinary caller, which comes back when it is refused.
@@ -89,14 +68,7 @@
 void
 ExpectMemoryWithinMachine(Deployment& aDeployment)
 {
-  const std::size_t peak = PeakMemory(aDeployment.Entry(0).Pid());
-  cr_expect(peak > 0, "the instance has ended");
-  cr_log_info("peak of memory: %.1f MB", double(peak) / double(kMegabyte));
-  cr_expect_leq(peak,
-                kMemoryBytes,
-                "the instance used %.1f of %zu MB",
-                double(peak) / double(kMegabyte),
-                kMemoryBytes / kMegabyte);
+  ExpectMemoryWithin(aDeployment.Entry(0).Pid(), kMemoryBytes);
 }
 
 // Runs a crowd on both ports and expects that the instance stays within its
@@ -193,14 +165,7 @@
       std::string(1000, 'a'),
       kBytes / 1000 });
   Run(deployment, crowd);
-  deployment.WaitFor(
-    [&] {
-      crowd.Advance();
-      deployment.Loop().Post([] {});
-      const auto statuses = crowd.Statuses();
-      return std::count(statuses.begin(), statuses.end(), 0) == 0;
-    },
-    kCrowdTimeoutSeconds);
+  cr_expect(RunUntilAnswered(deployment.Loop(), crowd));
   ExpectMemoryWithinMachine(deployment);
   std::size_t served = 0;
   for (const int status : crowd.Statuses()) {
--- a/test/crowd/EdgeCrowdTest.cpp
+++ b/test/crowd/EdgeCrowdTest.cpp
@@ -18,10 +18,6 @@
 namespace {
 
 constexpr double kStartTimeoutSeconds = 30;
-// Ends a crowd that an instance stops reading.
-constexpr double kCrowdTimeoutSeconds = 60;
-// An instance need not read all that a crowd sends.
-constexpr double kReadTimeoutSeconds = 15;
 constexpr int kMegabyte = 1000 * 1000;
 
 // A machine with a third of the memory of the smallest one in use.
@@ -73,28 +69,10 @@
   return { "127.0.0.1", aPort };
 }
 
-// Runs the crowd until it has sent what it can, and returns the most
-// descriptors that the instance had open.
 std::size_t
 Run(PlatformFixture& aWorld, Crowd& aCrowd)
 {
-  const pid_t process = aWorld.edges_[0]->Pid();
-  std::size_t descriptors = 0;
-  std::size_t rounds = 0;
-  constexpr std::size_t kRoundsPerSample = 16;
-  // Keeps the loop from waiting while the crowd is the only one to act.
-  const auto isDone = [&] {
-    aCrowd.Advance();
-    if (++rounds % kRoundsPerSample == 0) {
-      descriptors = std::max(descriptors, OpenDescriptors(process));
-    }
-    aWorld.loop_.Post([] {});
-    return aCrowd.IsDone();
-  };
-  aWorld.RunUntil(isDone, kCrowdTimeoutSeconds);
-  const auto isRead = [&] { return isDone() && aCrowd.UnreadByServer() == 0; };
-  aWorld.RunUntil(isRead, kReadTimeoutSeconds);
-  return std::max(descriptors, OpenDescriptors(process));
+  return RunCrowd(aWorld.loop_, aCrowd, aWorld.edges_[0]->Pid());
 }
 
 // Asks like an ordinary caller, which comes back when it is told to.
@@ -121,14 +99,8 @@
 ExpectMemoryWithinMachine(PlatformFixture& aWorld,
                           const PlatformFixtureOptions& aOptions)
 {
-  const std::size_t peak = PeakMemory(aWorld.edges_[0]->Pid());
-  cr_expect(peak > 0, "the instance has ended");
-  cr_log_info("peak of memory: %.1f MB", double(peak) / kMegabyte);
-  cr_expect_leq(peak,
-                std::size_t(aOptions.memoryMegabytes_) * kMegabyte,
-                "the instance used %.1f of %d MB",
-                double(peak) / kMegabyte,
-                aOptions.memoryMegabytes_);
+  ExpectMemoryWithin(aWorld.edges_[0]->Pid(),
+                     std::size_t(aOptions.memoryMegabytes_) * kMegabyte);
 }
 
 // Runs a crowd on a port of a small machine and expects that the instance stays
@@ -250,14 +222,7 @@
   Run(world, crowd);
   ExpectMemoryWithinMachine(world, options);
   cr_expect_eq(AskLikeACaller(world, "beside-"), 200);
-  world.RunUntil(
-    [&] {
-      crowd.Advance();
-      world.loop_.Post([] {});
-      const auto statuses = crowd.Statuses();
-      return std::count(statuses.begin(), statuses.end(), 0) == 0;
-    },
-    kCrowdTimeoutSeconds);
+  cr_expect(RunUntilAnswered(world.loop_, crowd));
   std::size_t served = 0;
   std::size_t refused = 0;
   for (const int status : crowd.Statuses()) {
--- a/test/support/Crowd.cpp
+++ b/test/support/Crowd.cpp
@@ -2,14 +2,19 @@
 
 #include "peer/SocketAddress.h"
 
+#include "runtime/EventLoop.h"
 #include "support/RawConnection.h"
 
+#include <criterion/criterion.h>
+#include <criterion/logging.h>
+
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -18,6 +23,10 @@
 
 namespace {
 
+// Ends a crowd that an instance stops reading.
+constexpr std::chrono::seconds kCrowdTimeout{ 60 };
+// An instance need not read all that a crowd sends.
+constexpr std::chrono::seconds kReadTimeout{ 15 };
 // Largest part of the script that is passed to the system at once.
 constexpr std::size_t kSendStep = 256 * 1024;
 // Receive buffer of a client that does not read, in bytes.
@@ -172,11 +181,11 @@
     std::string queues;
     fields >> number >> local >> remote >> state >> queues;
     constexpr const char* kListening = "0A";
-    const auto portOf = [](const std::string& aAddress) {
-      return std::stoul(aAddress.substr(aAddress.find(':') + 1), nullptr, 16);
+    const auto afterColon = [](const std::string& aPair) {
+      return std::stoul(aPair.substr(aPair.find(':') + 1), nullptr, 16);
     };
-    if (state != kListening && portOf(local) == port_) {
-      unread += portOf(queues);
+    if (state != kListening && afterColon(local) == port_) {
+      unread += afterColon(queues);
     }
   }
   return unread;
@@ -201,6 +210,54 @@
   return statuses;
 }
 
+std::size_t
+RunCrowd(EventLoop& aLoop, Crowd& aCrowd, pid_t aProcess)
+{
+  std::size_t descriptors = 0;
+  std::size_t rounds = 0;
+  constexpr std::size_t kRoundsPerSample = 16;
+  const auto isDone = [&] {
+    aCrowd.Advance();
+    if (++rounds % kRoundsPerSample == 0) {
+      descriptors = std::max(descriptors, OpenDescriptors(aProcess));
+    }
+    // Keeps the loop from waiting while the crowd is the only one to act.
+    aLoop.Post([] {});
+    return aCrowd.IsDone();
+  };
+  aLoop.RunUntil(isDone, kCrowdTimeout);
+  const auto isRead = [&] { return isDone() && aCrowd.UnreadByServer() == 0; };
+  aLoop.RunUntil(isRead, kReadTimeout);
+  return std::max(descriptors, OpenDescriptors(aProcess));
+}
+
+bool
+RunUntilAnswered(EventLoop& aLoop, Crowd& aCrowd)
+{
+  return aLoop.RunUntil(
+    [&] {
+      aCrowd.Advance();
+      aLoop.Post([] {});
+      const auto statuses = aCrowd.Statuses();
+      return std::count(statuses.begin(), statuses.end(), 0) == 0;
+    },
+    kCrowdTimeout);
+}
+
+void
+ExpectMemoryWithin(pid_t aProcess, std::size_t aBytes)
+{
+  constexpr double kMegabyte = 1e6;
+  const std::size_t peak = PeakMemory(aProcess);
+  cr_expect(peak > 0, "the instance has ended");
+  cr_log_info("peak of memory: %.1f MB", double(peak) / kMegabyte);
+  cr_expect_leq(peak,
+                aBytes,
+                "the instance used %.1f of %.0f MB",
+                double(peak) / kMegabyte,
+                double(aBytes) / kMegabyte);
+}
+
 std::size_t
 PeakMemory(pid_t aProcess)
 {
--- a/test/support/Crowd.h
+++ b/test/support/Crowd.h
@@ -14,6 +14,8 @@
 
 namespace sycamoreward {
 
+class EventLoop;
+
 // What each client sends: the start once, then the piece a number of times.
 struct CrowdScript
 {
@@ -79,6 +81,20 @@
   std::vector<Client> clients_;
 };
 
+// Runs aCrowd until it has sent what it can and aProcess has read what it
+// reads. Returns the most descriptors that aProcess had open.
+std::size_t
+RunCrowd(EventLoop& aLoop, Crowd& aCrowd, pid_t aProcess);
+
+// Runs aCrowd until each client has an answer. Returns false if one has none
+// after a minute.
+bool
+RunUntilAnswered(EventLoop& aLoop, Crowd& aCrowd);
+
+// Expects that aProcess lives and has never used more than aBytes.
+void
+ExpectMemoryWithin(pid_t aProcess, std::size_t aBytes);
+
 // Highest resident memory of a process since its start, in bytes; 0 if it has
 // ended.
 std::size_t
