Add a review case: clients that do not read starve the others

Cause: a request whose client reads nothing counts as work of its server until its time limit, so admission refuses the requests of other callers.

--- a/review/standins-3/World.cpp
+++ b/review/standins-3/World.cpp
@@ -255,12 +255,15 @@
 World::PutManifest(const nlohmann::json& aRoutes,
                    const nlohmann::json& aServices)
 {
-  const nlohmann::json tenants = { { { "name", "one" },
-                                     { "api-keys", { "key-one" } },
-                                     { "unit", "tokens" },
-                                     { "uncached-tokens", 10 },
-                                     { "rate-per-s", 0 },
-                                     { "burst", 0 } } };
+  nlohmann::json tenants = nlohmann::json::array();
+  for (const char* name : { "one", "two" }) {
+    tenants.push_back({ { "name", name },
+                        { "api-keys", { std::string("key-") + name } },
+                        { "unit", "tokens" },
+                        { "uncached-tokens", 200 },
+                        { "rate-per-s", 262933 },
+                        { "burst", 262933 } });
+  }
   store_.Put("op",
              "config",
              nlohmann::json{ { "version", ++manifest_ },
